--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package flaxyoke decides, for a router in front of a fleet of cache servers,
+// Package hoptiller decides, for a router in front of a fleet of cache servers,
 // which server gets a request, when to try another one, and when to give up.
 //
 // A Router holds the decisions of one balancer instance. The embedding proxy
@@ -7,7 +7,7 @@
 // Actions interface. A Router never reads a clock, never sleeps, starts no
 // goroutines and shares nothing: the same events give the same actions.
 // It is not safe for concurrent use; give each instance one goroutine or lock.
-package flaxyoke
+package hoptiller
 
 import "time"
 
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"flaxyoke"
-	"flaxyoke/internal/wire"
+	"hoptiller"
+	"hoptiller/internal/wire"
 )
 
 func main() {
@@ -23,8 +23,8 @@
 type host struct {
 	reader  *wire.Reader
 	reply   wire.Reply
-	routers map[uint32]*flaxyoke.Router
-	lists   [16][]flaxyoke.Server
+	routers map[uint32]*hoptiller.Router
+	lists   [16][]hoptiller.Server
 	current uint32
 	named   bool
 }
@@ -33,7 +33,7 @@
 func serve(in io.Reader, out io.Writer) error {
 	h := &host{
 		reader:  wire.NewReader(bufio.NewReaderSize(in, 1<<16)),
-		routers: make(map[uint32]*flaxyoke.Router),
+		routers: make(map[uint32]*hoptiller.Router),
 	}
 	for {
 		err := h.reader.ReadBatch()
@@ -84,7 +84,7 @@
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", h.current, err)
 		}
-		h.routers[h.current] = flaxyoke.New(h.reader.Clock, set, e.Seed, h.reply.For(h.current))
+		h.routers[h.current] = hoptiller.New(h.reader.Clock, set, e.Seed, h.reply.For(h.current))
 		return nil
 	}
 	router := h.routers[h.current]
@@ -94,7 +94,7 @@
 	return h.deliver(router, e)
 }
 
-func (h *host) deliver(router *flaxyoke.Router, e *wire.Event) error {
+func (h *host) deliver(router *hoptiller.Router, e *wire.Event) error {
 	now := h.reader.Clock
 	switch e.Code {
 	case wire.Destroy:
@@ -115,8 +115,8 @@
 	return nil
 }
 
-func (h *host) endpoints(router *flaxyoke.Router, e *wire.Event) error {
-	if e.Scope == flaxyoke.ListFailed {
+func (h *host) endpoints(router *hoptiller.Router, e *wire.Event) error {
+	if e.Scope == hoptiller.ListFailed {
 		router.List(h.reader.Clock, e.Scope, nil)
 		return nil
 	}
--- a/defence_test.go
+++ b/defence_test.go
@@ -1,4 +1,4 @@
-package flaxyoke
+package hoptiller
 
 import (
 	"testing"
--- a/example_test.go
+++ b/example_test.go
@@ -1,10 +1,10 @@
-package flaxyoke_test
+package hoptiller_test
 
 import (
 	"fmt"
 	"time"
 
-	"flaxyoke"
+	"hoptiller"
 )
 
 // proxy stands for the program that embeds the library.
@@ -24,24 +24,24 @@
 
 // A request goes to its key's home; when that cannot be reached, to the next-best.
 func Example() {
-	settings := flaxyoke.Settings{
+	settings := hoptiller.Settings{
 		Balancers:   2,
 		MaxAttempts: 3,
 		OriginKind:  -1,
 		Tick:        time.Millisecond,
-		Classes: []flaxyoke.Class{
+		Classes: []hoptiller.Class{
 			{Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 1, LateValue: 0.5},
 		},
 	}
 	now := time.Second
-	router := flaxyoke.New(now, settings, 1, proxy{})
-	router.List(now, flaxyoke.ListFull, []flaxyoke.Server{
-		{ID: 10, Phase: flaxyoke.Ready, Weight: 2},
-		{ID: 11, Phase: flaxyoke.Ready, Weight: 1},
-		{ID: 12, Phase: flaxyoke.Ready, Weight: 1},
+	router := hoptiller.New(now, settings, 1, proxy{})
+	router.List(now, hoptiller.ListFull, []hoptiller.Server{
+		{ID: 10, Phase: hoptiller.Ready, Weight: 2},
+		{ID: 11, Phase: hoptiller.Ready, Weight: 1},
+		{ID: 12, Phase: hoptiller.Ready, Weight: 1},
 	})
-	router.Request(now, flaxyoke.Request{ID: 1, Key: 42, Remaining: time.Second})
-	router.Outcome(now, flaxyoke.Outcome{Request: 1, Attempt: 0, Server: 10, Status: flaxyoke.ConnectFailed})
+	router.Request(now, hoptiller.Request{ID: 1, Key: 42, Remaining: time.Second})
+	router.Outcome(now, hoptiller.Outcome{Request: 1, Attempt: 0, Server: 10, Status: hoptiller.ConnectFailed})
 	// Output:
 	// send request 1 to server 10, wait up to 1s
 	// send request 1 to server 12, wait up to 1s
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"flaxyoke"
+	"hoptiller"
 )
 
 type conf struct {
@@ -62,12 +62,12 @@
 }
 
 // ParseSettings reads an instance's settings. Unknown keys are passed over.
-func ParseSettings(text []byte) (flaxyoke.Settings, error) {
+func ParseSettings(text []byte) (hoptiller.Settings, error) {
 	var c conf
 	if err := json.Unmarshal(text, &c); err != nil {
-		return flaxyoke.Settings{}, fmt.Errorf("settings: %w", err)
+		return hoptiller.Settings{}, fmt.Errorf("settings: %w", err)
 	}
-	s := flaxyoke.Settings{
+	s := hoptiller.Settings{
 		Self: c.SelfIndex, Balancers: c.Balancers, Zone: c.Zone,
 		OverShareWorth: c.OverShareWorth, TailPart: c.ScoringMix.TailPart, OriginKind: -1,
 		ListOnRequest:     c.MembershipMode == "on_request",
@@ -92,40 +92,40 @@
 		}
 	}
 	for _, a := range c.Accounts {
-		s.Tenants = append(s.Tenants, flaxyoke.Tenant{Allowance: a.AllowancePerS})
+		s.Tenants = append(s.Tenants, hoptiller.Tenant{Allowance: a.AllowancePerS})
 	}
 	for i, k := range c.Classes {
 		class, err := k.class()
 		if err != nil {
-			return flaxyoke.Settings{}, fmt.Errorf("settings: class %d: %w", i, err)
+			return hoptiller.Settings{}, fmt.Errorf("settings: class %d: %w", i, err)
 		}
 		s.Classes = append(s.Classes, class)
 	}
 	return s, nil
 }
 
-func (k classConf) class() (flaxyoke.Class, error) {
-	c := flaxyoke.Class{
+func (k classConf) class() (hoptiller.Class, error) {
+	c := hoptiller.Class{
 		Aim: us(k.OnTime), Deadline: us(k.Deadline), Worth: k.Worth, LateValue: k.LateValue,
 		KeyTTL: us(k.KeyTTL), Stream: k.Stream,
 	}
 	switch k.Effect {
 	case "idempotent":
-		c.Effect = flaxyoke.Idempotent
+		c.Effect = hoptiller.Idempotent
 	case "deduplicated":
-		c.Effect = flaxyoke.Deduplicated
+		c.Effect = hoptiller.Deduplicated
 	case "at_most_once", "":
-		c.Effect = flaxyoke.AtMostOnce
+		c.Effect = hoptiller.AtMostOnce
 	default:
 		return c, fmt.Errorf("unknown effect %q", k.Effect)
 	}
 	switch k.Group {
 	case "all", "":
-		c.Group = flaxyoke.GroupAll
+		c.Group = hoptiller.GroupAll
 	case "zone":
-		c.Group = flaxyoke.GroupZone
+		c.Group = hoptiller.GroupZone
 	case "cell":
-		c.Group = flaxyoke.GroupCell
+		c.Group = hoptiller.GroupCell
 	default:
 		return c, fmt.Errorf("unknown group %q", k.Group)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"flaxyoke"
+	"hoptiller"
 )
 
 // MaxFrame bounds a frame's stated length; more is taken for damage.
@@ -58,16 +58,16 @@
 // Event is one decoded record. Only the fields of its code are set.
 type Event struct {
 	Code     EventCode
-	Instance uint32            // Context
-	Seed     uint64            // Provision
-	Conf     []byte            // Provision; valid until the next read
-	Scope    flaxyoke.ListKind // Endpoints
-	Buffer   uint8             // Endpoints, List
-	Servers  []flaxyoke.Server // List
-	Request  flaxyoke.Request  // Knock
-	Outcome  flaxyoke.Outcome  // ReportBack; request and attempt of Flowing
-	ID       uint32            // ClientGone
-	Token    uint64            // TimeoutFired
+	Instance uint32             // Context
+	Seed     uint64             // Provision
+	Conf     []byte             // Provision; valid until the next read
+	Scope    hoptiller.ListKind // Endpoints
+	Buffer   uint8              // Endpoints, List
+	Servers  []hoptiller.Server // List
+	Request  hoptiller.Request  // Knock
+	Outcome  hoptiller.Outcome  // ReportBack; request and attempt of Flowing
+	ID       uint32             // ClientGone
+	Token    uint64             // TimeoutFired
 }
 
 // Reader reads batches from a stream.
@@ -137,10 +137,10 @@
 	case Context:
 		e.Instance = r.u32()
 	case Endpoints:
-		e.Scope = flaxyoke.ListKind(r.u8())
+		e.Scope = hoptiller.ListKind(r.u8())
 		r.u32()
 		e.Buffer = r.u8()
-		if r.err == nil && e.Scope > flaxyoke.ListFailed {
+		if r.err == nil && e.Scope > hoptiller.ListFailed {
 			r.err = r.fault(start, "Endpoints: unknown scope %d", e.Scope)
 		}
 	case Knock:
@@ -164,7 +164,7 @@
 		e.Token = r.u64()
 	case Destroy:
 	case Flowing:
-		e.Outcome = flaxyoke.Outcome{Request: r.u32(), Attempt: int(r.u16()), Latency: r.time()}
+		e.Outcome = hoptiller.Outcome{Request: r.u32(), Attempt: int(r.u16()), Latency: r.time()}
 		e.Outcome.Server = r.u32()
 	case List:
 		r.list(e, start)
@@ -175,7 +175,7 @@
 	}
 }
 
-func (r *Reader) knock(q *flaxyoke.Request) {
+func (r *Reader) knock(q *hoptiller.Request) {
 	q.ID = r.u32()
 	r.u32() // size
 	q.Remaining = r.time()
@@ -187,13 +187,13 @@
 	q.Key = r.u64()
 }
 
-var statuses = map[uint16]flaxyoke.Status{
-	200: flaxyoke.OK, 500: flaxyoke.ServerError, 503: flaxyoke.Full, 504: flaxyoke.Timeout,
-	502: flaxyoke.ConnectFailed, 598: flaxyoke.Reset, 499: flaxyoke.Cancelled, 410: flaxyoke.Moot,
-	404: flaxyoke.Miss,
+var statuses = map[uint16]hoptiller.Status{
+	200: hoptiller.OK, 500: hoptiller.ServerError, 503: hoptiller.Full, 504: hoptiller.Timeout,
+	502: hoptiller.ConnectFailed, 598: hoptiller.Reset, 499: hoptiller.Cancelled, 410: hoptiller.Moot,
+	404: hoptiller.Miss,
 }
 
-func (r *Reader) report(o *flaxyoke.Outcome, start int) {
+func (r *Reader) report(o *hoptiller.Outcome, start int) {
 	o.Request = r.u32()
 	how := r.u16()
 	o.Server = r.u32()
@@ -221,15 +221,15 @@
 	if r.err != nil {
 		return
 	}
-	e.Servers = make([]flaxyoke.Server, n)
+	e.Servers = make([]hoptiller.Server, n)
 	for i := range e.Servers {
 		s := &e.Servers[i]
 		s.ID = r.u32()
 		s.Zone, s.Kind, s.Cell = int(r.u16()), int(r.u8()), int(r.u16())
-		s.Phase = flaxyoke.Phase(r.u8())
+		s.Phase = hoptiller.Phase(r.u8())
 		s.Weight = float64(math.Float32frombits(r.u32()))
 		s.Started = micros(r.u64())
-		if s.Phase > flaxyoke.Ready {
+		if s.Phase > hoptiller.Ready {
 			r.err = r.fault(start, "List: entry %d has unknown phase %d", i, s.Phase)
 			return
 		}
@@ -313,7 +313,7 @@
 // For returns the actions of one instance, written to this reply.
 func (w *Reply) For(instance uint32) *Sink { return &Sink{reply: w, instance: instance} }
 
-// Sink implements flaxyoke.Actions by writing records.
+// Sink implements hoptiller.Actions by writing records.
 type Sink struct {
 	reply    *Reply
 	instance uint32
@@ -335,7 +335,7 @@
 	return uint32(min(max(us, 0), math.MaxUint32))
 }
 
-// Send implements flaxyoke.Actions.
+// Send implements hoptiller.Actions.
 func (s *Sink) Send(request, server uint32, timeout time.Duration) {
 	w := s.begin(actTransmit)
 	w.buf = binary.LittleEndian.AppendUint32(w.buf, request)
@@ -343,43 +343,43 @@
 	w.buf = binary.LittleEndian.AppendUint32(w.buf, delay(timeout))
 }
 
-// Cancel implements flaxyoke.Actions.
+// Cancel implements hoptiller.Actions.
 func (s *Sink) Cancel(request uint32, attempt int) {
 	w := s.begin(actWithdraw)
 	w.buf = binary.LittleEndian.AppendUint32(w.buf, request)
 	w.buf = binary.LittleEndian.AppendUint16(w.buf, uint16(attempt))
 }
 
-// CloseIdle implements flaxyoke.Actions.
+// CloseIdle implements hoptiller.Actions.
 func (s *Sink) CloseIdle(server uint32) {
 	w := s.begin(actShutIdle)
 	w.buf = binary.LittleEndian.AppendUint32(w.buf, server)
 }
 
-// Refuse implements flaxyoke.Actions.
+// Refuse implements hoptiller.Actions.
 func (s *Sink) Refuse(request uint32, retryAfter time.Duration) {
 	w := s.begin(actDeny)
 	w.buf = binary.LittleEndian.AppendUint32(w.buf, request)
 	w.buf = binary.LittleEndian.AppendUint32(w.buf, delay(retryAfter))
 }
 
-// Fail implements flaxyoke.Actions.
+// Fail implements hoptiller.Actions.
 func (s *Sink) Fail(request uint32) {
 	w := s.begin(actAbort)
 	w.buf = binary.LittleEndian.AppendUint32(w.buf, request)
 }
 
-// SetTimer implements flaxyoke.Actions.
+// SetTimer implements hoptiller.Actions.
 func (s *Sink) SetTimer(token uint64, after time.Duration) {
 	w := s.begin(actTimer)
 	w.buf = binary.LittleEndian.AppendUint64(w.buf, token)
 	w.buf = binary.LittleEndian.AppendUint32(w.buf, delay(after))
 }
 
-// FetchList implements flaxyoke.Actions.
+// FetchList implements hoptiller.Actions.
 func (s *Sink) FetchList() { s.begin(actGetList) }
 
-// Watch implements flaxyoke.Actions.
+// Watch implements hoptiller.Actions.
 func (s *Sink) Watch(on bool) {
 	w := s.begin(actTrack)
 	if on {
@@ -389,7 +389,7 @@
 	}
 }
 
-// Log implements flaxyoke.Actions.
+// Log implements hoptiller.Actions.
 func (s *Sink) Log(text string) {
 	w := s.begin(actSayLog)
 	text = text[:min(len(text), math.MaxUint16)]
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"flaxyoke"
+	"hoptiller"
 )
 
 // frame puts a batch header before records.
@@ -58,20 +58,20 @@
 	}
 	servers := events[1].Servers
 	if len(servers) != 2 || servers[1].ID != 0x2c9011f2 || servers[1].Zone != 1 || servers[1].Weight != 1.5 ||
-		servers[1].Started != 6100*time.Millisecond || servers[1].Phase != flaxyoke.Ready {
+		servers[1].Started != 6100*time.Millisecond || servers[1].Phase != hoptiller.Ready {
 		t.Errorf("list entries: %+v", servers)
 	}
-	if e := events[2]; e.Scope != flaxyoke.ListCached || e.Buffer != 0 {
+	if e := events[2]; e.Scope != hoptiller.ListCached || e.Buffer != 0 {
 		t.Errorf("endpoints: %+v", e)
 	}
-	want := flaxyoke.Request{ID: 0x5d3a91c4, Key: 0x91f03b7c55d20a64, Remaining: 240 * time.Millisecond}
+	want := hoptiller.Request{ID: 0x5d3a91c4, Key: 0x91f03b7c55d20a64, Remaining: 240 * time.Millisecond}
 	if events[3].Request != want {
 		t.Errorf("knock: %+v, want %+v", events[3].Request, want)
 	}
 	if events[4].Token != 77 || events[6].ID != 0x0e6f2b19 {
 		t.Errorf("timer %+v, client gone %+v", events[4], events[6])
 	}
-	o := flaxyoke.Outcome{Request: 0x5d3a91c4, Server: 0x03124a07, Status: flaxyoke.OK,
+	o := hoptiller.Outcome{Request: 0x5d3a91c4, Server: 0x03124a07, Status: hoptiller.OK,
 		Latency: 18500 * time.Microsecond, Closed: true}
 	if events[5].Outcome != o {
 		t.Errorf("report: %+v, want %+v", events[5].Outcome, o)
@@ -148,7 +148,7 @@
 	c := s.Classes[0]
 	if s.Balancers != 2 || s.MaxAttempts != 4 || !s.SecondCopies || !s.Aside || s.OriginKind != 2 ||
 		!s.ListOnRequest || s.Tenants[0].Allowance != 241 || s.Cold != 23*time.Second || s.ColdFrom != 0.13 ||
-		c.Effect != flaxyoke.Deduplicated || c.Group != flaxyoke.GroupZone || c.KeyTTL != 3*time.Second ||
+		c.Effect != hoptiller.Deduplicated || c.Group != hoptiller.GroupZone || c.KeyTTL != 3*time.Second ||
 		c.Aim != 500*time.Millisecond {
 		t.Errorf("settings: %+v", s)
 	}
--- a/router.go
+++ b/router.go
@@ -1,4 +1,4 @@
-package flaxyoke
+package hoptiller
 
 // All decisions of the library are in this file; api.go has the interface.
 //
