Add the router: clients, providers, origin and directory on real sockets

The module had only the simulator's adapter round it. cmd/hoptiller now puts it on sockets: facade.go wraps one Router in blocking calls (pick, report, tick), internal/relay carries an invocation through them, and the rest are adapters (front, provider, origin, directory) over parsers without I/O.

--- /dev/null
+++ b/facade.go
@@ -0,0 +1,254 @@
+package hoptiller
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// StepKind says what is to be done next for an invocation.
+type StepKind uint8
+
+// The steps of an invocation. All but StepCall end it.
+const (
+	StepServed StepKind = iota // its answer is the client's
+	StepCall                   // make an invoker call and report how it ended
+	StepReject                 // refuse it; trying again is harmless
+	StepFail                   // end it and promise nothing
+)
+
+// Step is the decision on an invocation's next move.
+type Step struct {
+	Kind       StepKind
+	Provider   uint32        // StepCall: whom to call
+	Attempt    int           // StepCall: the call's number
+	Timeout    time.Duration // StepCall: how long to wait for its answer
+	RetryAfter time.Duration // StepReject: when the client should come back
+	CloseIdle  []uint32      // providers whose idle connections must go before the step is taken
+}
+
+// CallID names one invoker call.
+type CallID struct {
+	Invocation uint32
+	Attempt    int
+}
+
+// Orders are what is to be done beside the steps of invocations.
+type Orders struct {
+	Cancelled []CallID // calls to give up and report at once
+	CloseIdle []uint32 // providers whose idle connections are to be closed
+	List      bool     // ask the directory for the whole list
+	Watch     bool     // watch the directory for changes
+	Unwatch   bool     // end the watch
+	Logs      []string
+	Next      time.Duration // when Tick is due again; 0 if it is not
+}
+
+func (o *Orders) empty() bool {
+	return len(o.Cancelled)+len(o.CloseIdle)+len(o.Logs) == 0 && !o.List && !o.Watch && !o.Unwatch
+}
+
+// Facade puts a Router behind calls that block no longer than its lock: Pick
+// for an invocation that came in, Report for each call that ended, Tick when
+// time has passed. It may be used by many goroutines. Like the Router it does
+// no I/O and reads no clock: now is the caller's, and what is said with an
+// earlier now than was heard before counts as said then.
+type Facade struct {
+	wake func() // tells that Tick has something to do; must not block or call back
+
+	mu     sync.Mutex
+	router *Router
+	now    time.Duration
+	last   uint32
+	open   map[uint32]*open
+	timers []timer // by due time
+	idle   []uint32
+	orders Orders
+}
+
+// open is an invocation that still has a step to come.
+type open struct {
+	step  Step
+	ready bool // step is not yet handed out
+	final bool // and ends the invocation
+	calls int
+	out   bool // a call is out
+	gone  bool
+}
+
+type timer struct {
+	due   time.Duration
+	token uint64
+}
+
+// NewFacade returns a Facade over a new Router. Whenever Tick should be called
+// before the time that it last gave, wake is called.
+func NewFacade(now time.Duration, set Settings, seed uint64, wake func()) *Facade {
+	f := &Facade{wake: wake, now: now, open: map[uint32]*open{}}
+	f.router = New(now, set, seed, (*actions)(f))
+	return f
+}
+
+// enter takes the lock and the time; several goroutines read their clocks before they get here,
+// and the Router must never see time go back.
+func (f *Facade) enter(now time.Duration) time.Duration {
+	f.mu.Lock()
+	f.now = max(f.now, now)
+	return f.now
+}
+
+// Reserve gives out the number for an invocation's Pick, so that a call of it
+// can be found before it is made.
+func (f *Facade) Reserve() uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for f.last++; f.last == 0 || f.open[f.last] != nil; f.last++ {
+	}
+	f.open[f.last] = &open{}
+	return f.last
+}
+
+// Pick decides the first step of an invocation, whose q.ID is from Reserve.
+func (f *Facade) Pick(now time.Duration, q Request) Step {
+	now = f.enter(now)
+	defer f.mu.Unlock()
+	f.router.Request(now, q)
+	return f.step(q.ID)
+}
+
+// Report tells how a call ended and decides the next step. An answer that
+// came is the client's even if the Router has just given the invocation up:
+// nothing else has been said to the client yet.
+func (f *Facade) Report(now time.Duration, call CallID, provider uint32, status Status, took time.Duration) Step {
+	now = f.enter(now)
+	defer f.mu.Unlock()
+	o := f.open[call.Invocation]
+	if o == nil {
+		return Step{Kind: StepFail}
+	}
+	o.out = false
+	f.router.Outcome(now, Outcome{
+		Request: call.Invocation, Attempt: call.Attempt, Server: provider, Status: status, Latency: took,
+		Closed: status == OK || o.final || o.gone,
+	})
+	if status == OK {
+		delete(f.open, call.Invocation)
+		return Step{Kind: StepServed, CloseIdle: f.takeIdle()}
+	}
+	return f.step(call.Invocation)
+}
+
+// Gone tells that an invocation's client has left. A call that is out is still
+// to be reported.
+func (f *Facade) Gone(now time.Duration, id uint32) {
+	now = f.enter(now)
+	defer f.mu.Unlock()
+	if o := f.open[id]; o != nil {
+		o.gone = true
+		f.router.ClientGone(now, id)
+	}
+}
+
+// Directory tells what the directory says.
+func (f *Facade) Directory(now time.Duration, kind ListKind, servers []Server) {
+	now = f.enter(now)
+	defer f.mu.Unlock()
+	f.router.List(now, kind, servers)
+}
+
+// Tick runs what has fallen due and hands out the orders since the last Tick.
+func (f *Facade) Tick(now time.Duration) Orders {
+	now = f.enter(now)
+	defer f.mu.Unlock()
+	for due := f.timers; len(due) > 0 && due[0].due <= now; due = f.timers {
+		f.timers = slices.Delete(f.timers, 0, 1)
+		f.router.Timer(now, due[0].token)
+	}
+	f.orders.CloseIdle = append(f.orders.CloseIdle, f.takeIdle()...)
+	orders := f.orders
+	if f.orders = (Orders{}); len(f.timers) > 0 {
+		orders.Next = f.timers[0].due
+	}
+	return orders
+}
+
+// step hands out what the Router has decided for an invocation. It always has: a Router ends or
+// sends on whatever has no call out. One that does not is a bug, and the client must not wait for it.
+func (f *Facade) step(id uint32) Step {
+	o := f.open[id]
+	step := Step{Kind: StepFail}
+	if o != nil && o.ready {
+		step = o.step
+	}
+	if o != nil && step.Kind == StepCall {
+		o.ready, o.out = false, true
+	} else {
+		delete(f.open, id)
+	}
+	step.CloseIdle = f.takeIdle()
+	return step
+}
+
+func (f *Facade) takeIdle() []uint32 {
+	idle := f.idle
+	f.idle = nil
+	return idle
+}
+
+// actions takes what the Router asks for; f.mu is held.
+type actions Facade
+
+func (a *actions) Send(request, server uint32, timeout time.Duration) {
+	if o := a.open[request]; o != nil {
+		o.step = Step{Kind: StepCall, Provider: server, Attempt: o.calls, Timeout: timeout}
+		o.ready = true
+		o.calls++
+	}
+}
+
+func (a *actions) end(request uint32, step Step) {
+	o := a.open[request]
+	if o == nil || o.final {
+		return
+	}
+	o.step, o.ready, o.final = step, true, true
+	if o.out { // its goroutine waits for the call
+		a.Cancel(request, o.calls-1)
+	}
+}
+
+func (a *actions) Cancel(request uint32, attempt int) {
+	a.orders.Cancelled = append(a.orders.Cancelled, CallID{request, attempt})
+	a.wake()
+}
+
+func (a *actions) Refuse(request uint32, after time.Duration) {
+	a.end(request, Step{Kind: StepReject, RetryAfter: after})
+}
+
+func (a *actions) Fail(request uint32) { a.end(request, Step{Kind: StepFail}) }
+
+func (a *actions) CloseIdle(server uint32) { a.idle = append(a.idle, server) }
+
+func (a *actions) SetTimer(token uint64, delay time.Duration) {
+	t := timer{a.now + max(delay, 0), token}
+	at, _ := slices.BinarySearchFunc(a.timers, t.due+1, func(e timer, due time.Duration) int {
+		return int(min(max(e.due-due, -1), 1))
+	})
+	a.timers = slices.Insert(a.timers, at, t)
+	if at == 0 {
+		a.wake()
+	}
+}
+
+func (a *actions) FetchList() { a.orders.List = true; a.wake() }
+
+func (a *actions) Watch(on bool) {
+	a.orders.Watch, a.orders.Unwatch = on, !on
+	a.wake()
+}
+
+func (a *actions) Log(text string) {
+	a.orders.Logs = append(a.orders.Logs, text)
+	a.wake()
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,111 @@
+// Package config reads what a router is told when it starts.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"hoptiller"
+	"hoptiller/internal/directory"
+	"hoptiller/internal/wire"
+)
+
+// Config is all that a router is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	MemoryMB  int64 // 0: no limit stated
+	Sockets   int   // 0: no limit stated
+	Known     directory.Update
+
+	Settings     hoptiller.Settings
+	Classes      []string // names, in the order of the settings
+	Zones, Kinds []string
+	ConnIdle     time.Duration // after which providers close a connection without use
+	MostCalls    int           // that one connection carries at once
+}
+
+// Load reads the file that RELAY_CONFIG names; the other RELAY_ variables, as
+// far as they are set, go before what it says.
+func Load(env func(string) string) (*Config, error) {
+	path := env("RELAY_CONFIG")
+	if path == "" {
+		return nil, errors.New("RELAY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for name, field := range map[string]*string{
+		"RELAY_NAME": &c.Name, "RELAY_LISTEN": &c.Listen, "RELAY_DISCOVERY": &c.Discovery,
+	} {
+		if v := env(name); v != "" {
+			*field = v
+		}
+	}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s address: %w", name, err)
+		}
+	}
+	return c, nil
+}
+
+// Parse reads a configuration's text.
+func Parse(text []byte) (*Config, error) {
+	if !gjson.ValidBytes(text) {
+		return nil, errors.New("not JSON")
+	}
+	root := gjson.ParseBytes(text)
+	set := root.Get("settings")
+	if !set.IsObject() {
+		return nil, errors.New("no settings")
+	}
+	c := &Config{
+		Name: root.Get("name").String(), Listen: root.Get("listen").String(),
+		Discovery: root.Get("discovery").String(),
+		MemoryMB:  root.Get("limits.memory_mb").Int(), Sockets: int(root.Get("limits.sockets").Int()),
+		Classes: strings(set.Get("classes.#.name")), Zones: strings(set.Get("failureDomains")),
+		Kinds:     strings(set.Get("kinds")),
+		ConnIdle:  time.Duration(set.Get("bounds.connIdle").Int()) * time.Microsecond,
+		MostCalls: int(set.Get("bounds.streamsPerConn").Int()),
+	}
+	var err error
+	if seed := root.Get("seed").String(); seed != "" {
+		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed %q is no hexadecimal number of 64 bits", seed)
+		}
+	}
+	if c.Settings, err = wire.ParseSettings([]byte(set.Raw)); err != nil {
+		return nil, err
+	}
+	if len(c.Settings.Classes) == 0 || len(c.Classes) != len(c.Settings.Classes) {
+		return nil, errors.New("settings: no classes, or one without a name")
+	}
+	if known := root.Get("known"); known.Exists() {
+		if c.Known, err = directory.ParseUpdate([]byte(known.Raw)); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return c, nil
+}
+
+func strings(list gjson.Result) []string {
+	var s []string
+	for _, v := range list.Array() {
+		s = append(s, v.String())
+	}
+	return s
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,316 @@
+// Package directory keeps the list of servers up to date from a discovery
+// service.
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"golang.org/x/sync/errgroup"
+
+	"hoptiller"
+	"hoptiller/internal/http1"
+	"hoptiller/internal/relay"
+)
+
+// Entry is one server as a directory names it.
+type Entry struct {
+	ID, Addr, Zone, Kind, State string
+	Cell                        int
+	Weight                      float64
+	StartedMS                   int64
+}
+
+// Update is what a directory says at a time.
+type Update struct {
+	Version int64
+	Full    bool
+	Entries []Entry
+}
+
+// Source is a service that can be asked for the list.
+type Source interface {
+	// List asks for the whole list.
+	List(ctx context.Context) (Update, error)
+	// Watch tells of what has changed since a version, until the watch breaks or ctx ends.
+	Watch(ctx context.Context, after int64, told func(Update)) error
+}
+
+// ParseUpdate reads an update in the platform's form.
+func ParseUpdate(text []byte) (Update, error) {
+	if !gjson.ValidBytes(text) {
+		return Update{}, errors.New("directory: not JSON")
+	}
+	root := gjson.ParseBytes(text)
+	list := root.Get("servers")
+	if !list.IsArray() {
+		return Update{}, errors.New("directory: no list of servers")
+	}
+	u := Update{Version: root.Get("version").Int(), Full: root.Get("full").Bool()}
+	var err error
+	list.ForEach(func(_, e gjson.Result) bool {
+		entry := Entry{
+			ID: e.Get("id").String(), Addr: e.Get("addr").String(), Zone: e.Get("zone").String(),
+			Kind: e.Get("kind").String(), State: e.Get("state").String(), Cell: int(e.Get("cell").Int()),
+			Weight: e.Get("weight").Float(), StartedMS: e.Get("started_ms").Int(),
+		}
+		switch {
+		case entry.ID == "":
+			err = errors.New("directory: a server has no id")
+		case entry.State != "active" && entry.State != "leaving" && entry.State != "left":
+			err = fmt.Errorf("directory: server %q has unknown state %q", entry.ID, entry.State)
+		case entry.State != "left" && entry.Addr == "":
+			err = fmt.Errorf("directory: server %q has no address", entry.ID)
+		}
+		u.Entries = append(u.Entries, entry)
+		return err == nil
+	})
+	if err != nil {
+		return Update{}, err
+	}
+	return u, nil
+}
+
+// Names gives zones, kinds and ids of a directory the Router's numbers.
+type Names struct {
+	Zones, Kinds []string
+	OriginKind   int
+
+	ids   map[string]uint32
+	taken map[uint32]bool
+}
+
+// Servers translates the entries of an update.
+func (n *Names) Servers(entries []Entry) []relay.Server {
+	servers := make([]relay.Server, len(entries))
+	for i, e := range entries {
+		kind := index(&n.Kinds, e.Kind)
+		servers[i] = relay.Server{Name: e.ID, Addr: e.Addr, Origin: n.OriginKind >= 0 && kind == n.OriginKind}
+		s := &servers[i].Server
+		s.ID, s.Zone, s.Kind, s.Cell, s.Weight = n.id(e.ID), index(&n.Zones, e.Zone), kind, e.Cell, e.Weight
+		s.Started = time.Duration(max(0, min(e.StartedMS, 1<<43))) * time.Millisecond
+		switch e.State {
+		case "active":
+			s.Phase = hoptiller.Ready
+		case "leaving":
+			s.Phase = hoptiller.Draining
+		}
+	}
+	return servers
+}
+
+func index(names *[]string, name string) int {
+	for i, n := range *names {
+		if n == name {
+			return i
+		}
+	}
+	*names = append(*names, name)
+	return len(*names) - 1
+}
+
+// id makes a server's number: what the hexadecimal digits at its end say where there are eight, else
+// a hash. All routers must come to the same one, which only a collision can prevent.
+func (n *Names) id(name string) uint32 {
+	if n.ids == nil {
+		n.ids, n.taken = map[string]uint32{}, map[uint32]bool{}
+	}
+	if id, ok := n.ids[name]; ok {
+		return id
+	}
+	id := uint32(2166136261)
+	for i := range len(name) {
+		id = (id ^ uint32(name[i])) * 16777619
+	}
+	if at := len(name) - 8; at == 0 || at > 0 && name[at-1] == '-' {
+		if x, err := strconv.ParseUint(name[at:], 16, 32); err == nil {
+			id = uint32(x)
+		}
+	}
+	for n.taken[id] {
+		id++
+	}
+	n.ids[name], n.taken[id] = id, true
+	return id
+}
+
+// Client asks a Source what the Router wants asked and tells a Relay. It is a
+// relay.Directory.
+type Client struct {
+	src     Source
+	relay   *relay.Relay
+	orders  chan order
+	mu      sync.Mutex // serialises what is told
+	names   *Names
+	version int64
+}
+
+type order struct{ list, watch bool }
+
+// NewClient returns a Client that knows what known says.
+func NewClient(src Source, names *Names, r *relay.Relay, known Update) *Client {
+	c := &Client{src: src, relay: r, names: names, orders: make(chan order, 16)}
+	c.told(hoptiller.ListCached, known)
+	return c
+}
+
+// Watch implements relay.Directory.
+func (c *Client) Watch(on bool) { c.order(order{watch: on}) }
+
+// List implements relay.Directory.
+func (c *Client) List() { c.order(order{list: true}) }
+
+// order never blocks: a Router that asks more than can be carried out hears of it as of a failed call.
+func (c *Client) order(o order) {
+	select {
+	case c.orders <- o:
+	default:
+		go c.failed()
+	}
+}
+
+// Run carries out the orders until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	stop := func() {}
+	defer func() { stop() }()
+	var calls errgroup.Group
+	defer calls.Wait()
+	for {
+		var o order
+		select {
+		case <-ctx.Done():
+			stop()
+			return nil
+		case o = <-c.orders:
+		}
+		if o.list {
+			calls.Go(func() error { c.list(ctx); return nil })
+			continue
+		}
+		stop()
+		if o.watch {
+			watch, cancel := context.WithCancel(ctx)
+			stop = cancel
+			calls.Go(func() error { c.watch(watch); return nil })
+		}
+	}
+}
+
+func (c *Client) list(ctx context.Context) {
+	u, err := c.src.List(ctx)
+	if err == nil {
+		c.told(hoptiller.ListFull, u)
+	} else if ctx.Err() == nil {
+		log.Printf("directory: list: %v", err)
+		c.failed()
+	}
+}
+
+// watch runs one watch. When it breaks the Router is told, and orders the next when it sees fit.
+func (c *Client) watch(ctx context.Context) {
+	c.mu.Lock()
+	after := c.version
+	c.mu.Unlock()
+	err := c.src.Watch(ctx, after, func(u Update) {
+		kind := hoptiller.ListDelta
+		if u.Full {
+			kind = hoptiller.ListFull
+		}
+		c.told(kind, u)
+	})
+	if ctx.Err() == nil {
+		log.Printf("directory: watch: %v", err)
+		c.failed()
+	}
+}
+
+func (c *Client) told(kind hoptiller.ListKind, u Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version = u.Version
+	c.relay.Told(kind, c.names.Servers(u.Entries))
+}
+
+func (c *Client) failed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relay.Told(hoptiller.ListFailed, nil)
+}
+
+// Registry is the platform's discovery service.
+type Registry struct {
+	Addr    string
+	Timeout time.Duration // for the first word of an answer
+	Silence time.Duration // after which a watch counts as broken
+}
+
+const maxLine = 4 << 20 // of a list
+
+// List implements Source.
+func (r *Registry) List(ctx context.Context) (u Update, err error) {
+	err = r.get(ctx, "/registry/instances", func(line []byte) error {
+		u, err = ParseUpdate(line)
+		return err
+	})
+	return u, err
+}
+
+// Watch implements Source.
+func (r *Registry) Watch(ctx context.Context, after int64, told func(Update)) error {
+	path := "/registry/instances?watch=1&after=" + strconv.FormatInt(after, 10)
+	err := r.get(ctx, path, func(line []byte) error {
+		u, err := ParseUpdate(line)
+		if err == nil {
+			told(u)
+		}
+		return err
+	})
+	if err == nil {
+		err = errors.New("ended")
+	}
+	return err
+}
+
+// get makes a call and hands over each line of the answer's body as it comes, blank ones left out.
+func (r *Registry) get(ctx context.Context, path string, line func([]byte) error) error {
+	dialer := net.Dialer{Timeout: r.Timeout}
+	conn, err := dialer.DialContext(ctx, "tcp", r.Addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	conn.SetDeadline(time.Now().Add(r.Timeout))
+	if _, err := conn.Write(http1.AppendRequest(nil, "GET", path, r.Addr, nil)); err != nil {
+		return err
+	}
+	body := body{line: line}
+	buf := make([]byte, 16<<10)
+	var b []byte
+	for {
+		n, err := conn.Read(buf)
+		b = append(b, buf[:n]...)
+		used, done, bad := body.take(b)
+		switch {
+		case bad != nil:
+			return bad
+		case done:
+			return nil
+		case err != nil:
+			return err
+		case len(b)-used > maxLine:
+			return errors.New("line too long")
+		}
+		b = append(b[:0], b[used:]...)
+		if body.begun {
+			conn.SetReadDeadline(time.Now().Add(r.Silence))
+		}
+	}
+}
--- /dev/null
+++ b/internal/meta/meta.go
@@ -0,0 +1,289 @@
+// Package meta reads and writes the meta commands of the memcache text
+// protocol, as far as routers and providers speak them. It does no I/O: it
+// works on the bytes that have come so far.
+package meta
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+// The limits of what is read.
+const (
+	MaxLine  = 2048
+	MaxKey   = 250
+	MaxValue = 64 << 10
+)
+
+// Verb is what a command asks for.
+type Verb uint8
+
+// The commands that are known.
+const (
+	Get     Verb = iota // mg
+	Set                 // ms
+	Noop                // mn
+	Version             // version
+	Quit                // quit
+	Unknown
+)
+
+// Command is one command of a client. Its slices are parts of what was parsed.
+type Command struct {
+	Verb  Verb
+	Key   []byte
+	ID    []byte // the O flag
+	Facts []byte // the P flag: a list of names and values
+	Value []byte // of Set
+}
+
+// The faults of a command. After those of Fatal the stream can't be read on.
+var (
+	ErrLine   = errors.New("CLIENT_ERROR line too long")
+	ErrFormat = errors.New("CLIENT_ERROR bad command line format")
+	ErrKey    = errors.New("CLIENT_ERROR bad key")
+	ErrID     = errors.New("CLIENT_ERROR missing request id")
+	ErrLength = errors.New("CLIENT_ERROR bad data length")
+	ErrLarge  = errors.New("SERVER_ERROR object too large")
+	ErrChunk  = errors.New("CLIENT_ERROR bad data chunk")
+)
+
+// Fatal tells whether nothing after a command with this fault can be trusted.
+func Fatal(err error) bool {
+	return errors.Is(err, ErrLine) || errors.Is(err, ErrLarge) || errors.Is(err, ErrChunk) ||
+		errors.Is(err, ErrLength)
+}
+
+// line finds the first line of b. n is what it takes up with its end, 0 if
+// the end has not come yet.
+func line(b []byte) (text []byte, n int, err error) {
+	end := bytes.IndexByte(b[:min(len(b), MaxLine)], '\n')
+	if end < 0 {
+		if len(b) >= MaxLine {
+			return nil, 0, ErrLine
+		}
+		return nil, 0, nil
+	}
+	return bytes.TrimSuffix(b[:end], []byte("\r")), end + 1, nil
+}
+
+// word cuts the first word off a line.
+func word(s []byte) (first, rest []byte) {
+	s = bytes.TrimLeft(s, " ")
+	if i := bytes.IndexByte(s, ' '); i >= 0 {
+		return s[:i], s[i+1:]
+	}
+	return s, nil
+}
+
+// ParseCommand reads the command at the start of b and tells how many bytes it
+// takes up: 0 without an error means that it is not whole yet.
+func ParseCommand(b []byte) (c Command, n int, err error) {
+	text, n, err := line(b)
+	if n == 0 || err != nil {
+		return c, 0, err
+	}
+	name, rest := word(text)
+	switch string(name) {
+	case "mg":
+		c.Verb = Get
+	case "ms":
+		c.Verb = Set
+	case "mn":
+		return Command{Verb: Noop}, n, nil
+	case "version":
+		return Command{Verb: Version}, n, nil
+	case "quit":
+		return Command{Verb: Quit}, n, nil
+	default:
+		return Command{Verb: Unknown}, n, nil
+	}
+	c.Key, rest = word(rest)
+	if c.Verb == Set {
+		var length []byte
+		length, rest = word(rest)
+		size, bad := strconv.ParseUint(string(length), 10, 31)
+		switch end := n + int(size); {
+		case bad != nil: // how much data follows is not known
+			return c, n, ErrLength
+		case size > MaxValue:
+			return c, n, ErrLarge
+		case len(b) < end+2:
+			return c, 0, nil
+		case b[end] != '\r' || b[end+1] != '\n':
+			return c, n, ErrChunk
+		default:
+			c.Value, n = b[n:end], end+2
+		}
+	}
+	if !validKey(c.Key) {
+		return c, n, ErrKey
+	}
+	return c, n, c.flags(rest)
+}
+
+func (c *Command) flags(rest []byte) error {
+	var flag []byte
+	for flag, rest = word(rest); len(flag) > 0; flag, rest = word(rest) {
+		switch flag[0] {
+		case 'O':
+			c.ID = flag[1:]
+		case 'P':
+			c.Facts = flag[1:]
+		}
+	}
+	if len(c.ID) == 0 {
+		return ErrID
+	}
+	if len(c.ID) > MaxKey || bytes.IndexFunc(c.ID, control) >= 0 || bytes.IndexFunc(c.Facts, control) >= 0 {
+		return ErrFormat
+	}
+	return nil
+}
+
+func control(r rune) bool { return r < ' ' || r == 0x7f }
+
+func validKey(key []byte) bool {
+	return len(key) > 0 && len(key) <= MaxKey && bytes.IndexFunc(key, control) < 0
+}
+
+// Fact looks a name up in a list of names and values.
+func Fact(facts []byte, name string) (value []byte, ok bool) {
+	for len(facts) > 0 {
+		var item []byte
+		item, facts, _ = bytes.Cut(facts, []byte(","))
+		if n, v, eq := bytes.Cut(item, []byte("=")); eq && string(n) == name {
+			return v, true
+		}
+	}
+	return nil, false
+}
+
+// AppendCommand writes a command for a provider: as it came, but for the fact
+// d, which becomes how many milliseconds the router will wait.
+func AppendCommand(b []byte, c *Command, wait int64) []byte {
+	if c.Verb == Set {
+		b = append(append(b, "ms "...), c.Key...)
+		b = strconv.AppendInt(append(b, ' '), int64(len(c.Value)), 10)
+	} else {
+		b = append(append(append(b, "mg "...), c.Key...), " v"...)
+	}
+	b = append(append(b, " O"...), c.ID...)
+	if len(c.Facts) > 0 {
+		b = append(b, " P"...)
+		for i, rest := 0, c.Facts; len(rest) > 0; i++ {
+			var item []byte
+			item, rest, _ = bytes.Cut(rest, []byte(","))
+			if i > 0 {
+				b = append(b, ',')
+			}
+			if bytes.HasPrefix(item, []byte("d=")) {
+				b = strconv.AppendInt(append(b, "d="...), wait, 10)
+			} else {
+				b = append(b, item...)
+			}
+		}
+	}
+	b = append(b, "\r\n"...)
+	if c.Verb == Set {
+		b = append(append(b, c.Value...), "\r\n"...)
+	}
+	return b
+}
+
+// AnswerKind is what an answer says.
+type AnswerKind uint8
+
+// The answers of a provider.
+const (
+	Value  AnswerKind = iota // VA: the value
+	Stored                   // HD: a receipt
+	Miss                     // EN
+	Failed                   // SERVER_ERROR failed, and whatever else is no answer of the protocol
+	Busy                     // SERVER_ERROR busy
+)
+
+// Answer is one answer of a provider. Its slices are parts of what was parsed.
+type Answer struct {
+	Kind AnswerKind
+	ID   []byte // empty where the answer carries none
+	Data []byte // the value or the receipt
+}
+
+// ParseAnswer reads the answer at the start of b and tells how many bytes it
+// takes up: 0 without an error means that it is not whole yet. After an error
+// the stream can't be read on.
+func ParseAnswer(b []byte) (a Answer, n int, err error) {
+	text, n, err := line(b)
+	if n == 0 || err != nil {
+		return a, 0, err
+	}
+	name, rest := word(text)
+	switch string(name) {
+	case "VA":
+		var length []byte
+		length, rest = word(rest)
+		size, bad := strconv.ParseUint(string(length), 10, 31)
+		switch end := n + int(size); {
+		case bad != nil:
+			return a, 0, ErrLength
+		case size > MaxValue:
+			return a, 0, ErrLarge
+		case len(b) < end+2:
+			return a, 0, nil
+		case b[end] != '\r' || b[end+1] != '\n':
+			return a, 0, ErrChunk
+		default:
+			a.Data, n = b[n:end], end+2
+		}
+	case "HD":
+		a.Kind = Stored
+	case "EN":
+		a.Kind = Miss
+	case "SERVER_ERROR":
+		a.Kind = Failed
+		if why, _ := word(rest); string(why) == "busy" {
+			a.Kind = Busy
+		}
+		return a, n, nil
+	default:
+		a.Kind = Failed
+		return a, n, nil
+	}
+	var flag []byte
+	for flag, rest = word(rest); len(flag) > 0; flag, rest = word(rest) {
+		switch {
+		case flag[0] == 'O':
+			a.ID = flag[1:]
+		case flag[0] == 'c' && a.Kind == Stored:
+			a.Data = flag[1:]
+		}
+	}
+	return a, n, nil
+}
+
+// AppendValue writes the answer that serves a read.
+func AppendValue(b, id, value []byte) []byte {
+	b = strconv.AppendInt(append(b, "VA "...), int64(len(value)), 10)
+	b = append(append(append(b, " O"...), id...), "\r\n"...)
+	return append(append(b, value...), "\r\n"...)
+}
+
+// AppendStored writes the answer that serves a write.
+func AppendStored(b, id, receipt []byte) []byte {
+	b = append(append(b, "HD O"...), id...)
+	return append(append(append(b, " c"...), receipt...), "\r\n"...)
+}
+
+// AppendBusy writes a rejection; wait is in milliseconds, 0 says nothing.
+func AppendBusy(b []byte, wait int64) []byte {
+	b = append(b, "SERVER_ERROR busy"...)
+	if wait > 0 {
+		b = strconv.AppendInt(append(b, ' '), wait, 10)
+	}
+	return append(b, "\r\n"...)
+}
+
+// AppendFailed writes a failure.
+func AppendFailed(b []byte) []byte { return append(b, "SERVER_ERROR failed\r\n"...) }
--- /dev/null
+++ b/internal/provider/provider.go
@@ -0,0 +1,400 @@
+// Package provider makes invoker calls over pooled connections: to the slot
+// caches in the memcache meta protocol, and to any other server for which
+// there is a Protocol.
+package provider
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/buffer"
+	"hoptiller/internal/meta"
+	"hoptiller/internal/relay"
+)
+
+// Protocol is how a kind of server is spoken to.
+type Protocol interface {
+	// Append writes the call of an invocation; wait is how long the router will wait.
+	Append(b []byte, inv *relay.Invocation, host string, wait time.Duration) []byte
+	// Parse reads the answer to the call of inv at the start of b. n is 0 if it is not whole yet.
+	// Unless keep is set, the connection can't be used after it.
+	Parse(b []byte, inv *relay.Invocation) (status hoptiller.Status, data []byte, n int, keep bool, err error)
+}
+
+// Settings bound a pool.
+type Settings struct {
+	MostConns      int           // connections to a server before calls share them
+	MostCalls      int           // calls out on one connection at once
+	IdleLimit      time.Duration // connections without use for so long are not used again; 0: no limit
+	ConnectTimeout time.Duration
+}
+
+// Pool has the connections to all servers of a kind. It is a relay.Caller.
+type Pool struct {
+	set   Settings
+	proto Protocol
+
+	mu      sync.Mutex
+	servers map[uint32]*server
+}
+
+type server struct {
+	relay.Server
+	conns   []*conn // all that are open, those used last at the end
+	dialing int
+}
+
+// conn is one connection. Its calls are answered in order.
+type conn struct {
+	net.Conn
+	pool   *Pool
+	server *server
+	idleAt time.Time
+
+	write sync.Mutex // held while a call is queued and written
+
+	// Guarded by pool.mu.
+	load  int     // calls that are on it or about to be
+	calls []*call // those that wait for their answer
+	dead  bool
+}
+
+// call is one call that waits for its answer.
+type call struct {
+	inv  *relay.Invocation
+	done chan relay.Result // has room for the one result
+}
+
+// New returns a Pool without servers.
+func New(set Settings, proto Protocol) *Pool {
+	return &Pool{set: set, proto: proto, servers: map[uint32]*server{}}
+}
+
+// Update implements relay.Caller.
+func (p *Pool) Update(entry relay.Server, moved bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[entry.ID]
+	if s == nil {
+		s = &server{}
+		p.servers[entry.ID] = s
+	}
+	s.Server = entry
+	if moved || entry.Phase != hoptiller.Ready { // idle connections have no use any more
+		p.closeIdle(s)
+	}
+}
+
+// CloseIdle implements relay.Caller.
+func (p *Pool) CloseIdle(id uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[id]; s != nil {
+		p.closeIdle(s)
+	}
+}
+
+func (p *Pool) closeIdle(s *server) {
+	for _, c := range slices.Clone(s.conns) {
+		if c.load == 0 {
+			p.drop(c)
+		}
+	}
+}
+
+// Close closes all connections; calls that are out end as resets.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		for _, c := range slices.Clone(s.conns) {
+			p.drop(c)
+		}
+	}
+}
+
+// drop closes a connection: what is out on it is reset. p.mu is held.
+func (p *Pool) drop(c *conn) {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	c.Close()
+	s := c.server
+	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
+	for _, out := range c.calls {
+		out.done <- relay.Result{Status: hoptiller.Reset}
+	}
+	c.calls = nil
+}
+
+// Call implements relay.Caller.
+func (p *Pool) Call(ctx context.Context, id uint32, inv *relay.Invocation) relay.Result {
+	c, status := p.connect(ctx, id)
+	if c == nil {
+		return relay.Result{Status: status}
+	}
+	out := &call{inv: inv, done: make(chan relay.Result, 1)}
+	if status := c.send(ctx, out); status != hoptiller.OK {
+		return relay.Result{Status: status}
+	}
+	select {
+	case r := <-out.done:
+		return r
+	case <-ctx.Done():
+	}
+	if r, ended := p.give(c, out); ended {
+		return r
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return relay.Result{Status: hoptiller.Timeout}
+	}
+	return relay.Result{Status: hoptiller.Cancelled}
+}
+
+// give gives a call up. Only the end of its connection tells the server, and until then it would count
+// as still out; if its answer has come meanwhile, that is returned.
+func (p *Pool) give(c *conn, out *call) (r relay.Result, ended bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case r = <-out.done:
+		return r, true
+	default:
+	}
+	c.calls = slices.DeleteFunc(c.calls, func(o *call) bool { return o == out })
+	p.drop(c)
+	return r, false
+}
+
+// connect finds a connection for a call and counts the call as on it: one that is idle, else a new
+// one, else the one with the fewest calls. Without a connection it tells why.
+func (p *Pool) connect(ctx context.Context, id uint32) (*conn, hoptiller.Status) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[id]
+	if s == nil || s.Phase != hoptiller.Ready {
+		return nil, hoptiller.Moot
+	}
+	c := p.idle(s)
+	if c == nil && len(s.conns)+s.dialing >= p.set.MostConns {
+		if c = s.leastBusy(); c == nil || c.load >= p.set.MostCalls {
+			return nil, hoptiller.ConnectFailed
+		}
+	}
+	if c == nil {
+		nc, err := p.dial(ctx, s)
+		if err != nil {
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return nil, hoptiller.Moot
+			}
+			return nil, hoptiller.ConnectFailed
+		}
+		c = &conn{Conn: nc, pool: p, server: s}
+		s.conns = append(s.conns, c)
+		go c.read()
+	}
+	c.load++
+	return c, hoptiller.OK
+}
+
+// errMoved tells that the server has started anew while a connection to it came up.
+var errMoved = errors.New("server has moved")
+
+// dial opens a connection. p.mu is held, but not while it waits.
+func (p *Pool) dial(ctx context.Context, s *server) (net.Conn, error) {
+	addr, started := s.Addr, s.Started
+	s.dialing++
+	p.mu.Unlock()
+	dialer := net.Dialer{Timeout: p.set.ConnectTimeout, KeepAlive: -1}
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	p.mu.Lock()
+	s.dialing--
+	if err == nil && (s.Addr != addr || s.Started != started) {
+		nc.Close()
+		return nil, errMoved
+	}
+	return nc, err
+}
+
+// idle takes the idle connection that was used last; the others then end by and by. Those near the
+// server's idle limit are closed, since a call that crosses the server's close is lost as a reset.
+func (p *Pool) idle(s *server) *conn {
+	for i := len(s.conns) - 1; i >= 0; i-- {
+		c := s.conns[i]
+		if c.load > 0 {
+			continue
+		}
+		if p.set.IdleLimit > 0 && time.Since(c.idleAt) >= p.set.IdleLimit {
+			p.drop(c)
+			continue
+		}
+		copy(s.conns[i:], s.conns[i+1:])
+		s.conns[len(s.conns)-1] = c
+		return c
+	}
+	return nil
+}
+
+func (s *server) leastBusy() *conn {
+	var best *conn
+	for _, c := range s.conns {
+		if best == nil || c.load < best.load {
+			best = c
+		}
+	}
+	return best
+}
+
+// send writes a call. If that fails, it tells how: until the last byte is written the server can't have
+// begun the call. The directory may have spoken since the call was picked, and a drain binds when a call
+// is sent, so the last look at the list is here.
+func (c *conn) send(ctx context.Context, out *call) hoptiller.Status {
+	c.write.Lock() // calls are queued in the order in which they are written
+	defer c.write.Unlock()
+	p := c.pool
+	p.mu.Lock()
+	switch {
+	case c.dead:
+		p.mu.Unlock()
+		return hoptiller.ConnectFailed
+	case c.server.Phase != hoptiller.Ready || ctx.Err() != nil:
+		c.leave()
+		p.mu.Unlock()
+		return hoptiller.Moot
+	}
+	c.calls = append(c.calls, out)
+	p.mu.Unlock()
+
+	end, _ := ctx.Deadline()
+	buf := buffer.Get()
+	defer buffer.Put(buf)
+	b := p.proto.Append(buf[:0], out.inv, c.server.Name, time.Until(end))
+	c.SetWriteDeadline(end)
+	stop := context.AfterFunc(ctx, func() { c.SetWriteDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if _, err := c.Write(b); err == nil {
+		return hoptiller.OK
+	}
+	p.give(c, out)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return hoptiller.Moot
+	}
+	return hoptiller.ConnectFailed
+}
+
+// leave takes a call off the connection's count. p.mu is held.
+func (c *conn) leave() {
+	c.load--
+	c.idleAt = time.Now()
+	if c.load == 0 && c.server.Phase != hoptiller.Ready {
+		c.pool.drop(c)
+	}
+}
+
+// read takes the answers on a connection until it ends.
+func (c *conn) read() {
+	buf := buffer.Get()
+	defer buffer.Put(buf)
+	have := 0
+	for {
+		n, err := c.Conn.Read(buf[have:])
+		have += n
+		used, ok := c.answers(buf[:have])
+		if !ok || err != nil || used == 0 && have == len(buf) {
+			break
+		}
+		copy(buf[:], buf[used:have])
+		have -= used
+	}
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.drop(c)
+}
+
+// answers hands out the whole answers in b and tells how many bytes they took up, and whether the
+// connection can be read on.
+func (c *conn) answers(b []byte) (used int, ok bool) {
+	for used < len(b) {
+		c.pool.mu.Lock()
+		if len(c.calls) == 0 { // an answer that nothing asked for
+			c.pool.mu.Unlock()
+			return used, false
+		}
+		out := c.calls[0]
+		c.pool.mu.Unlock()
+
+		status, data, n, keep, err := c.pool.proto.Parse(b[used:], out.inv)
+		if err == nil && n == 0 {
+			return used, true
+		}
+		r := relay.Result{Status: status}
+		if err != nil { // it answered, but nothing that can be used: it may have run
+			r.Status = hoptiller.ServerError
+		} else if status == hoptiller.OK {
+			r.Buffer = buffer.Get()
+			r.Data = r.Buffer[:copy(r.Buffer[:], data)]
+		}
+		used += n
+		c.pool.mu.Lock()
+		if len(c.calls) > 0 && c.calls[0] == out {
+			c.calls = c.calls[1:]
+			c.leave()
+			if err != nil || !keep {
+				c.pool.drop(c)
+			}
+			out.done <- r
+		} else {
+			buffer.Put(r.Buffer)
+		}
+		dead := c.dead
+		c.pool.mu.Unlock()
+		if dead {
+			return used, false
+		}
+	}
+	return used, true
+}
+
+// Meta is the protocol of the slot caches.
+type Meta struct{}
+
+// Append implements Protocol.
+func (Meta) Append(b []byte, inv *relay.Invocation, _ string, wait time.Duration) []byte {
+	c := meta.Command{Verb: meta.Get, Key: inv.Key, ID: inv.ID, Facts: inv.Facts, Value: inv.Value}
+	if inv.Write {
+		c.Verb = meta.Set
+	}
+	return meta.AppendCommand(b, &c, max(1, wait.Milliseconds()))
+}
+
+// Parse implements Protocol.
+func (Meta) Parse(b []byte, inv *relay.Invocation) (hoptiller.Status, []byte, int, bool, error) {
+	a, n, err := meta.ParseAnswer(b)
+	if err != nil || n == 0 {
+		return 0, nil, 0, false, err
+	}
+	if len(a.ID) > 0 && !bytes.Equal(a.ID, inv.ID) { // the answers are out of step
+		return 0, nil, 0, false, errWrongID
+	}
+	switch a.Kind {
+	case meta.Value, meta.Stored:
+		if len(a.ID) == 0 || inv.Write != (a.Kind == meta.Stored) {
+			return 0, nil, 0, false, errWrongID
+		}
+		return hoptiller.OK, a.Data, n, true, nil
+	case meta.Miss:
+		return hoptiller.Miss, nil, n, true, nil
+	case meta.Busy:
+		return hoptiller.Full, nil, n, true, nil
+	}
+	return hoptiller.ServerError, nil, n, true, nil
+}
+
+var errWrongID = errors.New("answer does not belong to the call")
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,271 @@
+// Package relay carries invocations from a front to the providers and back.
+// What is to be done it asks of the hoptiller.Facade; how it is done is the
+// Callers' affair. It knows neither the clients' protocol nor the providers'.
+package relay
+
+import (
+	"context"
+	"log"
+	"strconv"
+	"sync"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/buffer"
+)
+
+// Invocation is one client request.
+type Invocation struct {
+	Key       []byte
+	ID        []byte // as the client named it
+	Facts     []byte // names and values that came with it
+	Value     []byte // of a write
+	Write     bool
+	Class     int
+	Retry     bool
+	Remaining time.Duration // until the client gives up
+}
+
+// Result is how an invoker call ended.
+type Result struct {
+	Status hoptiller.Status
+	Data   []byte         // the value or the receipt
+	Buffer *buffer.Buffer // holds Data; whoever has the Result puts it back
+}
+
+// Answer is the final answer to an invocation. Its buffer is the receiver's.
+type Answer struct {
+	Kind       hoptiller.StepKind // anything but StepCall
+	Data       []byte
+	Buffer     *buffer.Buffer
+	RetryAfter time.Duration
+}
+
+// Caller makes invoker calls to one kind of server.
+type Caller interface {
+	// Call makes one call and returns when it has ended, or ctx has; nothing
+	// of it is out any more by then.
+	Call(ctx context.Context, server uint32, inv *Invocation) Result
+	// Update tells what is now known of a server; moved tells that it runs
+	// elsewhere or anew, so that its old connections lead nowhere.
+	Update(s Server, moved bool)
+	// CloseIdle closes the idle connections to a server.
+	CloseIdle(server uint32)
+}
+
+// Server is one entry of the directory.
+type Server struct {
+	hoptiller.Server
+	Name   string
+	Addr   string
+	Origin bool
+}
+
+// Directory is told what to ask of the directory. Its calls return at once.
+type Directory interface {
+	Watch(on bool)
+	List()
+}
+
+// Relay carries the invocations of one router.
+type Relay struct {
+	core      *hoptiller.Facade
+	providers Caller
+	origins   Caller
+	start     time.Time
+	wake      chan struct{}
+
+	mu      sync.RWMutex
+	servers map[uint32]Server
+
+	liveMu sync.Mutex
+	live   map[uint32]*live
+}
+
+// live is an invocation that is being carried.
+type live struct {
+	withdrawn int // calls that were cancelled, up to this number
+	cancel    context.CancelFunc
+}
+
+// New returns a Relay that decides by set.
+func New(set hoptiller.Settings, seed uint64, providers, origins Caller) *Relay {
+	r := &Relay{
+		providers: providers, origins: origins, start: time.Now(), wake: make(chan struct{}, 1),
+		servers: map[uint32]Server{}, live: map[uint32]*live{},
+	}
+	r.core = hoptiller.NewFacade(r.now(), set, seed, func() {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	})
+	return r
+}
+
+// now is the time since 1970, so that the directory's start times can be set
+// against it, but never goes back.
+func (r *Relay) now() time.Duration {
+	return time.Duration(r.start.UnixNano()) + time.Since(r.start)
+}
+
+// Run carries out the orders that belong to no invocation, until ctx ends.
+func (r *Relay) Run(ctx context.Context, dir Directory) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.wake:
+		case <-timer.C:
+		}
+		orders := r.core.Tick(r.now())
+		for _, c := range orders.Cancelled {
+			r.withdraw(c)
+		}
+		r.closeIdle(orders.CloseIdle)
+		if orders.Watch || orders.Unwatch {
+			dir.Watch(orders.Watch)
+		}
+		if orders.List {
+			dir.List()
+		}
+		for _, text := range orders.Logs {
+			log.Print(text)
+		}
+		if orders.Next > 0 {
+			timer.Reset(max(0, orders.Next-r.now()))
+		}
+	}
+}
+
+func (r *Relay) withdraw(c hoptiller.CallID) {
+	r.liveMu.Lock()
+	defer r.liveMu.Unlock()
+	if l := r.live[c.Invocation]; l != nil {
+		l.withdrawn = max(l.withdrawn, c.Attempt+1)
+		if l.cancel != nil {
+			l.cancel()
+		}
+	}
+}
+
+// Serve carries one invocation to its final answer. When ctx ends its client
+// has left, and the answer matters to no one.
+func (r *Relay) Serve(ctx context.Context, inv *Invocation) Answer {
+	id := r.core.Reserve()
+	l := &live{}
+	r.liveMu.Lock()
+	r.live[id] = l
+	r.liveMu.Unlock()
+	defer func() {
+		r.liveMu.Lock()
+		delete(r.live, id)
+		r.liveMu.Unlock()
+	}()
+
+	step := r.core.Pick(r.now(), hoptiller.Request{
+		ID: id, Class: inv.Class, Key: keyNumber(inv.Key), Write: inv.Write, Retry: inv.Retry,
+		Remaining: inv.Remaining,
+	})
+	for {
+		r.closeIdle(step.CloseIdle)
+		if step.Kind != hoptiller.StepCall {
+			return Answer{Kind: step.Kind, RetryAfter: step.RetryAfter}
+		}
+		sent := r.now()
+		result := r.call(ctx, l, inv, step)
+		now := r.now()
+		if ctx.Err() != nil {
+			r.core.Gone(now, id)
+		}
+		call := hoptiller.CallID{Invocation: id, Attempt: step.Attempt}
+		step = r.core.Report(now, call, step.Provider, result.Status, now-sent)
+		if step.Kind == hoptiller.StepServed {
+			r.closeIdle(step.CloseIdle)
+			return Answer{Kind: step.Kind, Data: result.Data, Buffer: result.Buffer}
+		}
+		buffer.Put(result.Buffer)
+	}
+}
+
+// call makes one call, unless it has been withdrawn before it began.
+func (r *Relay) call(ctx context.Context, l *live, inv *Invocation, step hoptiller.Step) Result {
+	ctx, cancel := context.WithTimeout(ctx, step.Timeout)
+	defer cancel()
+	r.liveMu.Lock()
+	withdrawn := l.withdrawn > step.Attempt
+	l.cancel = cancel
+	r.liveMu.Unlock()
+	if withdrawn {
+		return Result{Status: hoptiller.Moot}
+	}
+	return r.callerOf(step.Provider).Call(ctx, step.Provider, inv)
+}
+
+func (r *Relay) callerOf(id uint32) Caller {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if r.servers[id].Origin {
+		return r.origins
+	}
+	return r.providers
+}
+
+func (r *Relay) closeIdle(ids []uint32) {
+	for _, id := range ids {
+		r.callerOf(id).CloseIdle(id)
+	}
+}
+
+// Told takes what the directory says. The callers hear of it first, so that
+// the Router never picks a server that they do not know.
+func (r *Relay) Told(kind hoptiller.ListKind, servers []Server) {
+	entries := make([]hoptiller.Server, len(servers))
+	r.mu.Lock()
+	listed := make(map[uint32]bool, len(servers))
+	for i, s := range servers {
+		entries[i] = s.Server
+		listed[s.ID] = true
+		r.update(s)
+	}
+	if kind == hoptiller.ListFull || kind == hoptiller.ListCached {
+		for id, s := range r.servers {
+			if !listed[id] && s.Phase != hoptiller.Gone {
+				s.Phase = hoptiller.Gone
+				r.update(s)
+			}
+		}
+	}
+	r.mu.Unlock()
+	r.core.Directory(r.now(), kind, entries)
+}
+
+func (r *Relay) update(s Server) {
+	old, known := r.servers[s.ID]
+	if s.Phase == hoptiller.Gone && known { // an entry for what is gone may lack the rest
+		s.Addr, s.Started, s.Origin = old.Addr, old.Started, old.Origin
+	}
+	r.servers[s.ID] = s
+	caller := r.providers
+	if s.Origin {
+		caller = r.origins
+	}
+	caller.Update(s, known && (old.Addr != s.Addr || old.Started != s.Started))
+}
+
+// keyNumber makes the Router's number of a key: what its hexadecimal digits
+// say where it is such a number, else a hash. All routers must get the same.
+func keyNumber(key []byte) uint64 {
+	if len(key) == 16 {
+		if n, err := strconv.ParseUint(string(key), 16, 64); err == nil && n != 0 {
+			return n
+		}
+	}
+	h := uint64(14695981039346656037)
+	for _, c := range key {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return max(h, 1)
+}
