--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	log.Printf("listening on %v", listener.Addr())
 	providers := provider.New(provider.Settings{
 		Share: providerShare, MostConns: providerConns, MostCalls: max(1, c.MostCalls), IdleLimit: c.ConnIdle * 3 / 4,
 		ConnectTimeout: c.Settings.ConnTimeout,
--- /dev/null
+++ b/cmd/hoptiller/scenario_test.go
@@ -0,0 +1,301 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The scenario language. Each line of a scenario is "ACTOR VERB TEXT":
+//
+//	send TEXT     writes a line
+//	chunk TEXT    writes a line as a chunk of an HTTP answer
+//	expect TEXT   reads the next line, which must be TEXT; * stands for any characters
+//	wait TEXT     reads on until a line is TEXT
+//	close         ends the connection
+//
+// Actors are clients (c1, c2 ...), each with one connection of its own; the providers p1 and p2, the origin
+// o and the directory d, which speak on the connection of the line last read; and the program, to which
+// "close" is SIGTERM and whose exit code "expect" reads. The end of a connection reads as <closed>.
+// In TEXT, {a*9} is nine a's and {p1 active 5} the list entry of p1, active, started at 5 ms.
+// A first line "# list p1 p2" names the providers that the program knows when it starts.
+
+const patience = 20 * time.Second
+
+type line struct {
+	conn net.Conn
+	text string
+}
+
+// actor is one party of a scenario.
+type actor struct {
+	addr  string
+	lines chan line
+	conn  net.Conn // spoken on
+}
+
+func (a *actor) read(conn net.Conn) {
+	r := bufio.NewReader(conn)
+	for {
+		text, err := r.ReadString('\n')
+		if text != "" {
+			a.lines <- line{conn, strings.TrimRight(text, "\r\n")}
+		}
+		if err != nil {
+			a.lines <- line{conn, "<closed>"}
+			return
+		}
+	}
+}
+
+// world is the program and all around it.
+type world struct {
+	actors  map[string]*actor
+	program *exec.Cmd
+	exit    chan error
+}
+
+var binary string // of the program, built once
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hoptiller")
+	if err == nil {
+		binary = filepath.Join(dir, "hoptiller")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const settings = `{"balancers":1,"bounds":{"connIdle":60000000,"connectTimeout":250000,"maxRetryAfter":2000000,
+	"mayCancel":true,"mostTries":3,"retryAfter":true,"streamsPerConn":100},"classes":[
+	{"name":"read","effect":"idempotent","onTime":9000000,"deadline":9000000,"worth":1},
+	{"name":"book","effect":"at_most_once","onTime":9000000,"deadline":9000000,"worth":3},
+	{"name":"cancel","effect":"deduplicated","keyTtl":1500000,"onTime":9000000,"deadline":9000000,"worth":2}],
+	"familyInfo":{"mode":"aside","ordered":true,"originKind":1},"kinds":["cache","origin"],"failureDomains":["x"],
+	"membershipMode":"on_request","period":5000,"rules":{"askWithin":1000000,"cold":24000000,"coldFrom":0.12,
+	"fall":1500000,"overloadFactor":2.5,"stopSendingWithin":500000}}`
+
+// start starts the program in a world where it knows the named providers.
+func start(t *testing.T, providers []string) *world {
+	w := &world{actors: map[string]*actor{}, exit: make(chan error, 1)}
+	for _, name := range []string{"p1", "p2", "o", "d"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := &actor{addr: l.Addr().String(), lines: make(chan line, 1000)}
+		w.actors[name] = a
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go a.read(conn)
+			}
+		}()
+	}
+	known := w.expand("{o active 0}")
+	for _, p := range providers {
+		known += "," + w.expand("{"+p+" active 0}")
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5f","limits":{"memory_mb":192,
+		"sockets":1024},"known":{"version":1,"full":true,"servers":[%s]},"settings":%s}`,
+		w.actors["d"].addr, known, settings)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.program = exec.Command(binary)
+	w.program.Env = append(os.Environ(), "RELAY_CONFIG="+path)
+	stderr, err := w.program.StderrPipe()
+	if err == nil {
+		err = w.program.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := bufio.NewReader(stderr)
+	first, _ := log.ReadString('\n')
+	addr, ok := strings.CutPrefix(strings.TrimSpace(first), "listening on ")
+	if !ok {
+		t.Fatalf("the program begins with %q", first)
+	}
+	go func() {
+		for _, err := log.ReadString('\n'); err == nil; _, err = log.ReadString('\n') {
+		}
+		w.exit <- w.program.Wait()
+	}()
+	t.Cleanup(func() { w.program.Process.Kill() })
+	w.actors["program"] = &actor{addr: addr}
+	return w
+}
+
+var macro = regexp.MustCompile(`\{(.)\*(\d+)\}|\{(p1|p2|o) (\w+) (\d+)\}`)
+
+func (w *world) expand(text string) string {
+	return macro.ReplaceAllStringFunc(text, func(m string) string {
+		part := macro.FindStringSubmatch(m)
+		if n, err := strconv.Atoi(part[2]); err == nil {
+			return strings.Repeat(part[1], n)
+		}
+		id, kind := "s-0000000"+strings.TrimPrefix(part[3], "p"), "cache"
+		if part[3] == "o" {
+			id, kind = "s-0000000f", "origin"
+		}
+		return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"x","kind":%q,"cell":0,"state":%q,"weight":1,"started_ms":%s}`,
+			id, w.actors[part[3]].addr, kind, part[4], part[5])
+	})
+}
+
+// actor finds an actor; a client connects when it is first named.
+func (w *world) actor(name string) (*actor, error) {
+	a := w.actors[name]
+	if a != nil || name[0] != 'c' {
+		if a == nil {
+			return nil, errors.New("no such actor")
+		}
+		return a, nil
+	}
+	conn, err := net.Dial("tcp", w.actors["program"].addr)
+	if err != nil {
+		return nil, err
+	}
+	a = &actor{lines: make(chan line, 1000), conn: conn}
+	w.actors[name] = a
+	go a.read(conn)
+	return a, nil
+}
+
+func (w *world) do(name, verb, text string) error {
+	a, err := w.actor(name)
+	switch {
+	case err != nil:
+		return err
+	case name == "program":
+		return w.onProgram(verb, text)
+	case verb == "expect" || verb == "wait":
+		return a.expect(text, verb == "wait")
+	case a.conn == nil:
+		return errors.New("no connection to speak on")
+	case verb == "send":
+		_, err = a.conn.Write([]byte(text + "\r\n"))
+	case verb == "chunk":
+		_, err = fmt.Fprintf(a.conn, "%x\r\n%s\n\r\n", len(text)+1, text)
+	case verb == "close":
+		err = a.conn.Close()
+	default:
+		err = errors.New("unknown verb")
+	}
+	return err
+}
+
+func (a *actor) expect(want string, skip bool) error {
+	pattern := regexp.MustCompile("^" + strings.ReplaceAll(regexp.QuoteMeta(want), `\*`, ".*") + "$")
+	late := time.After(patience)
+	for {
+		select {
+		case <-late:
+			return errors.New("nothing came")
+		case l := <-a.lines:
+			switch {
+			case pattern.MatchString(l.text):
+				a.conn = l.conn
+				return nil
+			case !skip && l.text != "<closed>": // other connections may end meanwhile
+				return fmt.Errorf("got %.200q", l.text)
+			}
+		}
+	}
+}
+
+func (w *world) onProgram(verb, text string) error {
+	if verb == "close" {
+		return w.program.Process.Signal(syscall.SIGTERM)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return errors.New("still running")
+	case <-w.exit:
+		if code := strconv.Itoa(w.program.ProcessState.ExitCode()); code != text {
+			return fmt.Errorf("exit code %s", code)
+		}
+		return nil
+	}
+}
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			lines := strings.Split(strings.TrimRight(string(text), "\n"), "\n")
+			list, listed := strings.CutPrefix(lines[0], "# list ")
+			if !listed {
+				list = "p1"
+			}
+			w := start(t, strings.Fields(list))
+			for i, l := range lines {
+				if l == "" || l[0] == '#' {
+					continue
+				}
+				part := append(strings.SplitN(l, " ", 3), "", "")
+				if err := w.do(part[0], part[1], w.expand(part[2])); err != nil {
+					t.Fatalf("%s:%d: %s: %v", file, i+1, l, err)
+				}
+			}
+		})
+	}
+}
+
+// A configuration that can't be used ends the program with one line that says why.
+func TestBadConfiguration(t *testing.T) {
+	for text, says := range map[string]string{
+		``:                              "not JSON",
+		`{"listen":"x"}`:                "no settings",
+		`{"settings":{}}`:               "no classes",
+		`{"settings":` + settings + `}`: "address",
+		`{"settings":` + settings + `,"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","known":{"servers":[{}]}}`: "no id",
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(binary)
+		cmd.Env = []string{"RELAY_CONFIG=" + path}
+		out, err := cmd.CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), says) {
+			t.Errorf("%s: %v, said %q, want one line with %q", text, err, out, says)
+		}
+	}
+}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,6 +10,7 @@
 	"os"
 
 	"hoptiller"
+	"hoptiller/internal/config"
 	"hoptiller/internal/wire"
 )
 
@@ -80,7 +81,7 @@
 		return fmt.Errorf("event code %d comes before any Context", e.Code)
 	}
 	if e.Code == wire.Provision {
-		set, err := wire.ParseSettings(e.Conf)
+		set, err := config.ParseSettings(e.Conf)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", h.current, err)
 		}
--- a/facade.go
+++ b/facade.go
@@ -160,9 +160,10 @@
 func (f *Facade) Tick(now time.Duration) Orders {
 	now = f.enter(now)
 	defer f.mu.Unlock()
-	for due := f.timers; len(due) > 0 && due[0].due <= now; due = f.timers {
+	for len(f.timers) > 0 && f.timers[0].due <= now {
+		first := f.timers[0] // taken before Delete moves the next one into its place
 		f.timers = slices.Delete(f.timers, 0, 1)
-		f.router.Timer(now, due[0].token)
+		f.router.Timer(now, first.token)
 	}
 	f.orders.CloseIdle = append(f.orders.CloseIdle, f.takeIdle()...)
 	orders := f.orders
--- /dev/null
+++ b/facade_test.go
@@ -0,0 +1,121 @@
+package hoptiller
+
+import (
+	"testing"
+	"time"
+)
+
+// newFacade returns one with two caches and an origin, and counts how often it asks to be woken.
+func newFacade(change func(*Settings)) (f *Facade, woken *int) {
+	set := Settings{
+		Balancers: 1, MaxAttempts: 3, MayCancel: true, MaxRetryAfter: 2 * time.Second, Tick: 5 * time.Millisecond,
+		Aside: true, OriginKind: 1, ListOnRequest: true, AskWithin: 10 * time.Second,
+		Classes: []Class{{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1},
+			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 3, Effect: AtMostOnce}},
+	}
+	if change != nil {
+		change(&set)
+	}
+	woken = new(int)
+	f = NewFacade(time.Hour, set, 1, func() { *woken++ })
+	f.Directory(time.Hour, ListCached, []Server{
+		{ID: 1, Phase: Ready, Weight: 1}, {ID: 2, Phase: Ready, Weight: 1}, {ID: 9, Kind: 1, Phase: Ready}})
+	return f, woken
+}
+
+func TestFacadeMissGoesToOrigin(t *testing.T) {
+	f, _ := newFacade(nil)
+	id := f.Reserve()
+	step := f.Pick(time.Hour, Request{ID: id, Key: 7, Remaining: 3 * time.Second})
+	if step.Kind != StepCall || step.Provider == 9 || step.Attempt != 0 || step.Timeout <= 0 {
+		t.Fatalf("first step %+v", step)
+	}
+	step = f.Report(time.Hour+time.Millisecond, CallID{id, 0}, step.Provider, Miss, time.Millisecond)
+	if step.Kind != StepCall || step.Provider != 9 || step.Attempt != 1 {
+		t.Fatalf("step after a miss %+v", step)
+	}
+	step = f.Report(time.Hour+time.Second/2, CallID{id, 1}, 9, OK, time.Second/2)
+	if step.Kind != StepServed || len(f.open) != 0 {
+		t.Errorf("step after an answer %+v, %d open", step, len(f.open))
+	}
+}
+
+// What the Router ends while a call is out is ended by way of the call's cancellation, with the answer
+// that was decided; a value that came meanwhile is better than that answer.
+func TestFacadeEndsWhileCalling(t *testing.T) {
+	for _, status := range []Status{Cancelled, OK} {
+		f, woken := newFacade(nil)
+		id := f.Reserve()
+		step := f.Pick(time.Hour, Request{ID: id, Key: 7, Remaining: 3 * time.Second})
+		before := *woken
+		late := time.Hour + 2*time.Second
+		orders := f.Tick(late)
+		if len(orders.Cancelled) == 0 || orders.Cancelled[0] != (CallID{id, 0}) || *woken == before {
+			t.Fatalf("orders when the time is up: %+v", orders)
+		}
+		want := StepFail
+		if status == OK {
+			want = StepServed
+		}
+		if got := f.Report(late, CallID{id, 0}, step.Provider, status, 2*time.Second); got.Kind != want {
+			t.Errorf("%v: step %+v, want %v", status, got, want)
+		}
+		if len(f.open) != 0 {
+			t.Errorf("%v: still open", status)
+		}
+	}
+}
+
+func TestFacadeBooksOnce(t *testing.T) {
+	for status, want := range map[Status]StepKind{
+		Reset: StepFail, Timeout: StepFail, ServerError: StepFail, ConnectFailed: StepCall, Full: StepCall, Moot: StepCall,
+	} {
+		f, _ := newFacade(nil)
+		id := f.Reserve()
+		step := f.Pick(time.Hour, Request{ID: id, Class: 1, Key: 7, Write: true, Remaining: 3 * time.Second})
+		got := f.Report(time.Hour+time.Millisecond, CallID{id, 0}, step.Provider, status, time.Millisecond)
+		if step.Provider != 9 || got.Kind != want {
+			t.Errorf("after status %d: %+v, want kind %d", status, got, want)
+		}
+	}
+}
+
+// The client's leaving ends the invocation and cancels its call; what is reported later does no harm.
+func TestFacadeGone(t *testing.T) {
+	f, _ := newFacade(nil)
+	id := f.Reserve()
+	step := f.Pick(time.Hour, Request{ID: id, Key: 7, Remaining: 3 * time.Second})
+	f.Gone(time.Hour+time.Millisecond, id)
+	if orders := f.Tick(time.Hour + time.Millisecond); len(orders.Cancelled) != 1 {
+		t.Errorf("orders %+v", orders)
+	}
+	for range 2 {
+		got := f.Report(time.Hour+time.Second, CallID{id, 0}, step.Provider, Cancelled, time.Second)
+		if got.Kind != StepFail || len(f.open) != 0 {
+			t.Errorf("step %+v, %d open", got, len(f.open))
+		}
+	}
+}
+
+// Goroutines read their clocks before they get the lock: time must not go back for the Router, nor may
+// timers fire before they are due or out of order.
+func TestFacadeTime(t *testing.T) {
+	f, woken := newFacade(nil)
+	orders := f.Tick(time.Hour)
+	if orders.Next <= time.Hour || orders.Watch {
+		t.Fatalf("orders at the start %+v", orders)
+	}
+	if orders = f.Tick(orders.Next); !orders.Watch {
+		t.Errorf("no watch is ordered when its time has come: %+v", orders)
+	}
+	f.Directory(time.Hour, ListFailed, nil)
+	if f.now < orders.Next || f.router.now < f.now-1 {
+		t.Errorf("time went back to %v", f.now)
+	}
+	*woken = 0
+	(*actions)(f).SetTimer(50, time.Minute)
+	(*actions)(f).SetTimer(51, time.Millisecond)
+	if *woken != 1 || f.timers[0].token != 51 || f.timers[len(f.timers)-1].token != 50 {
+		t.Errorf("woken %d times, timers %v", *woken, f.timers)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,7 +13,6 @@
 
 	"hoptiller"
 	"hoptiller/internal/directory"
-	"hoptiller/internal/wire"
 )
 
 // Config is all that a router is told.
@@ -77,8 +76,8 @@
 		Name: root.Get("name").String(), Listen: root.Get("listen").String(),
 		Discovery: root.Get("discovery").String(),
 		MemoryMB:  root.Get("limits.memory_mb").Int(), Sockets: int(root.Get("limits.sockets").Int()),
-		Classes: strings(set.Get("classes.#.name")), Zones: strings(set.Get("failureDomains")),
-		Kinds:     strings(set.Get("kinds")),
+		Classes: texts(set.Get("classes.#.name")), Zones: texts(set.Get("failureDomains")),
+		Kinds:     texts(set.Get("kinds")),
 		ConnIdle:  time.Duration(set.Get("bounds.connIdle").Int()) * time.Microsecond,
 		MostCalls: int(set.Get("bounds.streamsPerConn").Int()),
 	}
@@ -88,7 +87,7 @@
 			return nil, fmt.Errorf("seed %q is no hexadecimal number of 64 bits", seed)
 		}
 	}
-	if c.Settings, err = wire.ParseSettings([]byte(set.Raw)); err != nil {
+	if c.Settings, err = ParseSettings([]byte(set.Raw)); err != nil {
 		return nil, err
 	}
 	if len(c.Settings.Classes) == 0 || len(c.Classes) != len(c.Settings.Classes) {
@@ -102,7 +101,7 @@
 	return c, nil
 }
 
-func strings(list gjson.Result) []string {
+func texts(list gjson.Result) []string {
 	var s []string
 	for _, v := range list.Array() {
 		s = append(s, v.String())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log"
 	"net"
 	"slices"
@@ -21,9 +22,10 @@
 )
 
 const (
-	readAhead    = 64               // commands of one connection that are begun before the first is answered
-	writeTimeout = 10 * time.Second // for a client that does not read its answers
-	longest      = time.Hour        // that a client can be taken to wait
+	readAhead    = 64                     // commands of one connection that are begun before the first is answered
+	writeTimeout = 10 * time.Second       // for a client that does not read its answers
+	closeTimeout = 500 * time.Millisecond // for a client to close its side
+	longest      = time.Hour              // that a client can be taken to wait
 )
 
 // Server carries an invocation to its final answer, as *relay.Relay does.
@@ -140,7 +142,6 @@
 	write  bool
 	answer chan relay.Answer
 	buf    *buffer.Buffer // holds the command
-	last   bool           // close the connection behind it
 }
 
 func (c *conn) endIfIdle() {
@@ -163,11 +164,18 @@
 		defer close(done)
 		c.writeAnswers(cancel)
 	}()
-	if !c.readCommands(ctx) {
+	own := c.readCommands(ctx)
+	if !own {
 		cancel() // the client has left: nothing that it asked for is wanted any more
 	}
 	close(c.slots)
 	<-done
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && own && ctx.Err() == nil {
+		// To close with something unread resets the connection, and the last answer may be lost with it.
+		tcp.CloseWrite()
+		c.SetReadDeadline(time.Now().Add(closeTimeout))
+		io.Copy(io.Discard, c)
+	}
 }
 
 // readCommands reads until the connection ends. It returns true if it ended it itself, so that the
@@ -204,9 +212,8 @@
 func (c *conn) command(ctx context.Context, b []byte) (used int, last bool) {
 	cmd, n, err := meta.ParseCommand(b)
 	if err != nil {
-		last = meta.Fatal(err)
-		c.put(slot{line: err.Error() + "\r\n", last: last})
-		return n, last
+		c.put(slot{line: err.Error() + "\r\n"})
+		return n, meta.Fatal(err)
 	}
 	if n == 0 {
 		return 0, false
@@ -277,7 +284,7 @@
 	broken := false
 	for s := range c.slots {
 		broken = !c.writeAnswer(&s, broken) || broken
-		if broken || s.last {
+		if broken {
 			cancel() // ends the reading
 		}
 		c.mu.Lock()
--- /dev/null
+++ b/internal/meta/meta_test.go
@@ -0,0 +1,79 @@
+package meta
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestAppendCommandChangesOnlyTheWait(t *testing.T) {
+	for in, want := range map[string]string{
+		"mg k1 v O9b1f Pc=read,d=480\r\n":                   "mg k1 v O9b1f Pc=read,d=77\r\n",
+		"mg k1 v O9b1f Pd=480,c=read,size=9\r\n":            "mg k1 v O9b1f Pd=77,c=read,size=9\r\n",
+		"ms k1 5 O9b1f Pc=put,d=480,k=5c\r\nhel\r\n\r\n":    "ms k1 5 O9b1f Pc=put,d=77,k=5c\r\nhel\r\n\r\n",
+		"mg k1 v O9b1f Pc=read\r\n":                         "mg k1 v O9b1f Pc=read\r\n",
+		"mg  k1   v O9b1f Pc=read,d=480,dd=3,d\r\nmn\r\n":   "mg k1 v O9b1f Pc=read,d=77,dd=3,d\r\n",
+		"ms k1 0 O9b1f Pc=put,d=480,k=5c\r\n\r\nms k1 1 O8": "ms k1 0 O9b1f Pc=put,d=77,k=5c\r\n\r\n",
+	} {
+		c, n, err := ParseCommand([]byte(in))
+		if err != nil || n == 0 {
+			t.Fatalf("%q: %d bytes, %v", in, n, err)
+		}
+		if got := AppendCommand(nil, &c, 77); string(got) != want {
+			t.Errorf("%q is passed on as %q, want %q", in, got, want)
+		}
+		for cut := range n { // nothing is a command before it is whole
+			if _, used, err := ParseCommand([]byte(in[:cut])); used != 0 || err != nil {
+				t.Errorf("%q cut to %d bytes: %d used, %v", in, cut, used, err)
+			}
+		}
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	for in, want := range map[string]Answer{
+		"VA 3 O9b h1\r\nabc\r\n":       {Value, []byte("9b"), []byte("abc")},
+		"VA 4 O9b\r\n\r\n\r\n\r\n":     {Value, []byte("9b"), []byte("\r\n\r\n")},
+		"HD O9b cr77\r\n":              {Stored, []byte("9b"), []byte("r77")},
+		"EN O9b h0 Z\r\n":              {Miss, []byte("9b"), nil},
+		"SERVER_ERROR busy\r\n":        {Kind: Busy},
+		"SERVER_ERROR failed\r\n":      {Kind: Failed},
+		"CLIENT_ERROR bad command\r\n": {Kind: Failed},
+		"\r\n":                         {Kind: Failed},
+	} {
+		a, n, err := ParseAnswer([]byte(in))
+		if err != nil || n != len(in) || a.Kind != want.Kind || !bytes.Equal(a.ID, want.ID) || !bytes.Equal(a.Data, want.Data) {
+			t.Errorf("%q: %+v, %d bytes, %v", in, a, n, err)
+		}
+	}
+	for in, want := range map[string]error{
+		"VA x O9b\r\n": ErrLength, "VA 3 O9b\r\nabcdef": ErrChunk, "VA 65537 O9b\r\n": ErrLarge,
+		strings.Repeat("a", MaxLine): ErrLine,
+	} {
+		if _, _, err := ParseAnswer([]byte(in)); !errors.Is(err, want) {
+			t.Errorf("%.20q: %v, want %v", in, err, want)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{"mg k v O1 Pc=r,d=4\r\n", "ms k 3 O1 Pc=r,d=4,k=9\r\nabc\r\n", "mn\r\n", "ms k 9999999999 O1\r\n",
+		"VA 3 O1 h1\r\nabc\r\n", "HD O1 c5\r\n", "EN O1\r\n", "SERVER_ERROR busy 5\r\n", "VA -1 O1\r\n", "\n", " \r\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if c, n, err := ParseCommand(b); n < 0 || n > len(b) || len(c.Value) > MaxValue {
+			t.Errorf("command of %d bytes: %v", n, err)
+		} else if err == nil && n > 0 && (c.Verb == Get || c.Verb == Set) {
+			again, used, err := ParseCommand(AppendCommand(nil, &c, 5))
+			if err != nil || used == 0 || !bytes.Equal(again.Key, c.Key) || !bytes.Equal(again.Value, c.Value) ||
+				!bytes.Equal(again.ID, c.ID) {
+				t.Errorf("%q is passed on as %+v, %v", b, again, err)
+			}
+		}
+		if a, n, err := ParseAnswer(b); n < 0 || n > len(b) || len(a.Data) > MaxValue+MaxLine {
+			t.Errorf("answer of %d bytes: %v", n, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/provider/provider_test.go
@@ -0,0 +1,172 @@
+package provider
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/relay"
+)
+
+// serve starts a server that handles each connection, and a pool that knows it as number 1.
+func serve(t *testing.T, handle func(conn net.Conn, r *bufio.Reader)) *Pool {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				handle(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	p := New(Settings{Share: 4, MostConns: 4, MostCalls: 100, ConnectTimeout: time.Second}, Meta{})
+	p.Update(entry(l.Addr().String(), hoptiller.Ready), false)
+	t.Cleanup(func() { l.Close(); p.Close() })
+	return p
+}
+
+func entry(addr string, phase hoptiller.Phase) relay.Server {
+	return relay.Server{Addr: addr, Server: hoptiller.Server{ID: 1, Phase: phase}}
+}
+
+var read = &relay.Invocation{Key: []byte("k"), ID: []byte("01"), Facts: []byte("c=read,d=9")}
+
+// answer reads commands and answers each with a text.
+func answer(text string) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, r *bufio.Reader) {
+		for _, err := r.ReadString('\n'); err == nil; _, err = r.ReadString('\n') {
+			conn.Write([]byte(text))
+		}
+	}
+}
+
+func hold(_ net.Conn, r *bufio.Reader) { r.ReadString(0) }
+
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		handle func(net.Conn, *bufio.Reader)
+		want   hoptiller.Status
+	}{
+		"value":           {answer("VA 1 O01\r\nx\r\n"), hoptiller.OK},
+		"miss":            {answer("EN O01\r\n"), hoptiller.Miss},
+		"error":           {answer("SERVER_ERROR failed\r\n"), hoptiller.ServerError},
+		"busy":            {answer("SERVER_ERROR busy\r\n"), hoptiller.Full},
+		"nonsense":        {answer("VA x\r\n"), hoptiller.ServerError},
+		"another's value": {answer("VA 1 O02\r\nx\r\n"), hoptiller.ServerError},
+		"nobody's value":  {answer("VA 1\r\nx\r\n"), hoptiller.ServerError},
+		"a receipt":       {answer("HD O01 c5\r\n"), hoptiller.ServerError},
+		"end":             {func(_ net.Conn, r *bufio.Reader) { r.ReadString('\n') }, hoptiller.Reset},
+		"half an answer": {func(conn net.Conn, r *bufio.Reader) {
+			r.ReadString('\n')
+			conn.Write([]byte("VA 9 O01\r\nx"))
+		}, hoptiller.Reset},
+		"silence": {hold, hoptiller.Timeout},
+	} {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		if c.want == hoptiller.Timeout {
+			ctx, cancel = context.WithTimeout(context.Background(), 20*time.Millisecond)
+		}
+		if r := serve(t, c.handle).Call(ctx, 1, read); r.Status != c.want {
+			t.Errorf("%s: status %d, want %d", name, r.Status, c.want)
+		}
+		cancel()
+	}
+}
+
+// What never was sent whole is told apart from what may have run.
+func TestNeverSent(t *testing.T) {
+	p := serve(t, hold)
+	addr := p.servers[1].Addr
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
+	defer end()
+	for name, c := range map[string]struct {
+		ctx    context.Context
+		update relay.Server
+		want   hoptiller.Status
+	}{
+		"given up before": {gone, entry(addr, hoptiller.Ready), hoptiller.Moot},
+		"draining":        {ctx, entry(addr, hoptiller.Draining), hoptiller.Moot},
+		"gone":            {ctx, entry(addr, hoptiller.Gone), hoptiller.Moot},
+		"nobody there":    {ctx, entry("127.0.0.1:1", hoptiller.Ready), hoptiller.ConnectFailed},
+	} {
+		p.Update(c.update, true)
+		if r := p.Call(c.ctx, 1, read); r.Status != c.want {
+			t.Errorf("%s: status %d, want %d", name, r.Status, c.want)
+		}
+	}
+}
+
+// A call that is given up ends its connection only with its neighbours, or when it must not stay out.
+func TestGivingUpASharedConnection(t *testing.T) {
+	second := make(chan net.Conn, 1)
+	p := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		r.ReadString('\n')
+		r.ReadString('\n')
+		second <- conn
+		hold(conn, r)
+	})
+	first, cancel := context.WithCancel(context.Background())
+	given := make(chan relay.Result, 1)
+	go func() { given <- p.Call(first, 1, read) }()
+	until(p, func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
+	ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
+	defer end()
+	other := make(chan relay.Result, 1)
+	go func() { other <- p.Call(ctx, 1, read) }()
+	conn := <-second
+	cancel()
+	r := <-given
+	if r.Status != hoptiller.Cancelled || r.End == nil {
+		t.Fatalf("the call that was given up: %+v", r)
+	}
+	conn.Write([]byte("VA 1 O01\r\nx\r\nVA 1 O01\r\ny\r\n"))
+	if o := <-other; o.Status != hoptiller.OK || string(o.Data) != "y" {
+		t.Errorf("its neighbour: %+v", o)
+	}
+	until(p, func(s *server) bool { return len(s.conns) == 0 })
+	r.End()
+}
+
+// until waits for a state of the server that calls bring about by themselves.
+func until(p *Pool, ok func(*server) bool) {
+	for {
+		p.mu.Lock()
+		done := ok(p.servers[1])
+		p.mu.Unlock()
+		if done {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A connection that has been idle for nearly as long as the server allows is not used again.
+func TestIdleLimit(t *testing.T) {
+	conns := make(chan net.Conn, 2)
+	p := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		conns <- conn
+		answer("EN O01\r\n")(conn, r)
+	})
+	for range 2 {
+		p.Call(context.Background(), 1, read)
+	}
+	p.mu.Lock()
+	p.set.IdleLimit = time.Nanosecond
+	p.mu.Unlock()
+	p.Call(context.Background(), 1, read)
+	if len(conns) != 2 {
+		t.Errorf("%d connections for two calls on one and one after the limit", len(conns))
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -222,29 +222,39 @@
 	}
 }
 
-// Told takes what the directory says. The callers hear of it first, so that
-// the Router never picks a server that they do not know.
+// Told takes what the directory says. Of a new server the callers hear before the Router, which might
+// pick it at once; of one that is to get nothing new they hear after it, so that what they turn away is
+// not picked again.
 func (r *Relay) Told(kind hoptiller.ListKind, servers []Server) {
-	entries := make([]hoptiller.Server, len(servers))
 	r.mu.Lock()
 	listed := make(map[uint32]bool, len(servers))
+	entries := make([]hoptiller.Server, len(servers))
+	var leaving []Server
 	for i, s := range servers {
 		entries[i] = s.Server
 		listed[s.ID] = true
-		r.update(s)
+		if s.Phase == hoptiller.Ready {
+			r.update(s)
+		} else {
+			leaving = append(leaving, s)
+		}
 	}
 	if kind == hoptiller.ListFull || kind == hoptiller.ListCached {
 		for id, s := range r.servers {
 			if !listed[id] && s.Phase != hoptiller.Gone {
 				s.Phase = hoptiller.Gone
-				r.update(s)
+				leaving = append(leaving, s)
 			}
 		}
 	}
-	r.mu.Unlock()
 	r.core.Directory(r.now(), kind, entries)
+	for _, s := range leaving {
+		r.update(s)
+	}
+	r.mu.Unlock()
 }
 
+// update tells the callers of a server; r.mu is held.
 func (r *Relay) update(s Server) {
 	old, known := r.servers[s.ID]
 	if s.Phase == hoptiller.Gone && known { // an entry for what is gone may lack the rest
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -137,32 +137,6 @@
 	}
 }
 
-func TestSettings(t *testing.T) {
-	s, err := ParseSettings([]byte(`{"balancers": 2, "future": [1], "bounds": {"mostTries": 4, "secondCopies": true},
-		"classes": [{"deadline": 1000000, "effect": "deduplicated", "group": "zone", "keyTtl": 3000000, "onTime": 500000}],
-		"familyInfo": {"mode": "aside", "originKind": 2}, "membershipMode": "on_request",
-		"accounts": [{"allowancePerS": 241.0}], "rules": {"cold": 23000000, "coldFrom": 0.13}}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := s.Classes[0]
-	if s.Balancers != 2 || s.MaxAttempts != 4 || !s.SecondCopies || !s.Aside || s.OriginKind != 2 ||
-		!s.ListOnRequest || s.Tenants[0].Allowance != 241 || s.Cold != 23*time.Second || s.ColdFrom != 0.13 ||
-		c.Effect != hoptiller.Deduplicated || c.Group != hoptiller.GroupZone || c.KeyTTL != 3*time.Second ||
-		c.Aim != 500*time.Millisecond {
-		t.Errorf("settings: %+v", s)
-	}
-	if s, err := ParseSettings([]byte("{}")); err != nil || s.OriginKind != -1 {
-		t.Errorf("empty settings: %+v, %v", s, err)
-	}
-	for _, bad := range []string{"", "{", `{"balancers": "two"}`, `{"classes": [{"effect": "magic"}]}`,
-		`{"classes": [{"group": "street"}]}`} {
-		if _, err := ParseSettings([]byte(bad)); err == nil {
-			t.Errorf("settings %q were taken", bad)
-		}
-	}
-}
-
 func FuzzReader(f *testing.F) {
 	f.Add(frame(0))
 	f.Add(frame(7, inst3, list0, members, knock, timer, report, gone))
@@ -188,46 +162,8 @@
 	}
 }
 
-// The part of the goal that counts late answers is read, absent or unknown parts are harmless.
-func TestScoringMix(t *testing.T) {
-	for text, want := range map[string]float64{
-		`{"scoringMix": {"tailPart": 0.3, "tailMiss": 0.01, "logLossPart": 0.4, "newPart": 1}}`: 0.3,
-		`{"scoringMix": {}}`: 0,
-		`{}`:                 0,
-	} {
-		if s, err := ParseSettings([]byte(text)); err != nil || s.TailPart != want {
-			t.Errorf("%s: tail part %v, error %v", text, s.TailPart, err)
-		}
-	}
-}
-
-// The rules on further attempts and on removal, and the mark of a client's retry, are read; absent
-// or odd figures are harmless, and a wrong type is named.
-func TestFurtherRules(t *testing.T) {
-	s, err := ParseSettings([]byte(`{"rules": {"budgetFree": 2, "furtherRatio": 0.15, "budgetWindow": 2000000,
-		"removalNotBinding": true}}`))
-	if err != nil || s.BudgetFree != 2 || s.BudgetRatio != 0.15 || s.BudgetWindow != 2*time.Second ||
-		!s.RemovalNotBinding {
-		t.Errorf("settings %+v, error %v", s, err)
-	}
-	for text, window := range map[string]time.Duration{
-		`{}`:                                   0,
-		`{"rules": {"budgetWindow": 2000000}}`: 0,
-		`{"rules": {"budgetFree": 0, "budgetWindow": 2000000}}`:     2 * time.Second,
-		`{"rules": {"furtherRatio": -1, "budgetWindow": -5}}`:       0,
-		`{"rules": {"furtherRatio": 7, "budgetFree": -3}}`:          0,
-		`{"rules": {"furtherRatio": null, "budgetWindow": 100000}}`: 0,
-	} {
-		if s, err := ParseSettings([]byte(text)); err != nil || s.BudgetWindow != window || s.RemovalNotBinding {
-			t.Errorf("%s: window %v, error %v", text, s.BudgetWindow, err)
-		}
-	}
-	for _, field := range []string{"budgetFree", "furtherRatio", "budgetWindow", "removalNotBinding"} {
-		_, err := ParseSettings([]byte(`{"rules": {"` + field + `": "two"}}`))
-		if err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
-			t.Errorf("%s of a wrong type: error %v", field, err)
-		}
-	}
+// The mark of a client's retry is read.
+func TestRetryMark(t *testing.T) {
 	if events, err := decode(frame(2, inst3, strings.Replace(knock, "00 0100 0000", "00 0200 0000", 1))); err != nil ||
 		!events[1].Request.Retry {
 		t.Errorf("a marked retry: %+v, error %v", events, err)
--- a/router.go
+++ b/router.go
@@ -411,7 +411,7 @@
 	old *= min(1, healthMost/(1+s.seen))
 	s.seen, s.sick, s.seenAt = 1+old*s.seen, bad+old*s.sick, r.now
 	if h := r.health(s); bad > 0 && h < 0.3 {
-		r.log("sick", fmt.Sprintf("server %d: %.0f of %.0f outcomes bad, keeps %.0f%% of its weight",
+		r.log("sick", fmt.Sprintf("server %08x: %.0f of %.0f outcomes bad, keeps %.0f%% of its weight",
 			s.ID, s.sick, s.seen, 100*h))
 	}
 	r.ill += (bad - r.ill) / min(64, max(8, r.rate))
