--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -122,8 +122,12 @@
 	}
 }
 
-// drop closes a connection: what is out on it is reset. p.mu is held.
-func (p *Pool) drop(c *conn) {
+// drop closes a connection whose other side has ended or broken it: what is out on it is reset.
+// p.mu is held.
+func (p *Pool) drop(c *conn) { p.end(c, hoptiller.Reset) }
+
+// end closes a connection; what is out on it ends with a status. p.mu is held.
+func (p *Pool) end(c *conn, status hoptiller.Status) {
 	if c.dead {
 		return
 	}
@@ -132,7 +136,7 @@
 	s := c.server
 	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
 	for _, out := range c.calls {
-		out.done <- relay.Result{Status: hoptiller.Reset}
+		out.done <- relay.Result{Status: status}
 	}
 	c.calls = nil
 }
@@ -189,7 +193,7 @@
 	r.End = func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.drop(c)
+		p.end(c, hoptiller.Cancelled) // the neighbours too, by no fault of the server's
 	}
 	return r, false
 }
