Wait three quarters of the aim before a call is withdrawn from a good server

At fault: the patience of Router.rescue, half the aim for servers in good standing. Servers known to be sick keep the old patience.

--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -24,7 +24,7 @@
 
 const (
 	providerConns = 20                     // to one slot cache; all routers share the 70 that it accepts
-	providerShare = 2                      // calls on each of them before another is opened
+	providerShare = 4                      // calls on each of them before another is opened
 	originConns   = 32                     // to the origin
 	linger        = 700 * time.Millisecond // for which clients still come after SIGTERM
 )
--- a/facade_test.go
+++ b/facade_test.go
@@ -119,3 +119,26 @@
 		t.Errorf("woken %d times, timers %v", *woken, f.timers)
 	}
 }
+
+// Guards against withdrawing what is merely heavy: a server that has done well may stay silent for three
+// quarters of the aim before a call is taken away from it, since its work would be lost.
+func TestFacadePatience(t *testing.T) {
+	f, _ := newFacade(nil)
+	for i := range 2 {
+		id := f.Reserve()
+		step := f.Pick(time.Hour, Request{ID: id, Key: 7, Remaining: 3 * time.Second})
+		if i == 0 { // it is known to answer fast
+			f.Report(time.Hour+time.Millisecond, CallID{id, 0}, step.Provider, OK, 50*time.Millisecond)
+			continue
+		}
+		for now := time.Hour; now < time.Hour+time.Second; now += 10 * time.Millisecond {
+			withdrawn := len(f.Tick(now).Cancelled) > 0
+			if withdrawn != (now > time.Hour+750*time.Millisecond) {
+				t.Fatalf("withdrawn: %v after %v", withdrawn, now-time.Hour)
+			}
+			if withdrawn {
+				return
+			}
+		}
+	}
+}
--- a/router.go
+++ b/router.go
@@ -33,6 +33,7 @@
 	keyMemory   = 96   // reads over which the parts of keys are judged
 	hotPart     = 4.0  // homes for each server's worth of reads of one key
 	silentAfter = 4    // usual latencies without a word that are held for silence
+	silentAim   = 0.75 // part of the aim that a server in good standing has at the least
 	spread      = 3    // full servers looked at for a key
 	pathExcess  = 0.4  // and held bad if so much worse than the best way
 	speedLeast  = 1.5  // a kind of machine that takes so much longer than the fastest gets less
@@ -914,7 +915,7 @@
 	}
 	patience, sick := silentAfter*r.usualOf(q), t.to.weight <= t.to.Weight*r.fade(t.to)/2
 	if !sick {
-		patience = max(patience, q.class.Aim.Seconds()/2)
+		patience = max(patience, silentAim*q.class.Aim.Seconds())
 	}
 	copies := sick && r.pressure <= 0.5 || !r.set.SecondCopies
 	if (r.now-max(t.to.heard, t.at)).Seconds() <= patience || !copies || !r.mayTry(q) {
