Keep half a command from holding the program after SIGTERM; tidy the edges

Seen on reading the shutdown path: Front.endIdle passed over connections with part of a command, so a client that never sends the rest held the program for good.

--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	providerConns = 20                     // to one slot cache; all routers share the 70 that it accepts
+	providerConns = 16                     // to one slot cache; four routers share the 70 that it accepts
 	providerShare = 4                      // calls on each of them before another is opened
 	originConns   = 32                     // to the origin
 	linger        = 700 * time.Millisecond // for which clients still come after SIGTERM
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hoptiller"
+	"hoptiller/internal/buffer"
 	"hoptiller/internal/http1"
 	"hoptiller/internal/relay"
 )
@@ -292,10 +293,11 @@
 		return err
 	}
 	body := body{line: line}
-	buf := make([]byte, 16<<10)
+	buf := buffer.Get()
+	defer buffer.Put(buf)
 	var b []byte
 	for {
-		n, err := conn.Read(buf)
+		n, err := conn.Read(buf[:])
 		b = append(b, buf[:n]...)
 		used, done, bad := body.take(b)
 		switch {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,13 +52,13 @@
 	f.conns = map[*conn]bool{}
 	g, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, max(1, f.MostConns))
-	accepted := make(chan error, 1)
+	accepted := make(chan struct{})
 	go func() {
+		defer close(accepted)
 		for {
 			places <- struct{}{}
 			nc, err := l.Accept()
-			if ne := net.Error(nil); errors.As(err, &ne) && ne.Timeout() || errors.Is(err, net.ErrClosed) {
-				accepted <- nil
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			if err != nil { // out of descriptors, or the client has left again: not the end of the listener
@@ -147,8 +147,13 @@
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.out == 0 && !c.part {
-		c.end = true
+	if c.out > 0 {
+		return
+	}
+	c.end = true
+	if c.part { // its rest may be on the way, but a client that never sends it must not keep the program
+		c.SetReadDeadline(time.Now().Add(closeTimeout))
+	} else {
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -20,8 +20,10 @@
 func (Protocol) Append(b []byte, inv *relay.Invocation, host string, _ time.Duration) []byte {
 	method, body := "GET", []byte(nil)
 	if inv.Write {
-		method = "PUT"
-		body = append([]byte{}, inv.Value...)
+		method, body = "PUT", inv.Value[:len(inv.Value):len(inv.Value)]
+		if body == nil {
+			body = []byte{} // a length of 0 is stated too
+		}
 	}
 	return http1.AppendRequest(b, method, string(http1.AppendPath(nil, inv.Key)), host, body,
 		http1.Header{Name: "X-Correlation-Id", Value: string(inv.ID)},
