--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -56,29 +56,34 @@
 	for name, c := range map[string]struct {
 		handle func(net.Conn, *bufio.Reader)
 		want   hoptiller.Status
+		ends   bool // the connection ends with it
 	}{
-		"value":           {answer("VA 1 O01\r\nx\r\n"), hoptiller.OK},
-		"miss":            {answer("EN O01\r\n"), hoptiller.Miss},
-		"error":           {answer("SERVER_ERROR failed\r\n"), hoptiller.ServerError},
-		"busy":            {answer("SERVER_ERROR busy\r\n"), hoptiller.Full},
-		"nonsense":        {answer("VA x\r\n"), hoptiller.ServerError},
-		"another's value": {answer("VA 1 O02\r\nx\r\n"), hoptiller.ServerError},
-		"nobody's value":  {answer("VA 1\r\nx\r\n"), hoptiller.ServerError},
-		"a receipt":       {answer("HD O01 c5\r\n"), hoptiller.ServerError},
-		"end":             {func(_ net.Conn, r *bufio.Reader) { r.ReadString('\n') }, hoptiller.Reset},
+		"value":           {answer("VA 1 O01\r\nx\r\n"), hoptiller.OK, false},
+		"miss":            {answer("EN O01\r\n"), hoptiller.Miss, false},
+		"error":           {answer("SERVER_ERROR failed\r\n"), hoptiller.ServerError, false},
+		"busy":            {answer("SERVER_ERROR busy\r\n"), hoptiller.Full, false},
+		"nonsense":        {answer("VA x\r\n"), hoptiller.ServerError, true},
+		"another's value": {answer("VA 1 O02\r\nx\r\n"), hoptiller.ServerError, true},
+		"nobody's value":  {answer("VA 1\r\nx\r\n"), hoptiller.ServerError, true},
+		"a receipt":       {answer("HD O01 c5\r\n"), hoptiller.ServerError, true},
+		"end":             {func(_ net.Conn, r *bufio.Reader) { r.ReadString('\n') }, hoptiller.Reset, true},
 		"half an answer": {func(conn net.Conn, r *bufio.Reader) {
 			r.ReadString('\n')
 			conn.Write([]byte("VA 9 O01\r\nx"))
-		}, hoptiller.Reset},
-		"silence": {hold, hoptiller.Timeout},
+		}, hoptiller.Reset, true},
+		"silence": {hold, hoptiller.Timeout, true},
 	} {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		if c.want == hoptiller.Timeout {
 			ctx, cancel = context.WithTimeout(context.Background(), 20*time.Millisecond)
 		}
-		if r := serve(t, c.handle).Call(ctx, 1, read); r.Status != c.want {
+		p := serve(t, c.handle)
+		if r := p.Call(ctx, 1, read); r.Status != c.want {
 			t.Errorf("%s: status %d, want %d", name, r.Status, c.want)
 		}
+		if c.ends { // nothing more can be believed of it
+			until(p, func(s *server) bool { return len(s.conns) == 0 })
+		}
 		cancel()
 	}
 }
