Bound the invocations that are open at once, and with them the memory

Seen on reading: each open invocation holds a buffer of 72 KB for its command and one for its answer, and 64 of each connection could be open, so that forty clients which send ahead and read nothing came to 192 MB.

--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -23,9 +23,11 @@
 )
 
 const (
-	providerConns = 16                     // to one slot cache; four routers share the 70 that it accepts
-	providerShare = 4                      // calls on each of them before another is opened
-	originConns   = 32                     // to the origin
+	providerConns = 16 // to one slot cache; four routers share the 70 that it accepts
+	providerShare = 4  // calls on each of them before another is opened
+	originConns   = 32 // to the origin
+	clientConns   = 384
+	mostOpen      = 384                    // invocations; with the connections' buffers 100 MB at the worst
 	linger        = 700 * time.Millisecond // for which clients still come after SIGTERM
 )
 
@@ -62,9 +64,9 @@
 	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
 	registry := &directory.Registry{Addr: c.Discovery, Timeout: 4 * time.Second, Silence: 4500 * time.Millisecond}
 	dir := directory.NewClient(registry, names, r, c.Known)
-	f := &front.Front{Classes: c.Classes, MostConns: 600, Linger: linger, Server: r}
+	f := &front.Front{Classes: c.Classes, MostConns: clientConns, MostOpen: mostOpen, Linger: linger, Server: r}
 	if c.Sockets > 0 {
-		f.MostConns = c.Sockets / 2
+		f.MostConns = min(f.MostConns, c.Sockets/2)
 	}
 	for _, class := range c.Settings.Classes {
 		f.Deadlines = append(f.Deadlines, class.Deadline)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,9 +38,11 @@
 	Classes   []string        // names, by number
 	Deadlines []time.Duration // for an invocation that states none, by class
 	MostConns int             // client connections at once
+	MostOpen  int             // invocations at once; each may hold two buffers
 	Linger    time.Duration   // for which connections are still accepted after a stop
 	Server    Server
 
+	open     chan struct{} // a place for each open invocation
 	mu       sync.Mutex
 	conns    map[*conn]bool
 	draining bool
@@ -49,7 +51,7 @@
 // Serve accepts clients until stop ends, and Linger longer; then it finishes
 // what was taken and returns. When ctx ends, it drops everything.
 func (f *Front) Serve(ctx, stop context.Context, l net.Listener) error {
-	f.conns = map[*conn]bool{}
+	f.conns, f.open = map[*conn]bool{}, make(chan struct{}, max(1, f.MostOpen))
 	g, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, max(1, f.MostConns))
 	accepted := make(chan struct{})
@@ -252,6 +254,11 @@
 		c.put(slot{line: "CLIENT_ERROR " + fault + "\r\n"})
 		return
 	}
+	select { // clients that send much and read little must not fill the memory with buffers
+	case c.front.open <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
 	buf := buffer.Get() // the command must outlive the read buffer
 	b := buf[:0]
 	keep := func(s []byte) []byte {
@@ -307,7 +314,10 @@
 		return !broken && c.write([]byte(s.line))
 	}
 	a := <-s.answer
-	defer buffer.Put(a.Buffer)
+	defer func() {
+		buffer.Put(a.Buffer)
+		<-c.front.open
+	}()
 	if broken {
 		return false
 	}
