--- a/facade.go
+++ b/facade.go
@@ -44,10 +44,6 @@
 	Next      time.Duration // when Tick is due again; 0 if it is not
 }
 
-func (o *Orders) empty() bool {
-	return len(o.Cancelled)+len(o.CloseIdle)+len(o.Logs) == 0 && !o.List && !o.Watch && !o.Unwatch
-}
-
 // Facade puts a Router behind calls that block no longer than its lock: Pick
 // for an invocation that came in, Report for each call that ended, Tick when
 // time has passed. It may be used by many goroutines. Like the Router it does
