--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -23,14 +23,37 @@
 )
 
 const (
-	providerConns = 16 // to one slot cache; four routers share the 70 that it accepts
-	providerShare = 4  // calls on each of them before another is opened
-	originConns   = 32 // to the origin
-	clientConns   = 384
-	mostOpen      = 384                    // invocations; with the connections' buffers 100 MB at the worst
+	providerShare = 4                      // calls on a provider connection before another is opened
 	linger        = 700 * time.Millisecond // for which clients still come after SIGTERM
 )
 
+// shares is what the limits leave to each side of the router.
+type shares struct {
+	clients   int // connections
+	open      int // invocations beyond the first of each client connection
+	providers int // connections to all slot caches
+	provider  int // connections to one of them; four routers share the 70 that it accepts
+	origins   int // connections to the origin
+}
+
+// divide shares out the descriptors and the memory that a router has. Clients get half of the descriptors:
+// those that say nothing must leave room for those that ask. Some are kept for the listener, the
+// directory and the program itself.
+func divide(c *config.Config) shares {
+	sockets, memory := c.Sockets, int(c.MemoryMB)
+	if sockets <= 0 {
+		sockets = 1024
+	}
+	if memory <= 0 {
+		memory = 192
+	}
+	rest := max(sockets-24, 8)
+	s := shares{clients: min(rest/2, 8*memory), open: 2 * memory, origins: min(64, rest/6)}
+	s.providers = rest - s.clients - s.origins
+	s.provider = min(16, max(4, s.providers/8))
+	return s
+}
+
 func main() {
 	log.SetFlags(0)
 	c, err := config.Load(os.Getenv)
@@ -52,22 +75,20 @@
 		return err
 	}
 	log.Printf("listening on %v", listener.Addr())
+	s := divide(c)
 	providers := provider.New(provider.Settings{
-		Share: providerShare, MostConns: providerConns, MostCalls: max(1, c.MostCalls), IdleLimit: c.ConnIdle * 3 / 4,
-		ConnectTimeout: c.Settings.ConnTimeout,
+		Share: providerShare, MostConns: s.provider, MostTotal: s.providers, MostCalls: max(1, c.MostCalls),
+		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
 	}, provider.Meta{})
 	origins := provider.New(provider.Settings{
-		Share: 1, MostConns: originConns, MostCalls: 1, IdleLimit: c.ConnIdle * 3 / 4,
-		ConnectTimeout: c.Settings.ConnTimeout,
+		Share: 1, MostConns: s.origins, MostCalls: 1,
+		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
 	}, origin.Protocol{})
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
 	registry := &directory.Registry{Addr: c.Discovery, Timeout: 4 * time.Second, Silence: 4500 * time.Millisecond}
 	dir := directory.NewClient(registry, names, r, c.Known)
-	f := &front.Front{Classes: c.Classes, MostConns: clientConns, MostOpen: mostOpen, Linger: linger, Server: r}
-	if c.Sockets > 0 {
-		f.MostConns = min(f.MostConns, c.Sockets/2)
-	}
+	f := &front.Front{Classes: c.Classes, MostConns: s.clients, MostOpen: s.open, Linger: linger, Server: r}
 	for _, class := range c.Settings.Classes {
 		f.Deadlines = append(f.Deadlines, class.Deadline)
 	}
--- a/facade.go
+++ b/facade.go
@@ -152,6 +152,13 @@
 	f.router.List(now, kind, servers)
 }
 
+// Knows tells whether a server is listed, or calls to it are out.
+func (f *Facade) Knows(server uint32) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.router.known[server] != nil
+}
+
 // Tick runs what has fallen due and hands out the orders since the last Tick.
 func (f *Facade) Tick(now time.Duration) Orders {
 	now = f.enter(now)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -142,6 +142,16 @@
 	return id
 }
 
+// keep forgets the names whose numbers nobody knows any more.
+func (n *Names) keep(known func(id uint32) bool) {
+	for name, id := range n.ids {
+		if !known(id) {
+			delete(n.ids, name)
+			delete(n.taken, id)
+		}
+	}
+}
+
 // Client asks a Source what the Router wants asked and tells a Relay. It is a
 // relay.Directory.
 type Client struct {
@@ -237,6 +247,7 @@
 	defer c.mu.Unlock()
 	c.version = u.Version
 	c.relay.Told(kind, c.names.Servers(u.Entries))
+	c.names.keep(c.relay.Knows)
 }
 
 func (c *Client) failed() {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -72,3 +72,14 @@
 		}
 	}
 }
+
+// Servers come and go without end: what nobody knows any more is forgotten, and its number may be had again.
+func TestNamesForget(t *testing.T) {
+	var n Names
+	first := n.id("s-0000000a")
+	n.id("s-0000000b")
+	n.keep(func(id uint32) bool { return id != first })
+	if len(n.ids) != 1 || len(n.taken) != 1 || n.id("t-0000000a") != first {
+		t.Errorf("names %v, numbers %v", n.ids, n.taken)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,9 +5,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -22,10 +22,16 @@
 )
 
 const (
-	readAhead    = 64                     // commands of one connection that are begun before the first is answered
-	writeTimeout = 10 * time.Second       // for a client that does not read its answers
-	closeTimeout = 500 * time.Millisecond // for a client to close its side
-	longest      = time.Hour              // that a client can be taken to wait
+	readAhead    = 16                      // commands of one connection that are begun before the first is answered
+	mostFaults   = 8                       // commands of one connection that make no sense before it is ended
+	firstTime    = 2500 * time.Millisecond // for a new client to ask something
+	commandTime  = 2500 * time.Millisecond // for the rest of a command that has begun
+	idleTime     = 5 * time.Second         // without an open command; the client asks again on a new connection
+	settled      = 100 * time.Millisecond  // without a command after which a connection may make room for another
+	writeTimeout = 10 * time.Second        // for a client that does not read its answers
+	closeTimeout = 500 * time.Millisecond  // for a client to close its side
+	mostUnread   = 256 << 10               // bytes of a client that was told off, skipped while it closes
+	longest      = time.Hour               // that a client can be taken to wait
 )
 
 // Server carries an invocation to its final answer, as *relay.Relay does.
@@ -38,27 +44,27 @@
 	Classes   []string        // names, by number
 	Deadlines []time.Duration // for an invocation that states none, by class
 	MostConns int             // client connections at once
-	MostOpen  int             // invocations at once; each may hold two buffers
+	MostOpen  int             // invocations at once beyond the first of each connection
 	Linger    time.Duration   // for which connections are still accepted after a stop
 	Server    Server
 
-	open     chan struct{} // a place for each open invocation
 	mu       sync.Mutex
 	conns    map[*conn]bool
+	open     map[string]bool // the ids of invocations that are not answered
 	draining bool
 }
 
 // Serve accepts clients until stop ends, and Linger longer; then it finishes
 // what was taken and returns. When ctx ends, it drops everything.
 func (f *Front) Serve(ctx, stop context.Context, l net.Listener) error {
-	f.conns, f.open = map[*conn]bool{}, make(chan struct{}, max(1, f.MostOpen))
+	f.conns, f.open = map[*conn]bool{}, map[string]bool{}
 	g, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, max(1, f.MostConns))
 	accepted := make(chan struct{})
 	go func() {
 		defer close(accepted)
 		for {
-			places <- struct{}{}
+			f.makeRoom(places)
 			nc, err := l.Accept()
 			if errors.Is(err, net.ErrClosed) {
 				return
@@ -69,7 +75,14 @@
 				time.Sleep(5 * time.Millisecond)
 				continue
 			}
-			c := &conn{Conn: nc, front: f, slots: make(chan slot, readAhead)}
+			reader, err := buffer.NewReader(nc)
+			if err != nil {
+				<-places
+				nc.Close()
+				continue
+			}
+			c := &conn{Conn: nc, front: f, reader: reader, slots: make(chan slot, readAhead), freed: make(chan struct{}, 1),
+				since: time.Now()}
 			f.mu.Lock()
 			f.conns[c] = true
 			f.mu.Unlock()
@@ -94,6 +107,40 @@
 	return g.Wait()
 }
 
+// makeRoom waits for a place. Clients that connect and say nothing, or half a command, must not keep the
+// others out, so where there is no place the connection goes that has been without a command longest: those
+// that never had one first, then those that may ask again on a new one.
+func (f *Front) makeRoom(places chan struct{}) {
+	for {
+		select {
+		case places <- struct{}{}:
+			return
+		default:
+		}
+		f.evict(time.Now())
+		select {
+		case places <- struct{}{}:
+			return
+		case <-time.After(settled / 10):
+		}
+	}
+}
+
+func (f *Front) evict(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var worst *conn
+	var most time.Duration
+	for c := range f.conns {
+		if idle := c.idle(now); idle > most {
+			worst, most = c, idle
+		}
+	}
+	if worst != nil && most > settled {
+		worst.endIfIdle()
+	}
+}
+
 // drain goes on accepting for a while, since clients still come until the front layer has noticed,
 // but keeps no connection longer than its answers take.
 func (f *Front) drain(ctx context.Context) {
@@ -128,36 +175,70 @@
 // conn is one client connection.
 type conn struct {
 	net.Conn
-	front *Front
-	slots chan slot // answers to come, in the order of the commands
+	front  *Front
+	reader *buffer.Reader
+	slots  chan slot     // answers to come, in the order of the commands
+	freed  chan struct{} // told when one has been written
+	faults int           // commands that made no sense
 
-	mu   sync.Mutex
-	out  int  // commands taken and not answered
-	part bool // a command has come in part
-	end  bool
+	mu    sync.Mutex
+	out   int       // commands taken and not answered
+	asked bool      // a whole command has come
+	part  bool      // a command has come in part
+	since time.Time // when the part came, or else since when nothing is out
+	end   bool      // once nothing is out
 }
 
 // slot is the place of one answer.
 type slot struct {
 	line   string // an answer that was known at once
-	id     []byte
+	id     string
 	write  bool
 	answer chan relay.Answer
-	buf    *buffer.Buffer // holds the command
+}
+
+// idle tells how long a connection has been without a command; one that never had a whole one counts as
+// idle for longer than any other.
+func (c *conn) idle(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch idle := now.Sub(c.since); {
+	case c.out > 0 || c.end || idle <= settled:
+		return 0
+	case c.part || !c.asked:
+		return idle + time.Hour
+	default:
+		return idle
+	}
 }
 
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.out > 0 {
-		return
+	if c.out == 0 {
+		c.end = true
+		c.arm()
 	}
-	c.end = true
-	if c.part { // its rest may be on the way, but a client that never sends it must not keep the program
-		c.SetReadDeadline(time.Now().Add(closeTimeout))
-	} else {
-		c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// arm sets how long the next read may take: a client that says nothing, or never the rest of a command,
+// must hold neither a place nor, after SIGTERM, the program. c.mu is held.
+func (c *conn) arm() {
+	var by time.Time
+	switch {
+	case c.part && c.end: // its rest may be on the way
+		by = time.Now().Add(closeTimeout)
+	case c.part:
+		by = c.since.Add(commandTime)
+	case c.out > 0:
+	case c.end:
+		by = time.Unix(1, 0)
+	case c.asked:
+		by = c.since.Add(idleTime)
+	default:
+		by = c.since.Add(firstTime)
 	}
+	c.SetReadDeadline(by)
 }
 
 func (c *conn) serve(ctx context.Context) {
@@ -181,49 +262,68 @@
 		// To close with something unread resets the connection, and the last answer may be lost with it.
 		tcp.CloseWrite()
 		c.SetReadDeadline(time.Now().Add(closeTimeout))
-		io.Copy(io.Discard, c)
+		for skipped := 0; skipped < mostUnread; {
+			if c.reader.Next(func(b []byte) int { skipped += len(b); return len(b) }) != nil {
+				break
+			}
+		}
 	}
 }
 
 // readCommands reads until the connection ends. It returns true if it ended it itself, so that the
 // answers to what came before are still to be written.
-func (c *conn) readCommands(ctx context.Context) bool {
-	buf := buffer.Get()
-	defer buffer.Put(buf)
-	have := 0
-	for {
-		n, err := c.Read(buf[have:])
-		have += n
-		for have > 0 {
-			used, last := c.command(ctx, buf[:have])
-			if last {
-				return true
-			}
-			if used == 0 {
-				break
+func (c *conn) readCommands(ctx context.Context) (own bool) {
+	c.mu.Lock()
+	c.arm()
+	c.mu.Unlock()
+	for next, looked := c.reader.Next, false; ; {
+		var last, full bool
+		err := next(func(b []byte) (used int) {
+			for n := -1; n != 0 && !last && !full && used < len(b); used += n {
+				n, last, full = c.command(ctx, b[used:])
 			}
-			copy(buf[:], buf[used:have])
-			have -= used
-		}
+			return used
+		})
+		next = c.reader.Next
 		c.mu.Lock()
-		c.part = have > 0
-		end := c.end
+		if part := c.reader.Unread() > 0 && !full; part != c.part {
+			c.part, c.since = part, time.Now()
+		}
+		if c.arm(); errors.Is(err, os.ErrDeadlineExceeded) && c.out == 0 && !c.part && !looked {
+			// One more look: a command that has come by now is not to be lost.
+			looked, err = true, nil
+			c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		}
 		c.mu.Unlock()
-		if err != nil {
-			return end
+		switch {
+		case last || errors.Is(err, os.ErrDeadlineExceeded):
+			return true
+		case err != nil:
+			return false
+		case full:
+			select { // whoever sends much ahead waits for answers of its own
+			case <-c.freed:
+			case <-ctx.Done():
+				return false
+			}
+			next = c.reader.Again
 		}
 	}
 }
 
-// command takes the command at the start of b, if it is whole. last tells that nothing more is read.
-func (c *conn) command(ctx context.Context, b []byte) (used int, last bool) {
-	cmd, n, err := meta.ParseCommand(b)
-	if err != nil {
-		c.put(slot{line: err.Error() + "\r\n"})
-		return n, meta.Fatal(err)
+// command takes the command at the start of b, if it is whole. last tells that nothing more is read, full
+// that the command must wait until another one is answered.
+func (c *conn) command(ctx context.Context, b []byte) (used int, last, full bool) {
+	if c.full(readAhead) {
+		return 0, false, true
 	}
-	if n == 0 {
-		return 0, false
+	cmd, n, err := meta.ParseCommand(b)
+	switch {
+	case err != nil:
+		c.fault(err.Error())
+		return n, meta.Fatal(err) || c.faults >= mostFaults, false
+	case n == 0:
+		return 0, false, false
 	}
 	switch cmd.Verb {
 	case meta.Noop:
@@ -231,47 +331,83 @@
 	case meta.Version:
 		c.put(slot{line: "VERSION hoptiller\r\n"})
 	case meta.Quit:
-		return n, true
+		return n, true, false
 	case meta.Unknown:
-		c.put(slot{line: "ERROR\r\n"})
+		c.fault("ERROR")
 	default:
+		if c.front.crowded() && c.full(1) {
+			return 0, false, true
+		}
 		c.invoke(ctx, &cmd)
 	}
-	return n, false
+	return n, c.faults >= mostFaults, false
+}
+
+// crowded tells that a connection may have only one more invocation open, so that those which send
+// hundreds ahead take no places of those which wait for their answers.
+func (f *Front) crowded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.open) >= f.MostOpen
+}
+
+func (c *conn) full(most int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.out >= most
+}
+
+// fault answers what makes no sense. A client that goes on with it is ended.
+func (c *conn) fault(line string) {
+	c.faults++
+	c.put(slot{line: line + "\r\n"})
 }
 
 func (c *conn) put(s slot) {
 	c.mu.Lock()
 	c.out++
+	c.asked = true
 	c.mu.Unlock()
-	c.slots <- s
+	c.slots <- s // has room: see command
 }
 
 // invoke starts an invocation.
 func (c *conn) invoke(ctx context.Context, cmd *meta.Command) {
 	inv := &relay.Invocation{Write: cmd.Verb == meta.Set}
 	if fault := c.front.facts(inv, cmd.Facts); fault != "" {
-		c.put(slot{line: "CLIENT_ERROR " + fault + "\r\n"})
+		c.fault("CLIENT_ERROR " + fault)
 		return
 	}
-	select { // clients that send much and read little must not fill the memory with buffers
-	case c.front.open <- struct{}{}:
-	case <-ctx.Done():
+	id := string(cmd.ID)
+	if !c.front.begin(id) {
+		c.fault("CLIENT_ERROR request id is in use")
 		return
 	}
-	buf := buffer.Get() // the command must outlive the read buffer
-	b := buf[:0]
+	// The command must outlive the buffer that it was read into, at its own size: most are short.
+	b := make([]byte, 0, len(cmd.Key)+len(cmd.ID)+len(cmd.Facts)+len(cmd.Value))
 	keep := func(s []byte) []byte {
 		from := len(b)
 		b = append(b, s...)
 		return b[from:len(b):len(b)]
 	}
 	inv.Key, inv.ID, inv.Facts, inv.Value = keep(cmd.Key), keep(cmd.ID), keep(cmd.Facts), keep(cmd.Value)
-	s := slot{id: inv.ID, write: inv.Write, answer: make(chan relay.Answer, 1), buf: buf}
+	s := slot{id: id, write: inv.Write, answer: make(chan relay.Answer, 1)}
 	go func() { s.answer <- c.front.Server.Serve(ctx, inv) }()
 	c.put(s)
 }
 
+// begin takes an id. The answers of two invocations with one id could not be told apart, at a provider
+// either, whoever sent them.
+func (f *Front) begin(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open[id] {
+		return false
+	}
+	f.open[id] = true
+	return true
+}
+
 // facts reads the names and values that come with an invocation and tells what is wrong with them.
 func (f *Front) facts(inv *relay.Invocation, facts []byte) (fault string) {
 	class, _ := meta.Fact(facts, "c")
@@ -299,25 +435,31 @@
 		if broken {
 			cancel() // ends the reading
 		}
+		draining := c.front.isDraining()
 		c.mu.Lock()
-		c.out--
+		if c.out--; c.out == 0 {
+			c.end = c.end || draining
+			if !c.part {
+				c.since = time.Now()
+			}
+			c.arm()
+		}
 		c.mu.Unlock()
-		if c.front.isDraining() {
-			c.endIfIdle()
+		select {
+		case c.freed <- struct{}{}:
+		default:
 		}
 	}
 }
 
 func (c *conn) writeAnswer(s *slot, broken bool) bool {
-	defer buffer.Put(s.buf)
 	if s.answer == nil {
 		return !broken && c.write([]byte(s.line))
 	}
 	a := <-s.answer
-	defer func() {
-		buffer.Put(a.Buffer)
-		<-c.front.open
-	}()
+	c.front.mu.Lock()
+	delete(c.front.open, s.id)
+	c.front.mu.Unlock()
 	if broken {
 		return false
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -30,19 +30,8 @@
 
 // However many commands clients send ahead, only so many are open, and each is answered in its place.
 func TestOpenInvocationsAreBounded(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	served := &counter{}
-	f := &Front{Classes: []string{"read"}, Deadlines: []time.Duration{time.Second}, MostConns: 4, MostOpen: 3, Server: served}
-	stop, end := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- f.Serve(context.Background(), stop, l) }()
-	conn, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	conn := start(t, &Front{MostConns: 4, MostOpen: 3, Server: served})()
 	const commands = 200
 	go func() {
 		for i := range commands {
@@ -60,9 +49,60 @@
 	if most := served.most.Load(); most < 1 || most > 3 {
 		t.Errorf("%d invocations at once, 3 are allowed", most)
 	}
-	conn.Close()
-	end()
-	if err := <-done; err != nil {
-		t.Error(err)
+}
+
+// start serves clients until the test ends and returns a function that connects one.
+func start(t *testing.T, f *Front) (connect func() net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Classes, f.Deadlines = []string{"read"}, []time.Duration{time.Second}
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx, ctx, l) }()
+	t.Cleanup(func() {
+		end()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return func() net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+}
+
+// Clients that say nothing, or half a command, make room for one that asks; one that waits for its
+// answer keeps its place.
+func TestRoomForClients(t *testing.T) {
+	hold := make(chan struct{})
+	connect := start(t, &Front{MostConns: 3, MostOpen: 3, Server: holder(hold)})
+	waiting := connect()
+	fmt.Fprint(waiting, "mg k v O1 Pc=read,d=900\r\n")
+	for range 5 {
+		connect()
+		fmt.Fprint(connect(), "mg k v")
 	}
+	asking := connect()
+	fmt.Fprint(asking, "mn\r\n")
+	if line, err := bufio.NewReader(asking).ReadString('\n'); line != "MN\r\n" {
+		t.Fatalf("got %q, %v", line, err)
+	}
+	close(hold)
+	if line, err := bufio.NewReader(waiting).ReadString('\n'); line != "VA 1 O1\r\n" {
+		t.Errorf("got %q, %v", line, err)
+	}
+}
+
+// holder serves when it may.
+type holder chan struct{}
+
+func (h holder) Serve(context.Context, *relay.Invocation) relay.Answer {
+	<-h
+	return relay.Answer{Kind: hoptiller.StepServed, Data: []byte("x")}
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -9,8 +9,11 @@
 	"strconv"
 )
 
-// MaxHead bounds the status line and headers of an answer.
-const MaxHead = 8 << 10
+// The limits of what is read.
+const (
+	MaxHead = 8 << 10  // of a status line and its headers
+	MaxBody = 64 << 10 // of what ParseAnswer reads
+)
 
 // ErrFormat is the fault of an answer that can't be read.
 var ErrFormat = errors.New("malformed HTTP answer")
@@ -59,16 +62,18 @@
 // error means that it is not whole yet. Names are matched without regard to
 // case.
 func ParseHead(b []byte, extra ...string) (h Head, n int, err error) {
+	const begin = "HTTP/1."
 	end := bytes.Index(b[:min(len(b), MaxHead)], []byte("\r\n\r\n"))
 	if end < 0 {
-		if len(b) >= MaxHead {
+		// What begins otherwise is not waited for to its end: it may have none.
+		if n := min(len(b), len(begin)); len(b) >= MaxHead || string(b[:n]) != begin[:n] {
 			return h, 0, ErrFormat
 		}
 		return h, 0, nil
 	}
 	lines := bytes.Split(b[:end], []byte("\r\n"))
 	status := bytes.SplitN(lines[0], []byte(" "), 3)
-	if len(status) < 2 || !bytes.HasPrefix(status[0], []byte("HTTP/1.")) || len(status[1]) != 3 {
+	if len(status) < 2 || !bytes.HasPrefix(status[0], []byte(begin)) || len(status[1]) != 3 {
 		return h, 0, ErrFormat
 	}
 	code, bad := strconv.ParseUint(string(status[1]), 10, 16)
@@ -160,12 +165,17 @@
 }
 
 // ParseAnswer reads a whole answer with its body and tells how many bytes it
-// takes up: 0 without an error means that it is not whole yet.
+// takes up: 0 without an error means that it is not whole yet. Interim answers
+// (1xx) ahead of it are passed over.
 func ParseAnswer(b []byte, extra ...string) (h Head, body []byte, n int, err error) {
-	h, n, err = ParseHead(b, extra...)
+	for h.Status < 200 {
+		var used int
+		if h, used, err = ParseHead(b[n:], extra...); err != nil || used == 0 {
+			return h, nil, 0, err
+		}
+		n += used
+	}
 	switch {
-	case err != nil || n == 0:
-		return h, nil, 0, err
 	case h.Chunked:
 		for {
 			data, used, err := ParseChunk(b[n:])
@@ -175,9 +185,11 @@
 			if n += used; len(data) == 0 {
 				return h, body, n, nil
 			}
-			body = append(body, data...)
+			if body = append(body, data...); len(body) > MaxBody {
+				return h, nil, 0, ErrFormat
+			}
 		}
-	case h.Length < 0:
+	case h.Length < 0 || h.Length > MaxBody:
 		return h, nil, 0, ErrFormat
 	case len(b)-n < h.Length:
 		return h, nil, 0, nil
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -7,10 +7,12 @@
 
 func TestParseAnswer(t *testing.T) {
 	for in, want := range map[string]string{
-		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc":                                                 "abc",
-		"HTTP/1.1 200 OK\r\ncontent-length:0\r\n\r\n":                                                     "",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\nT: 1\r\n\r\n": "abc",
-		"HTTP/1.1 204 No\r\n\r\n":                                                                         "",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc":                                                              "abc",
+		"HTTP/1.1 200 OK\r\ncontent-length:0\r\n\r\n":                                                                  "",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\nT: 1\r\n\r\n":              "abc",
+		"HTTP/1.1 204 No\r\n\r\n":                                                                                      "",
+		"HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na": "a",
+		"HTTP/1.1 200 OK\r\nX-Backend-Load: \xff=,=;\x01\r\nContent-Length: 1\r\n\r\na":                                "a",
 	} {
 		h, body, n, err := ParseAnswer([]byte(in))
 		if err != nil || n != len(in) || string(body) != want || h.Status/100 != 2 {
@@ -23,7 +25,9 @@
 		}
 	}
 	for _, in := range []string{"FTP 200\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nnonsense\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("a", MaxHead),
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n",
+		"ICY 200", "HTTP/1.1 OK 200\r\n\r\n", "H\x00", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nab",
+		"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\nab", strings.Repeat("a", MaxHead),
 		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc"} {
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -45,7 +45,7 @@
 	ErrKey    = errors.New("CLIENT_ERROR bad key")
 	ErrID     = errors.New("CLIENT_ERROR missing request id")
 	ErrLength = errors.New("CLIENT_ERROR bad data length")
-	ErrLarge  = errors.New("SERVER_ERROR object too large")
+	ErrLarge  = errors.New("CLIENT_ERROR object too large")
 	ErrChunk  = errors.New("CLIENT_ERROR bad data chunk")
 )
 
@@ -200,7 +200,7 @@
 	Value  AnswerKind = iota // VA: the value
 	Stored                   // HD: a receipt
 	Miss                     // EN
-	Failed                   // SERVER_ERROR failed, and whatever else is no answer of the protocol
+	Failed                   // SERVER_ERROR failed, and whatever else tells of an error
 	Busy                     // SERVER_ERROR busy
 )
 
@@ -211,32 +211,40 @@
 	Data []byte // the value or the receipt
 }
 
-// ParseAnswer reads the answer at the start of b and tells how many bytes it
-// takes up: 0 without an error means that it is not whole yet. After an error
-// the stream can't be read on.
-func ParseAnswer(b []byte) (a Answer, n int, err error) {
+// ErrAnswer is the fault of an answer that is none of the protocol.
+var ErrAnswer = errors.New("no answer of the protocol")
+
+// names are the first words of answers.
+var names = []string{"VA", "HD", "EN", "SERVER_ERROR", "CLIENT_ERROR", "ERROR"}
+
+// begins tells whether b can be the beginning of an answer. What can't be is not waited for to its end:
+// it may have none.
+func begins(b []byte) bool {
+	for _, name := range names {
+		n := min(len(name), len(b))
+		if string(b[:n]) == name[:n] && (n == len(b) || b[n] == ' ' || b[n] == '\r' || b[n] == '\n') {
+			return true
+		}
+	}
+	return false
+}
+
+// ParseAnswer reads the answer to the request with an id at the start of b and tells how many bytes it
+// takes up: 0 without an error means that it is not whole yet. After an error the stream can't be read on.
+// Whose answer it is shows in its first line, before a value that may be long.
+func ParseAnswer(b []byte, id string) (a Answer, n int, err error) {
+	if !begins(b) {
+		return a, 0, ErrAnswer
+	}
 	text, n, err := line(b)
 	if n == 0 || err != nil {
 		return a, 0, err
 	}
 	name, rest := word(text)
+	var length []byte
 	switch string(name) {
 	case "VA":
-		var length []byte
 		length, rest = word(rest)
-		size, bad := strconv.ParseUint(string(length), 10, 31)
-		switch end := n + int(size); {
-		case bad != nil:
-			return a, 0, ErrLength
-		case size > MaxValue:
-			return a, 0, ErrLarge
-		case len(b) < end+2:
-			return a, 0, nil
-		case b[end] != '\r' || b[end+1] != '\n':
-			return a, 0, ErrChunk
-		default:
-			a.Data, n = b[n:end], end+2
-		}
 	case "HD":
 		a.Kind = Stored
 	case "EN":
@@ -260,18 +268,37 @@
 			a.Data = flag[1:]
 		}
 	}
+	if string(a.ID) != id { // another's, or nobody's
+		return a, 0, ErrID
+	}
+	if a.Kind != Value {
+		return a, n, nil
+	}
+	size, bad := strconv.ParseUint(string(length), 10, 31)
+	switch end := n + int(size); {
+	case bad != nil:
+		return a, 0, ErrLength
+	case size > MaxValue:
+		return a, 0, ErrLarge
+	case len(b) < end+2:
+		return a, 0, nil
+	case b[end] != '\r' || b[end+1] != '\n':
+		return a, 0, ErrChunk
+	default:
+		a.Data, n = b[n:end], end+2
+	}
 	return a, n, nil
 }
 
 // AppendValue writes the answer that serves a read.
-func AppendValue(b, id, value []byte) []byte {
+func AppendValue(b []byte, id string, value []byte) []byte {
 	b = strconv.AppendInt(append(b, "VA "...), int64(len(value)), 10)
 	b = append(append(append(b, " O"...), id...), "\r\n"...)
 	return append(append(b, value...), "\r\n"...)
 }
 
 // AppendStored writes the answer that serves a write.
-func AppendStored(b, id, receipt []byte) []byte {
+func AppendStored(b []byte, id string, receipt []byte) []byte {
 	b = append(append(b, "HD O"...), id...)
 	return append(append(append(b, " c"...), receipt...), "\r\n"...)
 }
--- a/internal/meta/meta_test.go
+++ b/internal/meta/meta_test.go
@@ -40,18 +40,21 @@
 		"SERVER_ERROR busy\r\n":        {Kind: Busy},
 		"SERVER_ERROR failed\r\n":      {Kind: Failed},
 		"CLIENT_ERROR bad command\r\n": {Kind: Failed},
-		"\r\n":                         {Kind: Failed},
+		"ERROR\r\n":                    {Kind: Failed},
 	} {
-		a, n, err := ParseAnswer([]byte(in))
+		a, n, err := ParseAnswer([]byte(in), "9b")
 		if err != nil || n != len(in) || a.Kind != want.Kind || !bytes.Equal(a.ID, want.ID) || !bytes.Equal(a.Data, want.Data) {
 			t.Errorf("%q: %+v, %d bytes, %v", in, a, n, err)
 		}
 	}
-	for in, want := range map[string]error{
+	for in, want := range map[string]error{ // each is told as soon as it shows
 		"VA x O9b\r\n": ErrLength, "VA 3 O9b\r\nabcdef": ErrChunk, "VA 65537 O9b\r\n": ErrLarge,
-		strings.Repeat("a", MaxLine): ErrLine,
+		"VA 3000000000 O9b\r\n": ErrLength, "VA -1 O9b\r\n": ErrLength, "VA 3\r\n": ErrID, "EN\r\n": ErrID,
+		"VA 3 O9c\r\n": ErrID, "HD O9bb c5\r\n": ErrID, // told before the value has come
+		"\r\n": ErrAnswer, "VALUE": ErrAnswer, "x": ErrAnswer, "ENO9b\r\n": ErrAnswer, "EN\x00": ErrAnswer,
+		"EN O9b " + strings.Repeat("a", MaxLine): ErrLine,
 	} {
-		if _, _, err := ParseAnswer([]byte(in)); !errors.Is(err, want) {
+		if _, _, err := ParseAnswer([]byte(in), "9b"); !errors.Is(err, want) {
 			t.Errorf("%.20q: %v, want %v", in, err, want)
 		}
 	}
@@ -72,7 +75,7 @@
 				t.Errorf("%q is passed on as %+v, %v", b, again, err)
 			}
 		}
-		if a, n, err := ParseAnswer(b); n < 0 || n > len(b) || len(a.Data) > MaxValue+MaxLine {
+		if a, n, err := ParseAnswer(b, "1"); n < 0 || n > len(b) || len(a.Data) > MaxValue+MaxLine {
 			t.Errorf("answer of %d bytes: %v", n, err)
 		}
 	})
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -3,6 +3,8 @@
 package origin
 
 import (
+	"bytes"
+	"errors"
 	"time"
 
 	"hoptiller"
@@ -31,12 +33,14 @@
 }
 
 // Parse implements provider.Protocol.
-func (Protocol) Parse(b []byte, _ *relay.Invocation) (hoptiller.Status, []byte, int, bool, error) {
+func (Protocol) Parse(b []byte, inv *relay.Invocation) (hoptiller.Status, []byte, int, bool, error) {
 	h, body, n, err := http1.ParseAnswer(b, notRun)
 	if err != nil || n == 0 {
 		return 0, nil, 0, false, err
 	}
 	switch {
+	case h.Status == 200 && inv.Write && bytes.ContainsFunc(body, func(r rune) bool { return r <= ' ' || r == 0x7f }):
+		return 0, nil, 0, false, errReceipt
 	case h.Status == 200:
 		return hoptiller.OK, body, n, !h.Close, nil
 	case (h.Status == 503 || h.Status == 504) && h.Extra[notRun] == "1":
@@ -44,3 +48,6 @@
 	}
 	return hoptiller.ServerError, nil, n, !h.Close, nil
 }
+
+// errReceipt is the fault of a receipt that would break the line in which a client is given it.
+var errReceipt = errors.New("receipt is no single word")
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -7,7 +7,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -27,10 +29,14 @@
 	Parse(b []byte, inv *relay.Invocation) (status hoptiller.Status, data []byte, n int, keep bool, err error)
 }
 
+// wholeWithin is how long an answer may take from its first byte to its last.
+const wholeWithin = 400 * time.Millisecond
+
 // Settings bound a pool.
 type Settings struct {
 	Share          int           // calls on each open connection before another one is opened
 	MostConns      int           // connections to a server, however many calls share them
+	MostTotal      int           // connections to all servers; 0: no limit
 	MostCalls      int           // calls out on one connection at once
 	IdleLimit      time.Duration // connections without use for so long are not used again; 0: no limit
 	ConnectTimeout time.Duration
@@ -43,6 +49,7 @@
 
 	mu      sync.Mutex
 	servers map[uint32]*server
+	total   int // connections that are open or being opened
 }
 
 type server struct {
@@ -89,11 +96,27 @@
 		p.servers[entry.ID] = s
 	}
 	s.Server = entry
-	if moved || entry.Phase != hoptiller.Ready { // idle connections have no use any more
+	if moved { // what is out on connections to a process that is no more will never be answered
+		for _, c := range slices.Clone(s.conns) {
+			p.drop(c)
+		}
+	}
+	if entry.Phase != hoptiller.Ready { // idle connections have no use any more
 		p.closeIdle(s)
 	}
 }
 
+// Forget implements relay.Caller.
+func (p *Pool) Forget(id uint32) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[id]; s != nil && (len(s.conns) > 0 || s.dialing > 0) {
+		return false
+	}
+	delete(p.servers, id)
+	return true
+}
+
 // CloseIdle implements relay.Caller.
 func (p *Pool) CloseIdle(id uint32) {
 	p.mu.Lock()
@@ -133,6 +156,7 @@
 	}
 	c.dead = true
 	c.Close()
+	p.total--
 	s := c.server
 	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
 	for _, out := range c.calls {
@@ -141,6 +165,20 @@
 	c.calls = nil
 }
 
+// spoilt ends a connection on which something has come that can't be read. The server did answer the
+// first call, which may have run. Those behind it end by this router's choice and no fault of theirs.
+// p.mu is held.
+func (p *Pool) spoilt(c *conn) {
+	calls := c.calls
+	if len(calls) > 0 {
+		c.calls = calls[1:]
+	}
+	p.end(c, hoptiller.Cancelled) // first: as long as it is open, a call on it counts as out
+	if len(calls) > 0 {
+		calls[0].done <- relay.Result{Status: hoptiller.ServerError}
+	}
+}
+
 // Call implements relay.Caller.
 func (p *Pool) Call(ctx context.Context, id uint32, inv *relay.Invocation) relay.Result {
 	out := &call{inv: inv, done: make(chan relay.Result, 1)}
@@ -226,11 +264,14 @@
 		c = s.leastBusy()
 	}
 	full := len(s.conns)+s.dialing >= p.set.MostConns
+	if !full && p.set.MostTotal > 0 && p.total >= p.set.MostTotal {
+		full = !p.makeRoom()
+	}
 	switch {
 	case full && (c == nil || c.load >= p.set.MostCalls):
 		return nil, hoptiller.ConnectFailed
 	case !full && (c == nil || c.load >= p.set.Share):
-		nc, err := p.dial(ctx, s)
+		nc, reader, err := p.dial(ctx, s)
 		if err != nil {
 			if errors.Is(ctx.Err(), context.Canceled) {
 				return nil, hoptiller.Moot
@@ -239,7 +280,7 @@
 		}
 		c = &conn{Conn: nc, pool: p, server: s}
 		s.conns = append(s.conns, c)
-		go c.read()
+		go c.read(reader)
 	}
 	c.load++
 	return c, hoptiller.OK
@@ -248,20 +289,44 @@
 // errMoved tells that the server has started anew while a connection to it came up.
 var errMoved = errors.New("server has moved")
 
+// makeRoom closes the connection that has been idle longest, of any server. p.mu is held.
+func (p *Pool) makeRoom() bool {
+	var oldest *conn
+	for _, s := range p.servers {
+		for _, c := range s.conns {
+			if c.load == 0 && (oldest == nil || c.idleAt.Before(oldest.idleAt)) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		p.drop(oldest)
+	}
+	return oldest != nil
+}
+
 // dial opens a connection. p.mu is held, but not while it waits.
-func (p *Pool) dial(ctx context.Context, s *server) (net.Conn, error) {
+func (p *Pool) dial(ctx context.Context, s *server) (nc net.Conn, reader *buffer.Reader, err error) {
 	addr, started := s.Addr, s.Started
 	s.dialing++
+	p.total++
 	p.mu.Unlock()
 	dialer := net.Dialer{Timeout: p.set.ConnectTimeout, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	if nc, err = dialer.DialContext(ctx, "tcp", addr); err == nil {
+		reader, err = buffer.NewReader(nc)
+	}
 	p.mu.Lock()
 	s.dialing--
 	if err == nil && (s.Addr != addr || s.Started != started) {
-		nc.Close()
-		return nil, errMoved
+		err = errMoved
+	}
+	if err != nil {
+		p.total--
+		if nc != nil {
+			nc.Close()
+		}
 	}
-	return nc, err
+	return nc, reader, err
 }
 
 // idle takes the idle connection that was used last; the others then end by and by. Those near the
@@ -312,12 +377,13 @@
 		return false, hoptiller.Moot
 	}
 	c.calls = append(c.calls, out)
+	host := c.server.Name
 	p.mu.Unlock()
 
 	end, _ := ctx.Deadline()
 	buf := buffer.Get()
 	defer buffer.Put(buf)
-	b := p.proto.Append(buf[:0], out.inv, c.server.Name, time.Until(end))
+	b := p.proto.Append(buf[:0], out.inv, host, time.Until(end))
 	c.SetWriteDeadline(end)
 	stop := context.AfterFunc(ctx, func() { c.SetWriteDeadline(time.Unix(1, 0)) })
 	defer stop()
@@ -341,54 +407,63 @@
 	c.dropIfUnused()
 }
 
-// read takes the answers on a connection until it ends.
-func (c *conn) read() {
-	buf := buffer.Get()
-	defer buffer.Put(buf)
-	have := 0
-	for {
-		n, err := c.Conn.Read(buf[have:])
-		have += n
-		used, ok := c.answers(buf[:have])
-		if !ok || err != nil || used == 0 && have == len(buf) {
-			break
+// read takes the answers on a connection until it ends. An answer that has begun comes in one go, so one
+// that does not get whole is spoilt: to wait on would hold up all calls behind it until their time is up.
+func (c *conn) read(r *buffer.Reader) {
+	var err error
+	for ok, part := true, false; ok && err == nil; {
+		err = r.Next(func(b []byte) (used int) {
+			if used, ok = c.answers(b); used > 0 {
+				part = false // what is left is the beginning of another
+			}
+			return used
+		})
+		if r.Unread() == 0 {
+			c.SetReadDeadline(time.Time{})
+		} else if !part {
+			c.SetReadDeadline(time.Now().Add(wholeWithin))
 		}
-		copy(buf[:], buf[used:have])
-		have -= used
+		part = r.Unread() > 0
+	}
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrShortBuffer) {
+		p.spoilt(c)
+	} else {
+		p.drop(c)
 	}
-	c.pool.mu.Lock()
-	defer c.pool.mu.Unlock()
-	c.pool.drop(c)
 }
 
 // answers hands out the whole answers in b and tells how many bytes they took up, and whether the
 // connection can be read on.
 func (c *conn) answers(b []byte) (used int, ok bool) {
-	c.pool.mu.Lock() // also keeps a call from being given up while its answer is read
-	defer c.pool.mu.Unlock()
+	p := c.pool
+	p.mu.Lock() // also keeps a call from being given up while its answer is read
+	defer p.mu.Unlock()
 	for used < len(b) && !c.dead {
-		if len(c.calls) == 0 { // an answer that nothing asked for
+		if len(c.calls) == 0 { // an answer that nothing asked for must not reach the next call
 			return used, false
 		}
 		out := c.calls[0]
-		status, data, n, keep, err := c.pool.proto.Parse(b[used:], out.inv)
-		if err == nil && n == 0 {
+		status, data, n, keep, err := p.proto.Parse(b[used:], out.inv)
+		if err != nil {
+			p.spoilt(c)
+			return used, false
+		}
+		if n == 0 {
 			return used, true
 		}
 		r := relay.Result{Status: status}
-		if err != nil { // it answered, but nothing that can be used: it may have run
-			r.Status = hoptiller.ServerError
-		} else if status == hoptiller.OK && !out.givenUp {
-			r.Buffer = buffer.Get()
-			r.Data = r.Buffer[:copy(r.Buffer[:], data)]
+		if status == hoptiller.OK && !out.givenUp {
+			r.Data = bytes.Clone(data)
 		}
 		used += n
-		out.done <- r
 		c.calls = c.calls[1:]
-		c.leave()
-		if err != nil || !keep {
-			c.pool.drop(c)
+		if c.leave(); !keep {
+			p.drop(c)
 		}
+		out.done <- r
 	}
 	return used, !c.dead
 }
@@ -407,25 +482,20 @@
 
 // Parse implements Protocol.
 func (Meta) Parse(b []byte, inv *relay.Invocation) (hoptiller.Status, []byte, int, bool, error) {
-	a, n, err := meta.ParseAnswer(b)
+	a, n, err := meta.ParseAnswer(b, string(inv.ID))
 	if err != nil || n == 0 {
 		return 0, nil, 0, false, err
 	}
-	if len(a.ID) > 0 && !bytes.Equal(a.ID, inv.ID) { // the answers are out of step
-		return 0, nil, 0, false, errWrongID
-	}
 	switch a.Kind {
-	case meta.Value, meta.Stored:
-		if len(a.ID) == 0 || inv.Write != (a.Kind == meta.Stored) {
-			return 0, nil, 0, false, errWrongID
-		}
-		return hoptiller.OK, a.Data, n, true, nil
-	case meta.Miss:
-		return hoptiller.Miss, nil, n, true, nil
+	case meta.Failed:
+		return hoptiller.ServerError, nil, n, true, nil
 	case meta.Busy:
 		return hoptiller.Full, nil, n, true, nil
+	case meta.Miss:
+		return hoptiller.Miss, nil, n, true, nil
+	}
+	if inv.Write != (a.Kind == meta.Stored) {
+		return 0, nil, 0, false, meta.ErrAnswer
 	}
-	return hoptiller.ServerError, nil, n, true, nil
+	return hoptiller.OK, a.Data, n, true, nil
 }
-
-var errWrongID = errors.New("answer does not belong to the call")
--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,15 +59,25 @@
 		want   hoptiller.Status
 		ends   bool // the connection ends with it
 	}{
-		"value":           {answer("VA 1 O01\r\nx\r\n"), hoptiller.OK, false},
-		"miss":            {answer("EN O01\r\n"), hoptiller.Miss, false},
-		"error":           {answer("SERVER_ERROR failed\r\n"), hoptiller.ServerError, false},
-		"busy":            {answer("SERVER_ERROR busy\r\n"), hoptiller.Full, false},
-		"nonsense":        {answer("VA x\r\n"), hoptiller.ServerError, true},
-		"another's value": {answer("VA 1 O02\r\nx\r\n"), hoptiller.ServerError, true},
-		"nobody's value":  {answer("VA 1\r\nx\r\n"), hoptiller.ServerError, true},
-		"a receipt":       {answer("HD O01 c5\r\n"), hoptiller.ServerError, true},
-		"end":             {func(_ net.Conn, r *bufio.Reader) { r.ReadString('\n') }, hoptiller.Reset, true},
+		"value":              {answer("VA 1 O01\r\nx\r\n"), hoptiller.OK, false},
+		"miss":               {answer("EN O01\r\n"), hoptiller.Miss, false},
+		"error":              {answer("SERVER_ERROR failed\r\n"), hoptiller.ServerError, false},
+		"busy":               {answer("SERVER_ERROR busy\r\n"), hoptiller.Full, false},
+		"nonsense":           {answer("VA x\r\n"), hoptiller.ServerError, true},
+		"another's value":    {answer("VA 1 O02\r\nx\r\n"), hoptiller.ServerError, true},
+		"nobody's value":     {answer("VA 1\r\nx\r\n"), hoptiller.ServerError, true},
+		"a receipt":          {answer("HD O01 c5\r\n"), hoptiller.ServerError, true},
+		"end":                {func(_ net.Conn, r *bufio.Reader) { r.ReadString('\n') }, hoptiller.Reset, true},
+		"noise":              {answer("\x8b\xa5"), hoptiller.ServerError, true},
+		"noise in a line":    {answer("x\r\n"), hoptiller.ServerError, true},
+		"a line without end": {answer("EN O01 " + strings.Repeat("a", 3000)), hoptiller.ServerError, true},
+		"3 GB":               {answer("VA 3000000000 O01\r\nx"), hoptiller.ServerError, true},
+		"another's, cut":     {answer("VA 100 O02\r\nx"), hoptiller.ServerError, true},
+		"too short a value":  {answer("VA 100 O01\r\nx\r\n"), hoptiller.ServerError, true},
+		"too long a value":   {answer("VA 1 O01\r\nxyz\r\n"), hoptiller.ServerError, true},
+		"copy behind":        {answer("EN O01\r\nEN O01\r\n"), hoptiller.Miss, true},
+		"noise behind":       {answer("VA 1 O01\r\nx\r\n\x8b"), hoptiller.OK, true},
+		"unreadable report":  {answer("VA 1 O01 h1 L=,=\r\nx\r\n"), hoptiller.OK, false},
 		"half an answer": {func(conn net.Conn, r *bufio.Reader) {
 			r.ReadString('\n')
 			conn.Write([]byte("VA 9 O01\r\nx"))
@@ -144,6 +155,64 @@
 	r.End()
 }
 
+// A spoilt answer ends the connection before it is told, since until then the call counts as out. The calls
+// behind it are no proof of a fault: they end as if given up.
+func TestSpoiltAnswerAndNeighbours(t *testing.T) {
+	p := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		r.ReadString('\n')
+		r.ReadString('\n')
+		conn.Write([]byte("VA 1 O02\r\nx\r\n"))
+		hold(conn, r)
+	})
+	results := make(chan relay.Result, 2)
+	ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
+	defer end()
+	for i := range 2 {
+		go func() { results <- p.Call(ctx, 1, read) }()
+		if i == 0 {
+			until(p, func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
+		}
+	}
+	a, b := <-results, <-results
+	if min(a.Status, b.Status) != hoptiller.ServerError || max(a.Status, b.Status) != hoptiller.Cancelled {
+		t.Errorf("statuses %d and %d", a.Status, b.Status)
+	}
+}
+
+// On all servers together only so many connections are open: an idle one makes room for one that is needed.
+// A server that is gone is forgotten when nothing leads to it any more.
+func TestTotalAndForget(t *testing.T) {
+	p := serve(t, answer("EN O01\r\n"))
+	p.set.MostTotal = 1
+	other := entry(p.servers[1].Addr, hoptiller.Ready)
+	other.ID = 2
+	p.Update(other, false)
+	for _, id := range []uint32{1, 2, 1} {
+		if r := p.Call(context.Background(), id, read); r.Status != hoptiller.Miss || p.total != 1 {
+			t.Errorf("server %d: status %d with %d connections", id, r.Status, p.total)
+		}
+	}
+	if p.Forget(1) || !p.Forget(2) {
+		t.Error("1 has a connection and is forgotten, or 2 has none and is not")
+	}
+	p.Update(entry("", hoptiller.Gone), false)
+	if !p.Forget(1) || len(p.servers) != 0 || p.total != 0 {
+		t.Errorf("%d servers and %d connections are left", len(p.servers), p.total)
+	}
+}
+
+// A process that has started anew has nothing to do with the connections to the old one, nor with its calls.
+func TestMovedServer(t *testing.T) {
+	p := serve(t, hold)
+	result := make(chan relay.Result, 1)
+	go func() { result <- p.Call(context.Background(), 1, read) }()
+	until(p, func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
+	p.Update(entry(p.servers[1].Addr, hoptiller.Ready), true)
+	if r := <-result; r.Status != hoptiller.Reset {
+		t.Errorf("status %d", r.Status)
+	}
+}
+
 // until waits for a state of the server that calls bring about by themselves.
 func until(p *Pool, ok func(*server) bool) {
 	for {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/buffer"
 )
 
 // Invocation is one client request.
@@ -29,16 +28,14 @@
 // Result is how an invoker call ended.
 type Result struct {
 	Status hoptiller.Status
-	Data   []byte         // the value or the receipt
-	Buffer *buffer.Buffer // holds Data; whoever has the Result puts it back
-	End    func()         // if set, the call is still out until this is called
+	Data   []byte // the value or the receipt
+	End    func() // if set, the call is still out until this is called
 }
 
-// Answer is the final answer to an invocation. Its buffer is the receiver's.
+// Answer is the final answer to an invocation.
 type Answer struct {
 	Kind       hoptiller.StepKind // anything but StepCall
 	Data       []byte
-	Buffer     *buffer.Buffer
 	RetryAfter time.Duration
 }
 
@@ -49,6 +46,9 @@
 	// Update tells what is now known of a server; moved tells that it runs
 	// elsewhere or anew, so that its old connections lead nowhere.
 	Update(s Server, moved bool)
+	// Forget drops what is known of a server, and tells whether it could:
+	// not while there are connections to it.
+	Forget(server uint32) bool
 	// CloseIdle closes the idle connections to a server.
 	CloseIdle(server uint32)
 }
@@ -184,9 +184,8 @@
 		step = r.core.Report(now, call, step.Provider, result.Status, now-sent)
 		if step.Kind == hoptiller.StepServed {
 			r.closeIdle(step.CloseIdle)
-			return Answer{Kind: step.Kind, Data: result.Data, Buffer: result.Buffer}
+			return Answer{Kind: step.Kind, Data: result.Data}
 		}
-		buffer.Put(result.Buffer)
 		if step.Kind == hoptiller.StepCall && result.End != nil {
 			result.End() // one call out at a time, whatever else the connection carries
 		}
@@ -210,10 +209,7 @@
 func (r *Relay) callerOf(id uint32) Caller {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	if r.servers[id].Origin {
-		return r.origins
-	}
-	return r.providers
+	return r.caller(r.servers[id])
 }
 
 func (r *Relay) closeIdle(ids []uint32) {
@@ -251,9 +247,23 @@
 	for _, s := range leaving {
 		r.update(s)
 	}
+	// On a long day servers come and go without end, and each would leave its trace.
+	for id, s := range r.servers {
+		if s.Phase == hoptiller.Gone && !r.core.Knows(id) && r.caller(s).Forget(id) {
+			delete(r.servers, id)
+		}
+	}
 	r.mu.Unlock()
 }
 
+// Knows tells whether anything of a server is still known here. Until then its number is taken.
+func (r *Relay) Knows(id uint32) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	_, known := r.servers[id]
+	return known
+}
+
 // update tells the callers of a server; r.mu is held.
 func (r *Relay) update(s Server) {
 	old, known := r.servers[s.ID]
@@ -261,11 +271,14 @@
 		s.Addr, s.Started, s.Origin = old.Addr, old.Started, old.Origin
 	}
 	r.servers[s.ID] = s
-	caller := r.providers
+	r.caller(s).Update(s, known && (old.Addr != s.Addr || old.Started != s.Started))
+}
+
+func (r *Relay) caller(s Server) Caller {
 	if s.Origin {
-		caller = r.origins
+		return r.origins
 	}
-	caller.Update(s, known && (old.Addr != s.Addr || old.Started != s.Started))
+	return r.providers
 }
 
 // keyNumber makes the Router's number of a key: what its hexadecimal digits
