Read the configuration again on SIGHUP and move the watch without a gap

Nothing handled the signal, so the runtime's default did. Ruled out by the log, which ends without a line: a fault of our own.

Checked: RELAY_DISCOVERY still names the old address, so the file goes before it here. Client.Run dropped the running watch before it opened the next; now the new one is opened first, from version 0, since another service counts as it likes, and its first word ends those before it. A file that can't be used is one log line.

--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -56,9 +56,11 @@
 
 func main() {
 	log.SetFlags(0)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // before all else: until then it ends the program
 	c, err := config.Load(os.Getenv)
 	if err == nil {
-		err = run(c)
+		err = run(c, hup)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hoptiller:", err)
@@ -66,7 +68,7 @@
 	}
 }
 
-func run(c *config.Config) error {
+func run(c *config.Config, hup <-chan os.Signal) error {
 	if c.MemoryMB > 0 { // collect garbage harder well before the limit that kills
 		debug.SetMemoryLimit(c.MemoryMB << 20 / 2)
 	}
@@ -86,8 +88,7 @@
 	}, origin.Protocol{})
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
-	registry := &directory.Registry{Addr: c.Discovery, Timeout: 4 * time.Second, Silence: 4500 * time.Millisecond}
-	dir := directory.NewClient(registry, names, r, c.Known)
+	dir := directory.NewClient(registry(c), names, r, c.Known)
 	f := &front.Front{Classes: c.Classes, MostConns: s.clients, MostOpen: s.open, Linger: linger, Server: r}
 	for _, class := range c.Settings.Classes {
 		f.Deadlines = append(f.Deadlines, class.Deadline)
@@ -100,6 +101,10 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return r.Run(ctx, dir) })
 	g.Go(func() error { return dir.Run(ctx) })
+	g.Go(func() error {
+		reload(ctx, hup, c, dir)
+		return nil
+	})
 	g.Go(func() error {
 		defer cancel() // the clients are served: all else ends
 		return f.Serve(ctx, stop, listener)
@@ -109,3 +114,36 @@
 	origins.Close()
 	return err
 }
+
+func registry(c *config.Config) *directory.Registry {
+	return &directory.Registry{Addr: c.Discovery, Timeout: 4 * time.Second, Silence: 4500 * time.Millisecond}
+}
+
+// reload reads the configuration again on each SIGHUP. A router under load keeps its clients, providers
+// and all that it has learned; what it takes is where discovery is now. The environment still names the
+// address of the start, so here the file goes before it.
+func reload(ctx context.Context, hup <-chan os.Signal, c *config.Config, dir *directory.Client) {
+	env := func(name string) string {
+		if name == "RELAY_DISCOVERY" {
+			return ""
+		}
+		return os.Getenv(name)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		next, err := config.Load(env)
+		if err != nil {
+			log.Printf("reload: %v; the old configuration stays", err)
+			continue
+		}
+		log.Printf("reload: discovery at %s", next.Discovery)
+		if next.Discovery != c.Discovery {
+			c = next
+			dir.Move(registry(c))
+		}
+	}
+}
--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -26,8 +26,9 @@
 //	close         ends the connection
 //
 // Actors are clients (c1, c2 ...), each with one connection of its own; the providers p1 and p2, the origin
-// o and the directory d, which speak on the connection of the line last read; and the program, to which
-// "close" is SIGTERM and whose exit code "expect" reads. The end of a connection reads as <closed>.
+// o and the directories d and d2, which speak on the connection of the line last read; and the program. To it
+// "close" is SIGTERM, "send" puts d2 into its configuration, or else TEXT in its place, and is SIGHUP; "wait"
+// reads its log and "expect" its exit code. The end of a connection reads as <closed>.
 // In TEXT, {a*9} is nine a's and {p1 active 5} the list entry of p1, active, started at 5 ms.
 // A first line "# list p1 p2" names the providers that the program knows when it starts.
 
@@ -64,6 +65,8 @@
 	actors  map[string]*actor
 	program *exec.Cmd
 	exit    chan error
+	path    string // of the configuration
+	text    string // and what it says
 }
 
 var binary string // of the program, built once
@@ -98,7 +101,7 @@
 // start starts the program in a world where it knows the named providers.
 func start(t *testing.T, providers []string) *world {
 	w := &world{actors: map[string]*actor{}, exit: make(chan error, 1)}
-	for _, name := range []string{"p1", "p2", "o", "d"} {
+	for _, name := range []string{"p1", "p2", "o", "d", "d2"} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -120,15 +123,15 @@
 	for _, p := range providers {
 		known += "," + w.expand("{"+p+" active 0}")
 	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5f","limits":{"memory_mb":192,
+	w.path = filepath.Join(t.TempDir(), "config.json")
+	w.text = fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5f","limits":{"memory_mb":192,
 		"sockets":1024},"known":{"version":1,"full":true,"servers":[%s]},"settings":%s}`,
 		w.actors["d"].addr, known, settings)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(w.path, []byte(w.text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	w.program = exec.Command(binary)
-	w.program.Env = append(os.Environ(), "RELAY_CONFIG="+path)
+	w.program.Env = append(os.Environ(), "RELAY_CONFIG="+w.path, "RELAY_DISCOVERY="+w.actors["d"].addr)
 	stderr, err := w.program.StderrPipe()
 	if err == nil {
 		err = w.program.Start()
@@ -142,13 +145,15 @@
 	if !ok {
 		t.Fatalf("the program begins with %q", first)
 	}
+	a := &actor{addr: addr, lines: make(chan line, 1000)}
 	go func() {
-		for _, err := log.ReadString('\n'); err == nil; _, err = log.ReadString('\n') {
+		for text, err := log.ReadString('\n'); err == nil; text, err = log.ReadString('\n') {
+			a.lines <- line{text: strings.TrimRight(text, "\n")}
 		}
 		w.exit <- w.program.Wait()
 	}()
 	t.Cleanup(func() { w.program.Process.Kill() })
-	w.actors["program"] = &actor{addr: addr}
+	w.actors["program"] = a
 	return w
 }
 
@@ -193,7 +198,7 @@
 	switch {
 	case err != nil:
 		return err
-	case name == "program":
+	case name == "program" && verb != "wait":
 		return w.onProgram(verb, text)
 	case verb == "expect" || verb == "wait":
 		return a.expect(text, verb == "wait")
@@ -231,8 +236,17 @@
 }
 
 func (w *world) onProgram(verb, text string) error {
-	if verb == "close" {
+	switch verb {
+	case "close":
 		return w.program.Process.Signal(syscall.SIGTERM)
+	case "send":
+		if a := w.actors[text]; a != nil {
+			text = strings.Replace(w.text, w.actors["d"].addr, a.addr, 1)
+		}
+		if err := os.WriteFile(w.path, []byte(text), 0o600); err != nil {
+			return err
+		}
+		return w.program.Process.Signal(syscall.SIGHUP)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -155,20 +156,31 @@
 // Client asks a Source what the Router wants asked and tells a Relay. It is a
 // relay.Directory.
 type Client struct {
-	src     Source
-	relay   *relay.Relay
-	orders  chan order
+	relay  *relay.Relay
+	orders chan order
+
 	mu      sync.Mutex // serialises what is told
+	src     Source
 	names   *Names
-	version int64
+	version int64    // of the last word of src
+	watches []*watch // those that run, the newest last
 }
 
-type order struct{ list, watch bool }
+type order struct {
+	list, watch bool
+	src         Source // if set, what is asked from now on
+}
+
+// watch is one watch that runs.
+type watch struct {
+	src    Source
+	cancel context.CancelFunc
+}
 
 // NewClient returns a Client that knows what known says.
 func NewClient(src Source, names *Names, r *relay.Relay, known Update) *Client {
 	c := &Client{src: src, relay: r, names: names, orders: make(chan order, 16)}
-	c.told(hoptiller.ListCached, known)
+	c.told(hoptiller.ListCached, known, src, nil)
 	return c
 }
 
@@ -178,81 +190,118 @@
 // List implements relay.Directory.
 func (c *Client) List() { c.order(order{list: true}) }
 
+// Move has all that is asked from now on asked of another source. What the present watch still has to
+// tell counts until the new one has spoken.
+func (c *Client) Move(src Source) { c.order(order{watch: true, src: src}) }
+
 // order never blocks: a Router that asks more than can be carried out hears of it as of a failed call.
 func (c *Client) order(o order) {
 	select {
 	case c.orders <- o:
 	default:
-		go c.failed()
+		go c.failed(nil)
 	}
 }
 
 // Run carries out the orders until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	stop := func() {}
-	defer func() { stop() }()
 	var calls errgroup.Group
 	defer calls.Wait()
 	for {
 		var o order
 		select {
 		case <-ctx.Done():
-			stop()
 			return nil
 		case o = <-c.orders:
 		}
-		if o.list {
-			calls.Go(func() error { c.list(ctx); return nil })
-			continue
+		c.mu.Lock()
+		if o.src != nil { // another service counts its versions as it likes
+			c.src, c.version = o.src, 0
 		}
-		stop()
-		if o.watch {
-			watch, cancel := context.WithCancel(ctx)
-			stop = cancel
-			calls.Go(func() error { c.watch(watch); return nil })
+		src, after := c.src, c.version
+		switch {
+		case o.list:
+			calls.Go(func() error { c.list(ctx, src); return nil })
+		case o.watch:
+			w := &watch{src: src}
+			var watching context.Context
+			watching, w.cancel = context.WithCancel(ctx)
+			c.watches = append(c.watches, w)
+			calls.Go(func() error { c.watch(watching, w, after); return nil })
+		default:
+			c.end(len(c.watches))
 		}
+		c.mu.Unlock()
+	}
+}
+
+// end ends the n oldest watches; c.mu is held.
+func (c *Client) end(n int) {
+	for _, w := range c.watches[:n] {
+		w.cancel()
 	}
+	c.watches = slices.Delete(c.watches, 0, n)
 }
 
-func (c *Client) list(ctx context.Context) {
-	u, err := c.src.List(ctx)
+func (c *Client) list(ctx context.Context, src Source) {
+	u, err := src.List(ctx)
 	if err == nil {
-		c.told(hoptiller.ListFull, u)
+		c.told(hoptiller.ListFull, u, src, nil)
 	} else if ctx.Err() == nil {
 		log.Printf("directory: list: %v", err)
-		c.failed()
+		c.failed(nil)
 	}
 }
 
 // watch runs one watch. When it breaks the Router is told, and orders the next when it sees fit.
-func (c *Client) watch(ctx context.Context) {
-	c.mu.Lock()
-	after := c.version
-	c.mu.Unlock()
-	err := c.src.Watch(ctx, after, func(u Update) {
+func (c *Client) watch(ctx context.Context, w *watch, after int64) {
+	defer w.cancel()
+	err := w.src.Watch(ctx, after, func(u Update) {
 		kind := hoptiller.ListDelta
 		if u.Full {
 			kind = hoptiller.ListFull
 		}
-		c.told(kind, u)
+		c.told(kind, u, w.src, w)
 	})
 	if ctx.Err() == nil {
 		log.Printf("directory: watch: %v", err)
-		c.failed()
+		c.failed(w)
 	}
 }
 
-func (c *Client) told(kind hoptiller.ListKind, u Update) {
+// told passes on what a source says, in a watch or, where w is nil, in a call. The first word of a watch ends those before
+// it, which ran on so that nothing is missed between; what such a one says after that counts no more.
+func (c *Client) told(kind hoptiller.ListKind, u Update, src Source, w *watch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.version = u.Version
+	if w != nil {
+		at := slices.Index(c.watches, w)
+		if at < 0 {
+			return
+		}
+		c.end(at)
+	}
+	if src == c.src {
+		c.version = u.Version
+	}
 	c.relay.Told(kind, c.names.Servers(u.Entries))
 	c.names.keep(c.relay.Knows)
 }
 
-func (c *Client) failed() {
+// failed tells the Router of a call that failed, or of a watch unless a newer one runs in its place.
+func (c *Client) failed(w *watch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if w != nil {
+		at := slices.Index(c.watches, w)
+		newest := at == len(c.watches)-1
+		if at >= 0 {
+			c.watches = slices.Delete(c.watches, at, at+1)
+		}
+		if !newest || at < 0 {
+			return
+		}
+	}
 	c.relay.Told(hoptiller.ListFailed, nil)
 }
 
