Leave the origin's gate alone when an error comes at once

A trace per second shows 10 to 30 fetches for 100 misses, and misses rising from 10% to 40% of the reads: what is not fetched is missed again.

Ruled out by the same trace: full caches (5 'busy' in 24 s), windows, and the module's pressure, which stays under its mark. What remains is learnGate: each spoilt answer of the origin took 40% of the gate, each good one gave 2% back, so that 3% spoilt nearly closed it. A queue shows in time, not in errors that come within 0.4 of the aim; those no longer count there.

--- a/facade_test.go
+++ b/facade_test.go
@@ -142,3 +142,21 @@
 		}
 	}
 }
+
+// Guards against closing the gate to an origin that is at ease: answers that are spoilt or fail at once tell
+// of no queue there, and what is not fetched is missed again. An error that takes its time does tell.
+func TestFacadeQuickErrorsLeaveTheGate(t *testing.T) {
+	f, _ := newFacade(nil)
+	for _, c := range []struct {
+		took time.Duration
+		open bool
+	}{{20 * time.Millisecond, true}, {600 * time.Millisecond, false}} {
+		id := f.Reserve()
+		step := f.Pick(time.Hour, Request{ID: id, Key: 7, Remaining: 3 * time.Second})
+		f.Report(time.Hour, CallID{id, 0}, step.Provider, Miss, time.Millisecond)
+		f.Report(time.Hour, CallID{id, 1}, 9, ServerError, c.took)
+		if open := f.router.gate == 1; open != c.open {
+			t.Errorf("after an error within %v the gate is at %v", c.took, f.router.gate)
+		}
+	}
+}
--- a/router.go
+++ b/router.go
@@ -394,9 +394,9 @@
 	if q.Write || bad == 0 && o.Status != OK && o.Status != Miss {
 		return // a write is the origin's work
 	}
-	if o.Status != Reset && o.Status != ConnectFailed {
-		lost := o.Status != OK && o.Status != Miss || o.Latency > q.class.Aim
-		r.learnGate(q.fresh || s.origin, one(lost), t.at)
+	quick := t.failed && o.Latency.Seconds() < lateAt*q.class.Aim.Seconds() // no sign of a queue
+	if o.Status != Reset && o.Status != ConnectFailed && !quick {
+		r.learnGate(q.fresh || s.origin, one(o.Status != OK && o.Status != Miss || o.Latency > q.class.Aim), t.at)
 	}
 	if !s.origin {
 		r.paths[s.Zone] += (bad - r.paths[s.Zone]) / pathOver
