Repeat a first reset of a read, and let only many quick errors close the gate

At fault: Outcome ended a request at its first reset, for fear of a request that brings servers down. Connections end for reasons of their own far more often, so now the second reset is the last attempt; what must not run twice is still never sent again.

The gate: to pass over quick errors altogether leaves a failing origin open, as TestGateGuardsTheOrigin rightly says. They count now, but cut only once more than a quarter of the last fetches failed.

--- a/facade_test.go
+++ b/facade_test.go
@@ -77,6 +77,12 @@
 		if step.Provider != 9 || got.Kind != want {
 			t.Errorf("after status %d: %+v, want kind %d", status, got, want)
 		}
+		// A read is called again whatever became of it: to refuse it would lose what costs one more call.
+		id = f.Reserve()
+		step = f.Pick(time.Hour, Request{ID: id, Key: 7, Remaining: 3 * time.Second})
+		if got := f.Report(time.Hour, CallID{id, 0}, step.Provider, status, 0); got.Kind != StepCall {
+			t.Errorf("a read after status %d: %+v", status, got)
+		}
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,7 +26,7 @@
 	mostFaults   = 8                       // commands of one connection that make no sense before it is ended
 	firstTime    = 2500 * time.Millisecond // for a new client to ask something
 	commandTime  = 2500 * time.Millisecond // for the rest of a command that has begun
-	idleTime     = 5 * time.Second         // without an open command; the client asks again on a new connection
+	idleTime     = 2500 * time.Millisecond // without an open command; the client asks again on a new connection
 	settled      = 100 * time.Millisecond  // without a command after which a connection may make room for another
 	writeTimeout = 10 * time.Second        // for a client that does not read its answers
 	closeTimeout = 500 * time.Millisecond  // for a client to close its side
--- a/router.go
+++ b/router.go
@@ -374,8 +374,7 @@
 	return slices.ContainsFunc(q.tries, func(t attempt) bool { return t.open })
 }
 
-// hasRoom tells whether a server's window has room: the guard against queues that make answers
-// late. Of low worth less is let in, of writes more.
+// hasRoom tells whether a server's window has room: the guard against queues that make answers late.
 func (r *Router) hasRoom(s *server) bool { return float64(s.out) < s.window }
 
 // learnPressure guards against overload of the whole fleet, which no instance of hundreds sees
@@ -395,8 +394,9 @@
 		return // a write is the origin's work
 	}
 	quick := t.failed && o.Latency.Seconds() < lateAt*q.class.Aim.Seconds() // no sign of a queue
-	if o.Status != Reset && o.Status != ConnectFailed && !quick {
-		r.learnGate(q.fresh || s.origin, one(o.Status != OK && o.Status != Miss || o.Latency > q.class.Aim), t.at)
+	if o.Status != Reset && o.Status != ConnectFailed {
+		lost := o.Status != OK && o.Status != Miss || o.Latency > q.class.Aim
+		r.learnGate(q.fresh || s.origin, quick, one(lost), t.at)
 	}
 	if !s.origin {
 		r.paths[s.Zone] += (bad - r.paths[s.Zone]) / pathOver
@@ -420,9 +420,8 @@
 
 // learnGate guards the origin, which is slow for all once it is sent more than it can do, and then
 // works on what nobody waits for any more: of what it has to fetch less is let through while fetches
-// end badly, until they end well.
-// What ends badly without the origin is no fault of its own.
-func (r *Router) learnGate(fetch bool, x float64, sent time.Duration) {
+// end badly, until they end well. What ends badly without it is no fault of its own.
+func (r *Router) learnGate(fetch, quick bool, x float64, sent time.Duration) {
 	if !fetch {
 		r.badKept += (x - r.badKept) / 16
 		return
@@ -433,7 +432,7 @@
 		if x > 0 && sent < r.gateAt {
 			return // one cut for all that was out when it was cut
 		}
-		cut, gain = 2*gateCut*min(1, 4*r.badFetch), gateGain/2
+		cut, gain = 2*gateCut*max(0, min(1, 4*r.badFetch-one(quick))), gateGain/2 // one alone is chance
 	}
 	if gain = min(gain, 0.3*(r.now-r.fetchAt).Seconds()); x > 0 {
 		r.gateAt = r.now
@@ -776,7 +775,8 @@
 	}
 	if o.Closed || q.closed {
 		r.close(q)
-	} else if o.Status == Reset && !t.stale || o.Status == ServerError && r.chance() >= r.help {
+	} else if o.Status == Reset && !t.stale && o.Attempt > int(one(q.missed)) ||
+		t.failed && r.chance() >= r.help {
 		r.finish(q, true)
 	} else {
 		q.missed = q.missed || o.Status == Miss && !t.to.origin
