Serve clients after SIGTERM on the connections they have until SIGKILL is near

A trace shows why: one router stops while the other, stopped 3 s before, is not back for another 0.4 s, in which nobody answers. Ruled out: requests lost or refused by the router that stops (all that it had taken is answered, no reset) and its cold start (answers from the first 0.1 s on).

At fault: Front.drain closed every connection after 0.7 s, while clients go on using those that stay open and SIGKILL comes only when the longest deadline and 0.7 s are over. Now they are served until the longest aim and 0.3 s before that, 2 s on the platform, or until no client is left; new ones are let in for 0.7 s as before.

--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"hoptiller"
 	"hoptiller/internal/config"
 	"hoptiller/internal/directory"
 	"hoptiller/internal/front"
@@ -25,8 +26,19 @@
 const (
 	providerShare = 4                      // calls on a provider connection before another is opened
 	linger        = 700 * time.Millisecond // for which clients still come after SIGTERM
+	spare         = 300 * time.Millisecond // between the last answer and SIGKILL
 )
 
+// keep is how long clients are served after SIGTERM on the connections that they have: SIGKILL comes when the
+// longest deadline, counted as 3 s at the most, and linger are over, and till then all must be answered.
+func keep(classes []hoptiller.Class) time.Duration {
+	var deadline, aim time.Duration
+	for _, c := range classes {
+		deadline, aim = max(deadline, c.Deadline), max(aim, c.Aim)
+	}
+	return max(linger, linger+min(deadline, 3*time.Second)-aim-spare)
+}
+
 // shares is what the limits leave to each side of the router.
 type shares struct {
 	clients   int // connections
@@ -89,7 +101,8 @@
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
 	dir := directory.NewClient(registry(c), names, r, c.Known)
-	f := &front.Front{Classes: c.Classes, MostConns: s.clients, MostOpen: s.open, Linger: linger, Server: r}
+	f := &front.Front{Classes: c.Classes, MostConns: s.clients, MostOpen: s.open, Linger: linger,
+		Keep: keep(c.Settings.Classes), Server: r}
 	for _, class := range c.Settings.Classes {
 		f.Deadlines = append(f.Deadlines, class.Deadline)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -46,18 +46,20 @@
 	MostConns int             // client connections at once
 	MostOpen  int             // invocations at once beyond the first of each connection
 	Linger    time.Duration   // for which connections are still accepted after a stop
+	Keep      time.Duration   // for which those that are open are served after it, while there are any
 	Server    Server
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
 	open     map[string]bool // the ids of invocations that are not answered
+	left     chan struct{}   // told when a connection has ended
 	draining bool
 }
 
-// Serve accepts clients until stop ends, and Linger longer; then it finishes
-// what was taken and returns. When ctx ends, it drops everything.
+// Serve accepts clients until stop ends, and Linger longer, and serves those it
+// has until Keep is over; then it finishes what was taken and returns. When ctx ends, it drops everything.
 func (f *Front) Serve(ctx, stop context.Context, l net.Listener) error {
-	f.conns, f.open = map[*conn]bool{}, map[string]bool{}
+	f.conns, f.open, f.left = map[*conn]bool{}, map[string]bool{}, make(chan struct{}, 1)
 	g, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, max(1, f.MostConns))
 	accepted := make(chan struct{})
@@ -92,6 +94,10 @@
 				f.mu.Lock()
 				delete(f.conns, c)
 				f.mu.Unlock()
+				select {
+				case f.left <- struct{}{}:
+				default:
+				}
 				return nil
 			})
 		}
@@ -99,14 +105,38 @@
 	select {
 	case <-ctx.Done():
 	case <-stop.Done():
-		f.drain(ctx)
 	}
+	stopped := time.Now()
+	f.wait(ctx, stopped.Add(f.Linger), false) // clients still come until the front layer has noticed
 	l.Close()
 	<-accepted
-	f.endIdle(true)
+	// Clients use the connections that they have for as long as they can; another router may be down just now.
+	f.wait(ctx, stopped.Add(f.Keep), true)
+	f.endIdle()
 	return g.Wait()
 }
 
+// wait waits until a time, or if it may until no client is left.
+func (f *Front) wait(ctx context.Context, until time.Time, orNone bool) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		none := orNone && len(f.conns) == 0
+		f.mu.Unlock()
+		if none {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-f.left:
+		}
+	}
+}
+
 // makeRoom waits for a place. Clients that connect and say nothing, or half a command, must not keep the
 // others out, so where there is no place the connection goes that has been without a command longest: those
 // that never had one first, then those that may ask again on a new one.
@@ -141,28 +171,13 @@
 	}
 }
 
-// drain goes on accepting for a while, since clients still come until the front layer has noticed,
-// but keeps no connection longer than its answers take.
-func (f *Front) drain(ctx context.Context) {
-	f.endIdle(false)
-	timer := time.NewTimer(f.Linger)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// endIdle closes connections between requests: now those that are idle, and from now on each when its
-// answers are out. While clients still come they may use the connections that they have.
-func (f *Front) endIdle(now bool) {
+// endIdle closes the connections that are idle, and from now on each when its answers are out.
+func (f *Front) endIdle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.draining = true
 	for c := range f.conns {
-		if now {
-			c.endIfIdle()
-		}
+		c.endIfIdle()
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -99,6 +99,47 @@
 	}
 }
 
+// After a stop nobody new is let in, but those who are there are served for as long as they stay; then
+// nothing is waited for.
+func TestStopKeepsClients(t *testing.T) {
+	hold := make(holder)
+	close(hold)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &Front{MostConns: 4, MostOpen: 4, Keep: time.Hour, Server: hold, Classes: []string{"read"}, Deadlines: []time.Duration{time.Second}}
+	stop, end := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(context.Background(), stop, l) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(conn)
+	ask := func(id int) {
+		fmt.Fprintf(conn, "mg k v O%d Pc=read,d=900\r\n", id)
+		head, _ := r.ReadString('\n')
+		if value, err := r.ReadString('\n'); head != fmt.Sprintf("VA 1 O%d\r\n", id) || err != nil {
+			t.Fatalf("answer %q %q, %v", head, value, err)
+		}
+	}
+	ask(1)
+	end()
+	for {
+		other, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			break
+		}
+		other.Close()
+	}
+	ask(2)
+	conn.Close()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 // holder serves when it may.
 type holder chan struct{}
 
