End the client connection used longest ago once a quarter of the descriptors are kept

At fault: Front ended idle connections by time alone or at its own cap of a half. Now, where more than a quarter of the descriptors are kept by clients that have asked, the one used longest ago ends as another comes; those that wait for answers or have asked nothing yet are left alone. A connection that has asked makes room as soon as it is idle; only one that never had a command has 100 ms first.

--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -42,6 +42,7 @@
 // shares is what the limits leave to each side of the router.
 type shares struct {
 	clients   int // connections
+	kept      int // and of them, those that may stay idle: clients hold a third of the descriptors at most
 	open      int // invocations beyond the first of each client connection
 	providers int // connections to all slot caches
 	provider  int // connections to one of them; four routers share the 70 that it accepts
@@ -60,7 +61,7 @@
 		memory = 192
 	}
 	rest := max(sockets-24, 8)
-	s := shares{clients: min(rest/2, 8*memory), open: 2 * memory, origins: min(64, rest/6)}
+	s := shares{clients: min(rest/2, 8*memory), kept: sockets / 4, open: 2 * memory, origins: min(64, rest/6)}
 	s.providers = rest - s.clients - s.origins
 	s.provider = min(16, max(4, s.providers/8))
 	return s
@@ -101,7 +102,7 @@
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
 	dir := directory.NewClient(registry(c), names, r, c.Known)
-	f := &front.Front{Classes: c.Classes, MostConns: s.clients, MostOpen: s.open, Linger: linger,
+	f := &front.Front{Classes: c.Classes, MostConns: s.clients, MostKept: s.kept, MostOpen: s.open, Linger: linger,
 		Keep: keep(c.Settings.Classes), Server: r}
 	for _, class := range c.Settings.Classes {
 		f.Deadlines = append(f.Deadlines, class.Deadline)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,7 +27,7 @@
 	firstTime    = 2500 * time.Millisecond // for a new client to ask something
 	commandTime  = 2500 * time.Millisecond // for the rest of a command that has begun
 	idleTime     = 2500 * time.Millisecond // without an open command; the client asks again on a new connection
-	settled      = 100 * time.Millisecond  // without a command after which a connection may make room for another
+	settled      = 100 * time.Millisecond  // without a first command after which a connection may make room for another
 	writeTimeout = 10 * time.Second        // for a client that does not read its answers
 	closeTimeout = 500 * time.Millisecond  // for a client to close its side
 	mostUnread   = 256 << 10               // bytes of a client that was told off, skipped while it closes
@@ -44,6 +44,7 @@
 	Classes   []string        // names, by number
 	Deadlines []time.Duration // for an invocation that states none, by class
 	MostConns int             // client connections at once
+	MostKept  int             // of those that have asked, beyond which idle ones are ended as others come; 0: no limit
 	MostOpen  int             // invocations at once beyond the first of each connection
 	Linger    time.Duration   // for which connections are still accepted after a stop
 	Keep      time.Duration   // for which those that are open are served after it, while there are any
@@ -88,6 +89,7 @@
 			f.mu.Lock()
 			f.conns[c] = true
 			f.mu.Unlock()
+			f.thin(time.Now())
 			g.Go(func() error {
 				defer func() { <-places }()
 				c.serve(ctx)
@@ -162,7 +164,7 @@
 	var worst *conn
 	var most time.Duration
 	for c := range f.conns {
-		idle, ending := c.idle(now)
+		idle, ending, _ := c.idle(now)
 		if ending { // its place is free at once
 			return
 		}
@@ -170,11 +172,33 @@
 			worst, most = c, idle
 		}
 	}
-	if worst != nil && most > settled { // not those whose first command may be on its way
+	if worst != nil {
 		worst.endIfIdle(0)
 	}
 }
 
+// thin ends the connection that was used longest ago where many are kept: clients hold only so many at once,
+// and those that ask once and keep theirs would leave the others none to ask on.
+func (f *Front) thin(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var oldest *conn
+	var most time.Duration
+	kept := 0
+	for c := range f.conns {
+		idle, going, used := c.idle(now)
+		if !used || going {
+			continue
+		}
+		if kept++; idle > most {
+			oldest, most = c, idle
+		}
+	}
+	if f.MostKept > 0 && kept > f.MostKept && oldest != nil {
+		oldest.endIfIdle(0)
+	}
+}
+
 // endIdle closes the connections that are idle, and from now on each when its answers are out.
 func (f *Front) endIdle() {
 	f.mu.Lock()
@@ -220,17 +244,18 @@
 
 // idle tells how long a connection has been without a command; one that never had a whole one counts as
 // idle for longer than any other, and one whose first may be on its way not at all. ending tells that it
-// goes anyway.
-func (c *conn) idle(now time.Time) (idle time.Duration, ending bool) {
+// goes anyway, used that it has had a whole command and no part of another.
+func (c *conn) idle(now time.Time) (idle time.Duration, ending, used bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	used = c.asked && !c.part
 	switch idle = now.Sub(c.since); {
-	case c.out > 0 || idle <= settled:
-		return 0, c.out == 0 && c.end
-	case c.part || !c.asked:
+	case c.out > 0 || !used && idle <= settled:
+		return 0, c.out == 0 && c.end, used
+	case !used:
 		idle += time.Hour
 	}
-	return idle, c.end
+	return idle, c.end, used
 }
 
 // endIfIdle ends a connection if nothing is out on it; the rest of a command that has begun may take a while.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -140,6 +140,46 @@
 	}
 }
 
+// Clients that ask once and keep their connection leave the others none, since they hold only so many at once:
+// beyond a number the one that was used longest ago goes, but none that is open or silent in its stead.
+func TestThinEndsTheLongestIdle(t *testing.T) {
+	f := &Front{MostConns: 9, MostOpen: 9, MostKept: 2, Server: make(holder)}
+	connect := start(t, f)
+	waiting := connect()
+	fmt.Fprint(waiting, "mg k v O1 Pc=read,d=900\r\n")
+	connect()
+	var kept []net.Conn
+	for range 2 {
+		kept = append(kept, connect())
+		fmt.Fprint(kept[len(kept)-1], "mn\r\n")
+		bufio.NewReader(kept[len(kept)-1]).ReadString('\n')
+	}
+	for open := 0; open == 0; { // until the first client's command has been read too
+		f.mu.Lock()
+		open = len(f.open)
+		f.mu.Unlock()
+	}
+	f.thin(time.Now().Add(time.Second))
+	f.mu.Lock()
+	ended := 0
+	for c := range f.conns {
+		c.mu.Lock()
+		if c.end {
+			ended++
+		}
+		if c.end && c.RemoteAddr().String() != kept[0].LocalAddr().String() {
+			t.Errorf("%v was ended, not the one that is idle longest", c.RemoteAddr())
+		}
+		c.mu.Unlock()
+	}
+	left := len(f.conns)
+	f.mu.Unlock()
+	if ended+4-left != 1 {
+		t.Errorf("%d connections are left, %d of them ending", left, ended)
+	}
+	close(f.Server.(holder))
+}
+
 // holder serves when it may.
 type holder chan struct{}
 
