Let up to sixteen silent client connections make room at once

The trace shows 680 connections a second that come, ask 'mn' at most, and stay, and each is answered later than the one before: connections are taken at 700 a second and the rest wait to be accepted.

At fault: makeRoom had one connection at a time make room, and each took a millisecond for its last look. Now up to sixteen that never had a command go together, without that look; of those that had one still only one goes, and looks for a command first.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log"
@@ -28,6 +29,7 @@
 	commandTime  = 2500 * time.Millisecond // for the rest of a command that has begun
 	idleTime     = 2500 * time.Millisecond // without an open command; the client asks again on a new connection
 	settled      = 100 * time.Millisecond  // without a first command after which a connection may make room for another
+	atOnce       = 16                      // connections that make room together
 	writeTimeout = 10 * time.Second        // for a client that does not read its answers
 	closeTimeout = 500 * time.Millisecond  // for a client to close its side
 	mostUnread   = 256 << 10               // bytes of a client that was told off, skipped while it closes
@@ -158,22 +160,33 @@
 	}
 }
 
+// evict has connections make room. Several go at once, for they may come by the hundred; of those that have
+// asked only one does.
 func (f *Front) evict(now time.Time) {
+	type candidate struct {
+		*conn
+		idle time.Duration
+		used bool
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var worst *conn
-	var most time.Duration
+	var candidates []candidate
+	ending := 0
 	for c := range f.conns {
-		idle, ending, _ := c.idle(now)
-		if ending { // its place is free at once
-			return
-		}
-		if idle > most {
-			worst, most = c, idle
+		idle, going, used := c.idle(now)
+		if going {
+			ending++
+		} else if idle > 0 {
+			candidates = append(candidates, candidate{c, idle, used})
 		}
 	}
-	if worst != nil {
-		worst.endIfIdle(0)
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.idle, a.idle) })
+	for _, c := range candidates {
+		if ending >= atOnce || c.used && ending > 0 {
+			return
+		}
+		c.endIfIdle(0)
+		ending++
 	}
 }
 
@@ -337,7 +350,7 @@
 		if part := c.reader.Unread() > 0 && !full; part != c.part {
 			c.part, c.since = part, time.Now()
 		}
-		if c.arm(); errors.Is(err, os.ErrDeadlineExceeded) && c.out == 0 && !c.part && !looked {
+		if c.arm(); errors.Is(err, os.ErrDeadlineExceeded) && c.out == 0 && c.asked && !c.part && !looked {
 			// One more look: a command that has come by now is not to be lost.
 			looked, err = true, nil
 			c.SetReadDeadline(time.Now().Add(time.Millisecond))
