Withdraw overtaken calls only where enough of the aim is left for another

At fault: under a queue later calls overtake heavy ones as well, and Router.rescue withdrew those at 0.75 of the aim, too late for another attempt. It does so early now only where five usual latencies are less than 0.6 of the aim.

--- a/router.go
+++ b/router.go
@@ -33,7 +33,8 @@
 	keyMemory   = 96   // reads over which the parts of keys are judged
 	hotPart     = 4.0  // homes for each server's worth of reads of one key
 	silentAfter = 4    // usual latencies without a word that are held for silence
-	passedAfter = 6    // and that one waits for its answer when others have overtaken it
+	passedAfter = 5    // and that one waits for its answer when others have overtaken it,
+	passedAim   = 0.6  // where that is less than this part of the aim: else another attempt is waste
 	silentAim   = 0.75 // part of the aim that a server in good standing has at the least
 	spread      = 3    // full servers looked at for a key
 	pathExcess  = 0.4  // and held bad if so much worse than the best way
@@ -923,9 +924,8 @@
 		patience = max(patience, silentAim*q.class.Aim.Seconds())
 	}
 	copies, silent := sick && r.pressure <= 0.5 || !r.set.SecondCopies, r.now-max(t.to.heard, t.at)
-	if t.to.passed > t.at { // the server answers others: this one's connection may be what is silent
-		aim := q.class.Aim.Seconds()
-		silent, patience = r.now-t.at, min(silentAim*aim, max(lateAt*aim, passedAfter*r.usualOf(q)))
+	if l, aim := passedAfter*r.usualOf(q), q.class.Aim.Seconds(); t.to.passed > t.at && l < passedAim*aim {
+		silent, patience = r.now-t.at, max(lateAt*aim, l) // its connection may be silent, not the server
 	}
 	if silent.Seconds() <= patience || !copies || !r.mayTry(q) {
 		return
