Model the fleet, its clients and its faults in virtual time, with rivals beside the module

Ruled out: container/heap for the queue (it allocates for each step) and math/rand's Zipf (none for exponents of 1 and less).

--- /dev/null
+++ b/internal/model/cache.go
@@ -0,0 +1,167 @@
+package model
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Cache is one slot cache. Only the model sees this; routers see a Member.
+type Cache struct {
+	host
+	Kind    *Kind
+	Cores   int
+	Speed   float64 // of a core, as it really is
+	Started time.Duration
+	Begun   bool // after the start of the day: it came up cold and empty
+
+	Sent float64 // work that has come, in standard-core seconds
+	Done float64 // and of it what was done
+
+	station station
+	store   *store
+	rand    *rand.Rand
+	errors  float64 // part of calls that fail at once
+	slowed  float64 // part of its speed that a neighbour takes
+	fallen  bool    // pushed over: it stays down
+	cold    []push  // work sent of late, while cold
+	coldSum float64
+}
+
+// push is work sent to a cold cache.
+type push struct {
+	at     time.Duration
+	work   float64
+	router int
+}
+
+// Warmth is the part of its capacity that a cache has now.
+func (c *Cache) Warmth(now time.Duration) float64 {
+	age := now - c.Started
+	if !c.Begun || age >= c.Kind.ColdFor.D() {
+		return 1
+	}
+	return c.Kind.ColdFrom + (1-c.Kind.ColdFrom)*float64(age)/float64(c.Kind.ColdFor)
+}
+
+// Capacity is the work that a cache can do in a second now, in standard-core seconds; 0 if it is down.
+func (c *Cache) Capacity(now time.Duration) float64 {
+	if !c.up {
+		return 0
+	}
+	return float64(c.Cores) * c.Speed * c.Warmth(now) * (1 - c.slowed)
+}
+
+// weight is its size as it is registered.
+func (c *Cache) weight() float64 { return float64(c.Kind.Cores) * c.Kind.Speed }
+
+// Up tells whether the process runs.
+func (c *Cache) Up() bool { return c.up }
+
+func (w *World) newCache(index int, kind *Kind) *Cache {
+	r := Stream(w.day.Seed, "cache", index)
+	c := &Cache{Kind: kind, Cores: kind.Cores, rand: r}
+	c.Speed = kind.Speed * between(r, 1-kind.Spread, 1+kind.Spread)
+	c.host = host{w: w, index: index, zone: index % w.day.Zones, most: kind.Cores * w.day.Fleet.ConnsCore}
+	c.host.serve, c.host.drop, c.host.greet = c.take, c.give, c.greetNew
+	c.station = station{q: &w.Queue, places: kind.Cores, room: int(kind.Queue*float64(kind.Cores) + 0.5),
+		rate:  func() float64 { return c.Speed * c.Warmth(w.Now()) * (1 - c.slowed) },
+		began: c.begin, ended: c.end}
+	return c
+}
+
+// start starts the process, cold and empty unless it ran before the day.
+func (c *Cache) start(before bool) {
+	c.up, c.mute, c.Begun, c.Started = true, false, !before, c.w.Now()
+	c.errors, c.slowed, c.cold, c.coldSum = 0, 0, nil, 0
+	c.station.clear()
+	c.store = newStore(float64(c.w.day.Fleet.Memory) * c.weight() / c.w.meanWeight)
+}
+
+func (c *Cache) halt() {
+	c.host.stop()
+	c.station.clear()
+}
+
+// greetNew does the work of a new connection. It waits for no place in the line: it is what a core does
+// before it reads anything.
+func (c *Cache) greetNew(router int) {
+	c.arrived(c.w.day.Fleet.Handshake.Seconds(), router)
+	if !c.up {
+		return
+	}
+	c.station.add(&job{work: c.w.day.Fleet.Handshake.Seconds()}, true)
+}
+
+// take takes a call that has come.
+func (c *Cache) take(call *Call) {
+	c.arrived(call.Try.Op.Work, call.Conn.Router)
+	if !c.up {
+		return // it has just been pushed over
+	}
+	if c.errors > 0 && c.rand.Float64() < c.errors {
+		call.Conn.finish(call, Failed)
+		return
+	}
+	call.job = job{call: call}
+	if !c.station.add(&call.job, false) {
+		c.w.Turned++
+		call.Conn.finish(call, Busy)
+	}
+}
+
+// begin tells what a call takes. Whether its object is kept shows when it is looked for.
+func (c *Cache) begin(j *job) float64 {
+	op := j.call.Try.Op
+	if op.Write || !c.store.get(op.Key) {
+		j.call.answer = Missed
+		return op.Work * c.w.day.Fleet.MissWork
+	}
+	j.call.answer = Served
+	return op.Work
+}
+
+func (c *Cache) end(j *job) {
+	call, a := j.call, j.call.answer
+	c.Done += j.work
+	if c.Kind.ErrorRate > 0 && c.rand.Float64() < c.Kind.ErrorRate {
+		a = Failed
+	}
+	if a == Missed && !call.Try.Op.Write {
+		call.Try.missedAt = append(call.Try.missedAt, c)
+	}
+	if call.Conn.over {
+		c.w.Waste += j.work
+	}
+	call.Conn.finish(call, a)
+}
+
+// give stops work for which nobody waits.
+func (c *Cache) give(call *Call) { c.w.Waste += c.station.cancel(&call.job) }
+
+// arrived counts work that has come. A cold cache that is sent too much of it falls over.
+func (c *Cache) arrived(work float64, router int) {
+	c.Sent += work
+	now, rules := c.w.Now(), &c.w.day.Rules
+	if c.Warmth(now) >= 1 {
+		c.cold, c.coldSum = nil, 0
+		return
+	}
+	c.cold = append(c.cold, push{now, work, router})
+	c.coldSum += work
+	for now-c.cold[0].at > rules.Fall.D() {
+		c.coldSum -= c.cold[0].work
+		c.cold = c.cold[1:]
+	}
+	// A few pieces of work may come at once by chance.
+	slack := 4 * c.w.meanWork
+	if c.coldSum <= rules.Overload*c.Capacity(now)*rules.Fall.Seconds()+slack {
+		return
+	}
+	pushes := make(map[int]float64)
+	for _, p := range c.cold {
+		pushes[p.router] += p.work
+	}
+	c.fallen = true
+	c.halt()
+	c.w.watcher.FellOver(c.index, c.Started, pushes)
+}
--- /dev/null
+++ b/internal/rival/choose.go
@@ -0,0 +1,221 @@
+package rival
+
+import (
+	"encoding/binary"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func hash(a, b uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
+	return xxhash.Sum64(buf[:])
+}
+
+// random chooses by weight alone.
+type random struct {
+	servers []*server
+	weight  float64
+}
+
+func (c *random) rebuild(servers []*server) {
+	c.servers, c.weight = servers, 0
+	for _, s := range servers {
+		c.weight += s.Weight
+	}
+}
+
+func (c *random) pick(r *rand.Rand, _ uint64, ok func(*server) bool) *server {
+	for range 20 {
+		x := r.Float64() * c.weight
+		for _, s := range c.servers {
+			if x -= s.Weight; x < 0 {
+				if ok(s) {
+					return s
+				}
+				break
+			}
+		}
+	}
+	return nil
+}
+
+// ring is consistent hashing: Karger, Lehman, Leighton, Panigrahy, Levine and
+// Lewin, "Consistent Hashing and Random Trees" (STOC 1997), with as many points
+// a server as the ketama library has, by weight.
+type ring struct {
+	points  []point
+	servers int
+}
+
+type point struct {
+	at uint64
+	s  *server
+}
+
+const ringPoints = 160 // for a server of mean weight
+
+func (c *ring) rebuild(servers []*server) {
+	c.points, c.servers = c.points[:0], len(servers)
+	mean := 0.0
+	for _, s := range servers {
+		mean += s.Weight / float64(len(servers))
+	}
+	for _, s := range servers {
+		for i := range max(1, int(ringPoints*s.Weight/mean+0.5)) {
+			c.points = append(c.points, point{hash(uint64(s.ID), uint64(i)), s})
+		}
+	}
+	slices.SortFunc(c.points, func(a, b point) int {
+		if a.at != b.at {
+			if a.at < b.at {
+				return -1
+			}
+			return 1
+		}
+		return int(a.s.ID) - int(b.s.ID)
+	})
+}
+
+func (c *ring) pick(_ *rand.Rand, key uint64, ok func(*server) bool) *server {
+	at, _ := slices.BinarySearchFunc(c.points, hash(key, 0), func(p point, x uint64) int {
+		switch {
+		case p.at < x:
+			return -1
+		case p.at > x:
+			return 1
+		}
+		return 0
+	})
+	for i := range c.points {
+		if s := c.points[(at+i)%len(c.points)].s; ok(s) {
+			return s
+		}
+	}
+	return nil
+}
+
+// bounded is consistent hashing with bounded loads: Mirrokni, Thorup and
+// Zadimoghaddam (SODA 2018). No server gets more than boundedBy times the mean
+// load, by its weight; the key goes on along the ring.
+type bounded struct{ ring }
+
+const boundedBy = 1.25
+
+func (c *bounded) pick(r *rand.Rand, key uint64, ok func(*server) bool) *server {
+	out, weight := 1, 0.0
+	seen := map[*server]bool{}
+	for _, p := range c.points {
+		if !seen[p.s] {
+			seen[p.s] = true
+			out += p.s.out
+			weight += p.s.Weight
+		}
+		if len(seen) == c.servers {
+			break
+		}
+	}
+	room := func(s *server) bool {
+		return ok(s) && float64(s.out+1) <= math.Ceil(boundedBy*float64(out)*s.Weight/weight)
+	}
+	if s := c.ring.pick(r, key, room); s != nil {
+		return s
+	}
+	return c.ring.pick(r, key, ok)
+}
+
+// maglev is the table of Eisenbud et al., "Maglev: A Fast and Reliable Software
+// Network Load Balancer" (NSDI 2016), where servers take turns by weight.
+type maglev struct {
+	table   []int32
+	servers []*server
+}
+
+func (c *maglev) rebuild(servers []*server) {
+	c.servers = servers
+	size := 65537 // a prime, a hundred times the servers or more as the paper advises
+	if len(servers) > 600 {
+		size = 655373
+	}
+	c.table = make([]int32, size)
+	for i := range c.table {
+		c.table[i] = -1
+	}
+	if len(servers) == 0 {
+		return
+	}
+	most := 0.0
+	offset, skip, next, turns := make([]uint64, len(servers)), make([]uint64, len(servers)), make([]uint64, len(servers)),
+		make([]float64, len(servers))
+	for i, s := range servers {
+		offset[i] = hash(uint64(s.ID), 1) % uint64(size)
+		skip[i] = hash(uint64(s.ID), 2)%uint64(size-1) + 1
+		most = max(most, s.Weight)
+	}
+	for filled := 0; ; {
+		for i, s := range servers {
+			if turns[i] += s.Weight / most; turns[i] < 1 {
+				continue
+			}
+			turns[i]--
+			at := (offset[i] + next[i]*skip[i]) % uint64(size)
+			for c.table[at] >= 0 {
+				next[i]++
+				at = (offset[i] + next[i]*skip[i]) % uint64(size)
+			}
+			c.table[at] = int32(i)
+			next[i]++
+			if filled++; filled == size {
+				return
+			}
+		}
+	}
+}
+
+func (c *maglev) pick(_ *rand.Rand, key uint64, ok func(*server) bool) *server {
+	if len(c.servers) == 0 {
+		return nil
+	}
+	for i := range uint64(50) { // a server that may not be chosen: the key is hashed again
+		if s := c.servers[c.table[hash(key, i)%uint64(len(c.table))]]; ok(s) {
+			return s
+		}
+	}
+	return nil
+}
+
+// rendezvous is highest random weight: Thaler and Ravishankar, "Using
+// Name-Based Mappings to Increase Hit Rates" (IEEE/ACM Transactions on
+// Networking 6, 1998), weighted by the logarithmic method of Schindelhauer and
+// Schomaker, "Weighted Distributed Hash Tables" (SPAA 2005).
+type rendezvous struct{ servers []*server }
+
+func (c *rendezvous) rebuild(servers []*server) { c.servers = servers }
+
+func (c *rendezvous) pick(_ *rand.Rand, key uint64, ok func(*server) bool) (best *server) {
+	least := math.Inf(1)
+	for _, s := range c.servers {
+		u := (float64(hash(key, uint64(s.ID))>>11) + 0.5) / (1 << 53)
+		if x := -math.Log(u) / s.Weight; x < least && ok(s) {
+			best, least = s, x
+		}
+	}
+	return best
+}
+
+// p2c is the power of two choices: Mitzenmacher, "The Power of Two Choices in
+// Randomized Load Balancing" (IEEE Transactions on Parallel and Distributed
+// Systems 12, 2001): the less busy of two servers taken by chance.
+type p2c struct{ random }
+
+func (c *p2c) pick(r *rand.Rand, key uint64, ok func(*server) bool) *server {
+	a, b := c.random.pick(r, key, ok), c.random.pick(r, key, ok)
+	if a == nil || b != nil && float64(b.out)/b.Weight < float64(a.out)/a.Weight {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/sim/sim.go
@@ -0,0 +1,164 @@
+// Package sim plays a model.Day in virtual time, with a tier of routers that
+// each decide by a policy of their own: the decision module itself, or any other
+// behind the same interface.
+//
+// It uses no clock, no sockets and no goroutines of its own. The same day and
+// policy give the same Result to the last bit, however many are played at once.
+package sim
+
+import (
+	"context"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/model"
+	"hoptiller/internal/rules"
+)
+
+// Policy makes the decisions of one router that starts at now.
+type Policy func(now time.Duration, set hoptiller.Settings, seed uint64, act hoptiller.Actions) hoptiller.Events
+
+// Teller is what the Actions given to a Policy can do beyond hoptiller.Actions.
+type Teller interface {
+	// Tell sends a router of the tier a message, which may be lost.
+	Tell(router int, message []byte)
+}
+
+// Hearer is a policy that takes messages.
+type Hearer interface {
+	Told(now time.Duration, router int, message []byte)
+}
+
+// Epoch is what routers' clocks say at the start of a day: a start time of 0
+// means long ago, so their time must not begin there.
+const Epoch = time.Hour
+
+// Options say what is to be kept of a run.
+type Options struct {
+	Series bool     // what happened second by second, in Result.Series
+	Story  *Subject // the course of one request, in Result.Story
+}
+
+// Subject names one request of one router.
+type Subject struct {
+	Router  int
+	Request uint32
+}
+
+// Hoptiller is the project's own module.
+func Hoptiller(now time.Duration, set hoptiller.Settings, seed uint64, act hoptiller.Actions) hoptiller.Events {
+	return hoptiller.New(now, set, seed, act)
+}
+
+// Run plays a day, which must have passed Check. When ctx ends it stops where it is and returns ctx's error.
+func Run(ctx context.Context, day *model.Day, policy Policy, opt Options) (*Result, error) {
+	t := &tier{day: day, policy: policy, check: rules.New(day), opt: opt}
+	t.tally = newTally(day, opt.Series)
+	t.routers = make([]*router, day.Routers)
+	t.world = model.New(day, t, t, t)
+	for i := range t.routers {
+		t.Start(i)
+	}
+	end := t.world.End()
+	for now := time.Duration(0); now < end; now += 100 * time.Millisecond {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		t.world.RunUntil(min(now+100*time.Millisecond, end))
+		t.tally.sample(t.world)
+	}
+	longest := time.Duration(0)
+	for _, c := range day.Classes {
+		longest = max(longest, c.Deadline.D())
+	}
+	t.world.RunUntil(end + longest + time.Second)
+	t.check.Finish(t.world.Now())
+	return t.tally.result(t), nil
+}
+
+// tier is the routers of a day. It is what the world sees of them, and all that the world tells goes through it.
+type tier struct {
+	day     *model.Day
+	world   *model.World
+	policy  Policy
+	check   *rules.Checker
+	routers []*router // nil while one is down
+	lives   []int
+	tally   *tally
+	opt     Options
+	story   []string
+}
+
+// Take implements model.Tier.
+func (t *tier) Take(try *model.Try) bool {
+	r := t.routers[try.Router]
+	if r == nil || r.refuses(t.world.Now()) {
+		return false
+	}
+	r.take(try)
+	return true
+}
+
+// Leave implements model.Tier.
+func (t *tier) Leave(try *model.Try) {
+	if r := t.routers[try.Router]; r != nil {
+		r.leave(try)
+	}
+}
+
+// Start implements model.Steward.
+func (t *tier) Start(i int) {
+	for len(t.lives) <= i {
+		t.lives = append(t.lives, 0)
+	}
+	t.lives[i]++
+	t.check.Reset(i)
+	t.routers[i] = newRouter(t, i, t.lives[i])
+}
+
+// Stop implements model.Steward.
+func (t *tier) Stop(i int) {
+	if r := t.routers[i]; r != nil {
+		r.stopped = t.world.Now()
+	}
+}
+
+// Kill implements model.Steward.
+func (t *tier) Kill(i int) {
+	if r := t.routers[i]; r != nil {
+		t.routers[i] = nil
+		r.die()
+		t.check.Reset(i)
+		t.world.Directory.Ask(i, false, false)
+	}
+}
+
+// Ended implements model.Watcher.
+func (t *tier) Ended(op *model.Op) { t.tally.ended(op) }
+
+// Fetched implements model.Watcher.
+func (t *tier) Fetched(call *model.Call) { t.tally.fetched(t.world.Now(), call) }
+
+// Ran implements model.Watcher.
+func (t *tier) Ran(call *model.Call) {
+	t.check.Ran(t.world.Now(), call.Conn.Router, call.Try.Op.ID, call.Try.Op.Class)
+}
+
+// FellOver implements model.Watcher.
+func (t *tier) FellOver(server int, started time.Duration, by map[int]float64) {
+	t.tally.falls++
+	t.check.FellOver(t.world.Now(), server, started, by)
+}
+
+// OriginStopped implements model.Watcher.
+func (t *tier) OriginStopped(part, due float64) { t.check.OriginStopped(t.world.Now(), part, due) }
+
+// Listed implements model.Watcher.
+func (t *tier) Listed(m model.Member) {
+	if t.world != nil {
+		t.check.Listed(t.world.Now(), m)
+	}
+}
+
+// Fault implements model.Watcher.
+func (t *tier) Fault(text string) { t.tally.fault(t.world.Now(), text) }
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,289 @@
+package sim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/model"
+	"hoptiller/internal/rival"
+	"hoptiller/internal/rules"
+	"hoptiller/internal/unit"
+)
+
+func span(s float64) unit.Duration { return unit.Duration(s * float64(time.Second)) }
+
+// shortDay is a day of a few seconds with faults.
+func shortDay(faults ...model.Fault) *model.Day {
+	day := model.Prairie()
+	day.Warm, day.Length, day.Faults = span(8), span(12), faults
+	return &day
+}
+
+func play(t *testing.T, day *model.Day, policy Policy, opt Options) *Result {
+	t.Helper()
+	if err := day.Check(); err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(context.Background(), day, policy, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// The same day gives the same bytes, twice, and beside others that are played at the same time.
+func TestSameBytes(t *testing.T) {
+	day := func() *model.Day {
+		return shortDay(model.Fault{Kind: "crash", At: span(2), For: span(3), Part: 0.2},
+			model.Fault{Kind: "router_kill", At: span(3), For: span(2)},
+			model.Fault{Kind: "hot_key", At: span(4), For: span(3), Size: 0.2},
+			model.Fault{Kind: "churn", At: span(5), For: span(4), Gap: span(1)},
+			model.Fault{Kind: "zone_cut", At: span(8), For: span(1), Zone: 1})
+	}
+	for _, policy := range []Policy{Hoptiller, rival.New("ring")} {
+		results := make([][]byte, 5)
+		var g sync.WaitGroup
+		for i := range results {
+			g.Add(1)
+			run := func() {
+				defer g.Done()
+				r, err := Run(context.Background(), day(), policy, Options{Series: true, Story: &Subject{1, 40}})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				results[i], _ = json.Marshal(r)
+				results[i] = append(results[i], []byte(r.Story[0])...)
+			}
+			if i == 0 {
+				run()
+			} else {
+				go run()
+			}
+		}
+		g.Wait()
+		for i := range results {
+			if !bytes.Equal(results[i], results[0]) {
+				t.Errorf("run %d differs from the first", i)
+			}
+		}
+	}
+}
+
+// broken is a policy with one fault of its own.
+type broken struct {
+	fault string
+	set   hoptiller.Settings
+	act   hoptiller.Actions
+	all   []hoptiller.Server
+	keep  map[uint32]hoptiller.Server
+	sent  map[uint32]int
+	class map[uint32]int
+	end   map[uint32]time.Duration
+}
+
+func breaking(fault string) Policy {
+	return func(_ time.Duration, set hoptiller.Settings, _ uint64, act hoptiller.Actions) hoptiller.Events {
+		act.SetTimer(0, 0)
+		return &broken{fault: fault, set: set, act: act, keep: map[uint32]hoptiller.Server{}, sent: map[uint32]int{},
+			class: map[uint32]int{}, end: map[uint32]time.Duration{}}
+	}
+}
+
+func (b *broken) List(_ time.Duration, kind hoptiller.ListKind, list []hoptiller.Server) {
+	if kind == hoptiller.ListFull || kind == hoptiller.ListCached {
+		for id, s := range b.keep {
+			s.Phase = hoptiller.Gone
+			b.keep[id] = s
+		}
+	}
+	for _, s := range list {
+		b.keep[s.ID] = s
+	}
+	b.all = b.all[:0]
+	for _, s := range b.keep {
+		if s.Phase == hoptiller.Ready || b.fault == rules.Drain {
+			b.all = append(b.all, s)
+		}
+	}
+	slices.SortFunc(b.all, func(x, y hoptiller.Server) int { return int(int64(x.ID) - int64(y.ID)) })
+}
+
+func (b *broken) send(id uint32, key uint64) {
+	s := b.all[key%uint64(len(b.all))]
+	for _, e := range b.all {
+		if b.fault == rules.Cold && e.Started > Epoch && e.Kind != b.set.OriginKind {
+			s = e // all to the newcomer
+		}
+		if b.fault == rules.Origin && e.Kind == b.set.OriginKind && b.sent[id] > 0 {
+			s = e
+		}
+	}
+	if (b.fault == rules.Effects || b.fault == "lost") && b.class[id] == 1 {
+		for _, e := range b.all {
+			if e.Kind == b.set.OriginKind {
+				s = e
+			}
+		}
+	}
+	if b.fault == rules.Listed {
+		s.ID++
+	}
+	b.sent[id]++
+	b.act.Send(id, s.ID, 200*time.Millisecond)
+}
+
+func (b *broken) Request(now time.Duration, q hoptiller.Request) {
+	if b.fault == "silent" {
+		return
+	}
+	b.class[q.ID], b.end[q.ID] = q.Class, now+q.Remaining
+	b.send(q.ID, q.Key)
+	switch b.fault {
+	case rules.OneCall:
+		b.send(q.ID, q.Key)
+	case "sent-after":
+		b.act.Fail(q.ID)
+		b.send(q.ID, q.Key)
+	}
+}
+
+func (b *broken) Outcome(now time.Duration, o hoptiller.Outcome) {
+	again := false
+	switch b.fault {
+	case rules.Attempts:
+		again = b.sent[o.Request] < 8
+	case rules.Effects:
+		again = b.class[o.Request] == 1 && b.sent[o.Request] < 3
+	case rules.Origin:
+		again = b.sent[o.Request] < 3
+	}
+	switch {
+	case o.Closed:
+	case again && now < b.end[o.Request]-300*time.Millisecond:
+		b.send(o.Request, uint64(o.Request)*31+uint64(b.sent[o.Request]))
+	case b.fault == "lost" && o.Status == hoptiller.Timeout:
+		b.act.Refuse(o.Request, 0)
+	default:
+		b.act.Fail(o.Request)
+	}
+}
+func (b *broken) Streaming(time.Duration, uint32, int)  {}
+func (b *broken) ClientGone(time.Duration, uint32)      {}
+func (b *broken) Timer(now time.Duration, token uint64) { b.act.Watch(true) }
+
+// Each rule has a policy that breaks it, and is found to.
+func TestCheckerCatches(t *testing.T) {
+	slow := model.Fault{Kind: "origin_slow", At: span(0), For: span(12), Size: 20}
+	for _, test := range []struct {
+		fault, rule string
+		faults      []model.Fault
+	}{
+		{"silent", rules.OneAnswer, nil},
+		{"sent-after", rules.OneAnswer, nil},
+		{rules.Effects, rules.Effects, []model.Fault{slow}},
+		{"lost", rules.Effects, []model.Fault{slow}},
+		{rules.OneCall, rules.OneCall, nil},
+		{rules.Attempts, rules.Attempts, []model.Fault{{Kind: "errors", Part: 1, Size: 1, For: span(12)}}},
+		{rules.Drain, rules.Drain, []model.Fault{{Kind: "drain", Count: 3}}},
+		{rules.Cold, rules.Cold, []model.Fault{{Kind: "add", Count: 1}}},
+		{rules.Listed, rules.Listed, nil},
+	} {
+		day := shortDay(test.faults...)
+		day.Warm, day.Length, day.Directory.Notice = span(1), span(4), [2]unit.Duration{span(0.1), span(0.2)}
+		r := play(t, day, breaking(test.fault), Options{})
+		if !slices.ContainsFunc(r.Violations, func(v rules.Violation) bool { return v.Rule == test.rule }) {
+			t.Errorf("%s: %d breaches, none of %s; %v", test.fault, r.Broken, test.rule, r.Violations[:min(2, len(r.Violations))])
+		}
+		if r := play(t, day, Hoptiller, Options{}); r.Broken > 0 {
+			t.Errorf("hoptiller with %v: %v", test.faults, r.Violations[0])
+		}
+	}
+}
+
+// A whole zone's caches come back cold at once, and a ring sends them their keys: that stops the origin.
+func TestCheckerCatchesOriginStop(t *testing.T) {
+	day := shortDay(model.Fault{Kind: "zone_loss", At: span(1), For: span(2)})
+	day.Length, day.Origin.Headroom, day.Directory.Notice = span(20), 1.2, [2]unit.Duration{span(0.2), span(0.3)}
+	day.Fleet.ConnsCore, day.Rules.Overload = 100, 50
+	r := play(t, day, rival.New("ring"), Options{})
+	if !slices.ContainsFunc(r.Violations, func(v rules.Violation) bool { return v.Rule == rules.Origin }) {
+		t.Errorf("%d stops, %v", r.Stops, r.Violations)
+	}
+}
+
+// The module keeps the rules and most of its service through what goes wrong.
+func TestFaults(t *testing.T) {
+	for _, f := range []model.Fault{
+		{Kind: "crash", Part: 0.2}, {Kind: "crash", Part: 0.3, For: span(0.05)}, // back at once, with a new start time
+		{Kind: "vanish", Part: 0.2}, {Kind: "errors", Part: 0.2, Size: 1}, {Kind: "slow", Part: 0.2, Size: 0.7},
+		{Kind: "hot_key", Size: 0.2}, {Kind: "silent", Size: 0.1}, {Kind: "resets", Size: 20}, {Kind: "lossy", Size: 0.03},
+		{Kind: "add", Count: 4}, {Kind: "drain", Count: 3}, {Kind: "churn", Gap: span(2)}, {Kind: "directory"},
+		{Kind: "router_kill"}, {Kind: "router_restart"}, {Kind: "zone_cut"}, {Kind: "zone_loss"}, {Kind: "peers"},
+		{Kind: "origin_stop"}, {Kind: "origin_slow", Size: 3}, {Kind: "origin_errors", Size: 0.3},
+	} {
+		t.Run(f.Kind, func(t *testing.T) {
+			t.Parallel()
+			if f.At = span(2); f.For == 0 {
+				f.For = span(5)
+			}
+			r := play(t, shortDay(f), Hoptiller, Options{Series: true})
+			if r.Broken > 0 {
+				t.Errorf("%v", r.Violations[0])
+			}
+			if r.Service < 0.5 || r.Service > 1 || r.Asked < 1000 {
+				t.Errorf("service %.3f of %d", r.Service, r.Asked)
+			}
+			if len(r.Series.Faults) == 0 || len(r.Series.Service) != 12 {
+				t.Errorf("%d faults and %d seconds in the series", len(r.Series.Faults), len(r.Series.Service))
+			}
+		})
+	}
+}
+
+// In rounds of 5 ms, as on the simulator's wire, the module does as well.
+func TestRounds(t *testing.T) {
+	day := shortDay()
+	at := play(t, day, Hoptiller, Options{})
+	day.Round = unit.Duration(5 * time.Millisecond)
+	if r := play(t, day, Hoptiller, Options{}); r.Broken > 0 || r.Service < at.Service-0.03 {
+		t.Errorf("service %.3f in rounds, %.3f without; %v", r.Service, at.Service, r.Violations)
+	}
+}
+
+// A request that is alive when its router is killed is not held against the router, and its client asks again.
+func TestKilledRouter(t *testing.T) {
+	day := shortDay(model.Fault{Kind: "router_kill", At: span(4), For: span(2), Count: 3})
+	r := play(t, day, Hoptiller, Options{})
+	if r.Broken > 0 {
+		t.Fatal(r.Violations[0])
+	}
+	if calm := play(t, shortDay(), Hoptiller, Options{}); r.Tries <= calm.Tries || r.Service >= calm.Service {
+		t.Errorf("tries %.3f and service %.3f, calm %.3f and %.3f", r.Tries, r.Service, calm.Tries, calm.Service)
+	}
+}
+
+func TestStory(t *testing.T) {
+	r := play(t, shortDay(), Hoptiller, Options{Story: &Subject{0, 7}})
+	if len(r.Story) < 4 || !bytes.Contains([]byte(r.Story[len(r.Story)-1]), []byte("final answer")) {
+		t.Errorf("story %q", r.Story)
+	}
+}
+
+// One request costs a day the same whatever the size of its tier.
+func BenchmarkDay(b *testing.B) {
+	for b.Loop() {
+		day := shortDay()
+		r, err := Run(context.Background(), day, Hoptiller, Options{})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(r.Taken)*float64(b.N)/b.Elapsed().Minutes(), "requests/min")
+	}
+}
