--- /dev/null
+++ b/cmd/hoplab/lab.go
@@ -0,0 +1,293 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"hoptiller/internal/draw"
+	"hoptiller/internal/experiment"
+	"hoptiller/internal/model"
+	"hoptiller/internal/rival"
+	"hoptiller/internal/sim"
+)
+
+type runCmd struct {
+	File  string `arg:"" help:"Experiment file (TOML)." type:"existingfile"`
+	Out   string `help:"File for the results, as JSON lines; beside the experiment file if not stated, - for none." short:"o"`
+	Cores int    `help:"Cores to use; 0 for all." default:"0"`
+	Seeds int    `help:"Seeds to play instead of the file's." default:"0"`
+	Quiet bool   `help:"No progress and no table." short:"q"`
+}
+
+func (c *runCmd) Run(ctx context.Context) error {
+	f, err := experiment.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Seeds > 0 {
+		f.Seeds = c.Seeds
+	}
+	out, path := io.Writer(io.Discard), c.Out
+	if path == "" {
+		path = strings.TrimSuffix(c.File, filepath.Ext(c.File)) + ".jsonl"
+	}
+	if path != "-" {
+		file, err := os.Create(path)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		out = file
+	}
+	at := time.Now()
+	taken := 0
+	records, err := f.Run(ctx, c.Cores, out, func(n, of int, r *experiment.Record) {
+		if taken += r.Taken; !c.Quiet && terminal(os.Stderr) {
+			fmt.Fprintf(os.Stderr, "\r%d of %d runs", n, of)
+		}
+	})
+	if c.Quiet {
+		return err
+	}
+	fmt.Fprintf(os.Stderr, "\r%d runs, %d requests in %v\n", len(records), taken, time.Since(at).Round(10*time.Millisecond))
+	if werr := experiment.WriteSummary(os.Stdout, records, f.Plot.X); werr != nil {
+		return errors.Join(err, werr)
+	}
+	shown := map[string]bool{}
+	for _, r := range records {
+		if r.Broken == 0 || shown[r.Policy] {
+			continue
+		}
+		shown[r.Policy] = true
+		v := r.Violations[0]
+		fmt.Printf("%s broke rules %d times at seed %d, first: %v\n", r.Policy, r.Broken, r.Seed, v)
+		if v.Request > 0 {
+			fmt.Printf("  its course: hoplab story %s --policy %s --seed %d --router %d --request %d%s\n", c.File, r.Policy, r.Seed,
+				v.Router, v.Request, flagsAt(r.At))
+		}
+	}
+	return err
+}
+
+// terminal tells whether a person watches what is written there.
+func terminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// flagsAt writes a point of a sweep as flags of hoplab story.
+func flagsAt(at map[string]any) string {
+	text := ""
+	for k, v := range at {
+		text += fmt.Sprintf(" --set %s=%v", k, v)
+	}
+	return text
+}
+
+type compareCmd struct {
+	Before  string   `arg:"" help:"Results of hoplab run." type:"existingfile"`
+	After   string   `arg:"" help:"Results of a later run." type:"existingfile"`
+	Figures []string `help:"Figures to compare." default:"score,service,worst,fetches,fetch_peak,calls,tries,waste,broken" short:"f"`
+	Against string   `help:"Policy of BEFORE to hold all of AFTER against, instead of each against itself."`
+	Fall    float64  `help:"Exit with 3 if a policy's score is sure to have fallen by more than this." default:"0.03"`
+}
+
+func (c *compareCmd) Run() error {
+	before, whole, err := experiment.ReadRecords(c.Before)
+	if err != nil {
+		return err
+	}
+	after, whole2, err := experiment.ReadRecords(c.After)
+	if err != nil {
+		return err
+	}
+	if !whole || !whole2 {
+		fmt.Println("one of the results is not whole: only the runs that both have are compared")
+	}
+	if c.Against != "" {
+		before = slices.DeleteFunc(before, func(r *experiment.Record) bool { return r.Policy != c.Against })
+		var all []*experiment.Record
+		for _, p := range append([]string{"hoptiller"}, rival.Names()...) {
+			for _, r := range before {
+				same := *r
+				same.Policy = p
+				all = append(all, &same)
+			}
+		}
+		before = all
+	}
+	rows, missing := experiment.Compare(before, after, c.Figures)
+	if len(rows) == 0 {
+		return errors.New("the results have no run in common")
+	}
+	if err := experiment.WriteComparison(os.Stdout, rows); err != nil {
+		return err
+	}
+	if missing > 0 && c.Against == "" {
+		fmt.Printf("%d runs are in one of the results only\n", missing)
+	}
+	for _, r := range rows {
+		if r.Figure == "score" && r.Difference.Mean+r.Difference.Half < -c.Fall {
+			fmt.Printf("%s has fallen at %s\n", r.Policy, r.Point)
+			err = errFinding
+		}
+	}
+	return err
+}
+
+type plotCmd struct {
+	Results string `arg:"" help:"Results of hoplab run." type:"existingfile"`
+	X       string `help:"Figure of the sweep to plot over, as bars where it is no number; \"time\" for the course of one run." short:"x"`
+	Y       string `help:"Figure to plot." short:"y" default:"score"`
+	Out     string `help:"File to write, .svg or .png." short:"o" required:""`
+	Policy  string `help:"Policy whose course is plotted." default:"hoptiller"`
+	Run_    int    `name:"run" help:"Run of the policy whose course is plotted, from 1." default:"1"`
+}
+
+func (c *plotCmd) Run() error {
+	records, _, err := experiment.ReadRecords(c.Results)
+	if err != nil {
+		return err
+	}
+	switch c.X {
+	case "":
+		return draw.Bars(records, "", c.Y, c.Out)
+	case "time":
+		records = slices.DeleteFunc(records, func(r *experiment.Record) bool { return r.Policy != c.Policy })
+		if c.Run_ < 1 || c.Run_ > len(records) {
+			return fmt.Errorf("there are %d runs of %s", len(records), c.Policy)
+		}
+		return draw.Course(records[c.Run_-1], c.Y, c.Out)
+	}
+	return draw.Sweep(records, c.X, c.Y, c.Out)
+}
+
+type huntCmd struct {
+	For    time.Duration `help:"How long to look." default:"1m"`
+	Days   int           `help:"Most days to play." default:"1000000"`
+	Seed   uint64        `help:"Where the days come from: the same seed gives the same days." default:"1"`
+	Policy string        `help:"Policy that is tried." default:"hoptiller"`
+	Rivals []string      `help:"Policies that it is held against." default:"ring,rendezvous"`
+	Margin float64       `help:"By which a rival's score must be higher." default:"0.1"`
+	Cores  int           `help:"Cores to use." default:"4"`
+	Out    string        `help:"Folder for the findings, each an experiment file." default:"found" type:"path"`
+	Most   int           `help:"Findings to keep of a kind." default:"3"`
+}
+
+func (c *huntCmd) Run(ctx context.Context) error {
+	for _, p := range append([]string{c.Policy}, c.Rivals...) {
+		if experiment.Policy(p) == nil {
+			return fmt.Errorf("policy %q is not known", p)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.For)
+	defer cancel()
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	h := &experiment.Hunt{Policy: c.Policy, Rivals: c.Rivals, Margin: c.Margin, Seed: c.Seed, Cores: c.Cores, Shrink: 30}
+	counts := map[string]int{}
+	var failed error
+	played, err := h.Run(ctx, c.Days, func(f *experiment.Finding) {
+		if counts[f.What]++; counts[f.What] > c.Most {
+			return
+		}
+		name := fmt.Sprintf("%s-%d-%d.toml", strings.ReplaceAll(f.What, " ", "-"), c.Seed, f.Number)
+		policies := []string{c.Policy}
+		if f.Rival != "" {
+			policies = append(policies, f.Rival)
+		}
+		title := fmt.Sprintf("Found: %s %s (hunt seed %d, day %d)", c.Policy, f.What, c.Seed, f.Number)
+		text, err := experiment.Write(title, policies, &f.Day)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(c.Out, name), text, 0o644)
+		}
+		failed = errors.Join(failed, err)
+		fmt.Printf("%s: score %.3f", name, f.Ours.Score)
+		if f.Rival != "" {
+			fmt.Printf(", %s %.3f", f.Rival, f.Theirs)
+		} else {
+			fmt.Printf(", %v", f.Ours.Violations[0])
+		}
+		var faults []string
+		for _, fault := range f.Day.Faults {
+			faults = append(faults, fault.Kind)
+		}
+		fmt.Printf("; %d caches, %d routers, load %.2f, faults %v\n", f.Day.Fleet.Caches, f.Day.Routers, f.Day.Load.Level, faults)
+	})
+	fmt.Printf("%d days played\n", played)
+	for what, n := range counts {
+		fmt.Printf("%s: %d days\n", what, n)
+	}
+	if err := errors.Join(err, failed); err != nil {
+		return err
+	}
+	if len(counts) > 0 {
+		return errFinding
+	}
+	return nil
+}
+
+type storyCmd struct {
+	File    string            `arg:"" help:"Experiment file." type:"existingfile"`
+	Policy  string            `help:"Policy that decides." default:"hoptiller"`
+	Seed    uint64            `help:"Seed of the day; the file's if not stated." default:"0"`
+	Router  int               `help:"Router that took the request, from 0." required:""`
+	Request uint32            `help:"Number of the request at its router." required:""`
+	Set     map[string]string `help:"Figures of the day to set, as in a sweep."`
+}
+
+func (c *storyCmd) Run(ctx context.Context) error {
+	f, err := experiment.Load(c.File)
+	if err != nil {
+		return err
+	}
+	at := map[string]any{}
+	for k, v := range c.Set {
+		at[k] = v
+		if n, err := strconv.ParseInt(v, 10, 64); err == nil {
+			at[k] = n
+		} else if x, err := strconv.ParseFloat(v, 64); err == nil {
+			at[k] = x
+		}
+	}
+	if c.Seed == 0 {
+		c.Seed = f.Day.Seed
+	}
+	r, err := f.Story(ctx, c.Policy, c.Seed, at, sim.Subject{Router: c.Router, Request: c.Request})
+	if err != nil {
+		return err
+	}
+	if len(r.Story) == 0 {
+		return fmt.Errorf("router %d has taken no request %d", c.Router, c.Request)
+	}
+	fmt.Println(strings.Join(r.Story, "\n"))
+	for _, v := range r.Violations {
+		if v.Router == c.Router && v.Request == c.Request {
+			fmt.Println(v)
+		}
+	}
+	return nil
+}
+
+type kindsCmd struct{}
+
+func (*kindsCmd) Run() error {
+	fmt.Println("faults")
+	for _, k := range model.FaultKinds() {
+		fmt.Printf("  %-16s%s\n", k[0], k[1])
+	}
+	fmt.Println("policies")
+	for _, p := range append([]string{"hoptiller"}, rival.Names()...) {
+		fmt.Println("  " + p)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/hunt.go
@@ -0,0 +1,198 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hoptiller/internal/model"
+	"hoptiller/internal/sim"
+	"hoptiller/internal/unit"
+)
+
+// Hunt looks for days on which a policy breaks a rule or serves less than a rival.
+type Hunt struct {
+	Policy string
+	Rivals []string // that it is held against; one that breaks a rule on a day does not count there
+	Margin float64  // by which a rival must be better
+	Seed   uint64   // the n-th day is the same for the same seed
+	Cores  int
+	Shrink int // steps that are tried to make a finding smaller
+}
+
+// Finding is one such day.
+type Finding struct {
+	Day    model.Day
+	Number int // of the day
+	What   string
+	Ours   *sim.Result
+	Rival  string
+	Theirs float64 // score
+}
+
+// Run draws and plays days until ctx ends or most were played, and hands over each finding, made as small as
+// it gets. It tells how many days were played.
+func (h *Hunt) Run(ctx context.Context, most int, found func(*Finding)) (played int, err error) {
+	var mu sync.Mutex
+	g, gctx := errgroup.WithContext(ctx)
+	g.SetLimit(max(1, h.Cores))
+	for n := 0; n < most && ctx.Err() == nil; n++ {
+		g.Go(func() error {
+			day := Draw(h.Seed, n)
+			f, err := h.try(gctx, day)
+			if err != nil {
+				return nil // time is up
+			}
+			if f != nil {
+				f = h.shrink(gctx, f)
+				f.Number = n
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			played++
+			if f != nil {
+				found(f)
+			}
+			return nil
+		})
+	}
+	return played, g.Wait()
+}
+
+// try plays a day; nil if nothing is to be found there.
+func (h *Hunt) try(ctx context.Context, day model.Day) (*Finding, error) {
+	if err := day.Check(); err != nil {
+		return nil, fmt.Errorf("a drawn day is impossible: %w", err)
+	}
+	ours, err := play(ctx, day, h.Policy)
+	if err != nil {
+		return nil, err
+	}
+	if ours.Broken > 0 {
+		return &Finding{Day: day, What: "rule " + ours.Violations[0].Rule, Ours: ours}, nil
+	}
+	f := &Finding{Day: day, Ours: ours}
+	for _, name := range h.Rivals {
+		r, err := play(ctx, day, name)
+		if err != nil {
+			return nil, err
+		}
+		if r.Broken == 0 && r.Score > max(f.Theirs, ours.Score+h.Margin) {
+			f.Rival, f.Theirs, f.What = name, r.Score, "behind "+name
+		}
+	}
+	if f.Rival == "" {
+		return nil, nil
+	}
+	return f, nil
+}
+
+// shrink makes a finding's day smaller as long as it still shows the same.
+func (h *Hunt) shrink(ctx context.Context, f *Finding) *Finding {
+	again := *h
+	if f.Rival != "" {
+		again.Rivals = []string{f.Rival}
+	}
+	for range h.Shrink {
+		smaller := false
+		for _, day := range smallerDays(f.Day) {
+			if day.Check() != nil {
+				continue
+			}
+			g, err := again.try(ctx, day)
+			if err != nil {
+				return f
+			}
+			if g != nil && g.What == f.What {
+				f, smaller = g, true
+				break
+			}
+		}
+		if !smaller {
+			break
+		}
+	}
+	return f
+}
+
+// smallerDays lists days that are simpler than one by one thing, the simplest first.
+func smallerDays(day model.Day) (list []model.Day) {
+	add := func(change func(*model.Day)) {
+		d := day
+		d.Faults = slices.Clone(day.Faults)
+		change(&d)
+		list = append(list, d)
+	}
+	for i := range day.Faults {
+		add(func(d *model.Day) { d.Faults = slices.Delete(d.Faults, i, i+1) })
+	}
+	if day.Length > unit.Duration(12*time.Second) {
+		add(func(d *model.Day) {
+			d.Length = (d.Length * 2 / 3) / unit.Duration(time.Second) * unit.Duration(time.Second)
+		})
+	}
+	if day.Fleet.Caches > 3 {
+		add(func(d *model.Day) { d.Fleet.Caches = max(3, d.Fleet.Caches*2/3) })
+	}
+	if day.Routers > 1 {
+		add(func(d *model.Day) { d.Routers-- })
+	}
+	base := model.Prairie()
+	if day.Load.Shape != "steady" {
+		add(func(d *model.Day) { d.Load.Shape = "steady" })
+	}
+	if day.Net != base.Net {
+		add(func(d *model.Day) { d.Net = base.Net })
+	}
+	if day.Origin != base.Origin {
+		add(func(d *model.Day) { d.Origin = base.Origin })
+	}
+	return list
+}
+
+// Draw draws the n-th random day of a seed.
+func Draw(seed uint64, n int) model.Day {
+	r := model.Stream(seed, "hunt", n)
+	between := func(a, b float64) float64 { return a + (b-a)*r.Float64() }
+	span := func(a, b float64) unit.Duration {
+		return unit.Duration(time.Duration(between(a, b)*1000) * time.Millisecond)
+	}
+	day := model.Prairie()
+	day.Seed = r.Uint64() >> 32
+	day.Warm, day.Length = span(12, 12), unit.Duration(30*time.Second)
+	day.Fleet.Caches, day.Routers = 4+r.IntN(11), 1+r.IntN(5)
+	day.Load.Level = float64(int(between(20, 90))) / 100
+	day.Load.Shape = []string{"steady", "wave", "bursty"}[r.IntN(3)]
+	day.Origin.Headroom = float64(int(between(20, 31))) / 10
+	day.Origin.Drops = r.IntN(2) == 0
+	day.Net.Loss = []float64{0, 0, 0.001, 0.01}[r.IntN(4)]
+	for range 1 + r.IntN(3) {
+		day.Faults = append(day.Faults, drawFault(r, &day, span, between))
+	}
+	return day
+}
+
+func drawFault(r *rand.Rand, day *model.Day, span func(a, b float64) unit.Duration, between func(a, b float64) float64) model.Fault {
+	kinds := model.FaultKinds()
+	f := model.Fault{Kind: kinds[r.IntN(len(kinds))][0], At: span(2, 15), For: span(3, 15),
+		Part: float64(int(between(5, 30))) / 100, Size: float64(int(between(10, 60))) / 100, Count: 1 + r.IntN(3), Gap: span(0.5, 4),
+		Zone: r.IntN(day.Zones)}
+	switch f.Kind {
+	case "hot_key":
+		f.Size /= 2.5
+	case "lossy", "silent":
+		f.Size /= 5
+	case "resets":
+		f.Size *= 100
+	case "origin_slow":
+		f.Size = 1 + 5*f.Size
+	case "drain":
+		f.Count = min(f.Count, day.Fleet.Caches-2)
+	}
+	return f
+}
