--- a/cmd/hoplab/lab.go
+++ b/cmd/hoplab/lab.go
@@ -17,6 +17,8 @@
 	"hoptiller/internal/model"
 	"hoptiller/internal/rival"
 	"hoptiller/internal/sim"
+	"hoptiller/internal/standin"
+	"hoptiller/internal/tally"
 )
 
 type runCmd struct {
@@ -25,6 +27,21 @@
 	Cores int    `help:"Cores to use; 0 for all." default:"0"`
 	Seeds int    `help:"Seeds to play instead of the file's." default:"0"`
 	Quiet bool   `help:"No progress and no table." short:"q"`
+
+	Sockets bool   `help:"Play the days in real time on loopback sockets, with the router's program; hoptiller alone, one run after the other."`
+	Router  string `help:"The router's program, for --sockets." default:"bin/hoptiller"`
+}
+
+// onSockets has an experiment played by the real program.
+func (c *runCmd) onSockets(f *experiment.File) error {
+	if _, err := os.Stat(c.Router); err != nil {
+		return fmt.Errorf("the router's program: %w", err)
+	}
+	f.Policies, c.Cores = []string{"hoptiller"}, 1
+	f.Engine = func(ctx context.Context, day *model.Day, _ string, series bool) (*tally.Result, error) {
+		return standin.Run(ctx, day, standin.Options{Router: c.Router, Series: series, Log: os.Stderr})
+	}
+	return nil
 }
 
 func (c *runCmd) Run(ctx context.Context) error {
@@ -35,6 +52,11 @@
 	if c.Seeds > 0 {
 		f.Seeds = c.Seeds
 	}
+	if c.Sockets {
+		if err := c.onSockets(f); err != nil {
+			return err
+		}
+	}
 	out, path := io.Writer(io.Discard), c.Out
 	if path == "" {
 		path = strings.TrimSuffix(c.File, filepath.Ext(c.File)) + ".jsonl"
--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -15,7 +15,7 @@
 	"gonum.org/v1/plot/vg/draw"
 
 	"hoptiller/internal/experiment"
-	"hoptiller/internal/sim"
+	"hoptiller/internal/tally"
 )
 
 // palette is Okabe and Ito's, which people with any kind of colour vision can tell apart.
@@ -221,7 +221,7 @@
 }
 
 // part is the work sent to a cache over what it could do; nothing is drawn as more than 5.
-func part(s *sim.Series, cache, i int) float64 {
+func part(s *tally.Series, cache, i int) float64 {
 	if s.Capacity[cache][i] <= 0 {
 		return 0
 	}
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -32,6 +32,8 @@
 	Sweep    map[string]any `toml:"sweep"`    // figures of the day, or several with commas between, and their values
 	Plot     Plot           `toml:"plot"`
 
+	Engine Engine `toml:"-"` // that plays the days; virtual time if nil
+
 	Name string `toml:"-"` // of the file, without its ending
 	path string
 	text []byte
--- a/internal/experiment/hunt.go
+++ b/internal/experiment/hunt.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hoptiller/internal/model"
-	"hoptiller/internal/sim"
+	"hoptiller/internal/tally"
 	"hoptiller/internal/unit"
 )
 
@@ -30,7 +30,7 @@
 	Day    model.Day
 	Number int // of the day
 	What   string
-	Ours   *sim.Result
+	Ours   *tally.Result
 	Rival  string
 	Theirs float64 // score
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -18,6 +18,7 @@
 
 	"hoptiller/internal/model"
 	"hoptiller/internal/sim"
+	"hoptiller/internal/tally"
 )
 
 // Record is the result of one run.
@@ -26,7 +27,7 @@
 	Policy     string         `json:"policy"`
 	Seed       uint64         `json:"seed"`
 	At         map[string]any `json:"at,omitempty"` // the point of the sweep
-	*sim.Result
+	*tally.Result
 }
 
 // Point names the point of a sweep, the same for equal ones.
@@ -102,6 +103,10 @@
 	if err != nil {
 		return nil, err
 	}
+	engine := f.Engine
+	if engine == nil {
+		engine = virtual
+	}
 	if cores <= 0 {
 		cores = runtime.GOMAXPROCS(0)
 	}
@@ -120,9 +125,12 @@
 		g.Go(func() error {
 			day := j.point.Day
 			day.Seed = j.seed
-			result, err := sim.Run(ctx, &day, Policy(j.policy), sim.Options{Series: f.Series})
+			result, err := engine(ctx, &day, j.policy, f.Series)
+			if ctx.Err() != nil {
+				return nil // interrupted
+			}
 			if err != nil {
-				return nil // interrupted; ctx tells
+				return err
 			}
 			r := &Record{f.Name, j.policy, j.seed, j.point.At, result}
 			mu.Lock()
@@ -187,7 +195,7 @@
 			whole = false
 			continue
 		}
-		r := &Record{Result: &sim.Result{}}
+		r := &Record{Result: &tally.Result{}}
 		if err := json.Unmarshal(lines.Bytes(), r); err != nil || r.Policy == "" {
 			return nil, false, &Error{Path: path, Line: n, Text: "this is no result of hoplab run"}
 		}
@@ -196,8 +204,16 @@
 	return records, whole, lines.Err()
 }
 
+// Engine plays one day with one policy.
+type Engine func(ctx context.Context, day *model.Day, policy string, series bool) (*tally.Result, error)
+
+// virtual plays in virtual time.
+func virtual(ctx context.Context, day *model.Day, policy string, series bool) (*tally.Result, error) {
+	return sim.Run(ctx, day, Policy(policy), sim.Options{Series: series})
+}
+
 // Story plays one run again and tells the course of one request.
-func (f *File) Story(ctx context.Context, policy string, seed uint64, at map[string]any, s sim.Subject) (*sim.Result, error) {
+func (f *File) Story(ctx context.Context, policy string, seed uint64, at map[string]any, s sim.Subject) (*tally.Result, error) {
 	day, err := f.with(at)
 	if err != nil {
 		return nil, err
@@ -211,6 +227,6 @@
 }
 
 // play is a run without a file.
-func play(ctx context.Context, day model.Day, policy string) (*sim.Result, error) {
+func play(ctx context.Context, day model.Day, policy string) (*tally.Result, error) {
 	return sim.Run(ctx, &day, Policy(policy), sim.Options{})
 }
--- a/internal/model/directory.go
+++ b/internal/model/directory.go
@@ -71,10 +71,9 @@
 	return d
 }
 
-// Join has a router, which has just started, hear what it asks for from now on. It is
-// given the list as it last held it: the present one.
-func (d *Directory) Join(router int, told func(Update)) {
-	d.watches[router] = &watch{told: told, version: d.version}
+// Join has a router hear what it asks for from now on, as one that holds the list of some version.
+func (d *Directory) Join(router, version int, told func(Update)) {
+	d.watches[router] = &watch{told: told, version: min(version, d.version)}
 }
 
 // Present is the list of all that is not gone.
@@ -88,9 +87,16 @@
 	return list
 }
 
-// Ask is a call of a router: for the whole list, or for a watch, or for the end of one.
-func (d *Directory) Ask(router int, list, on bool) {
+// Version counts the changes so far.
+func (d *Directory) Version() int { return d.version }
+
+// Ask is a call of a router: for the whole list, or for a watch, or for the end of one. answer hears
+// what comes of it; if it is nil, whoever hears the watch does.
+func (d *Directory) Ask(router int, list, on bool, answer func(Update)) {
 	watch := d.watches[router]
+	if answer == nil {
+		answer = watch.told
+	}
 	if !list && !on {
 		watch.on = false
 		return
@@ -104,12 +110,12 @@
 		if wait > d.set.Timeout.D() {
 			d.free -= seconds(cost)
 		}
-		d.w.After(min(wait, d.set.Timeout.D())+delay, func() { watch.told(Update{Failed: true}) })
+		d.w.After(min(wait, d.set.Timeout.D())+delay, func() { answer(Update{Failed: true}) })
 		return
 	}
 	d.w.After(wait+delay, func() {
 		if d.down {
-			watch.told(Update{Failed: true})
+			answer(Update{Failed: true})
 			return
 		}
 		d.Calls++
@@ -124,7 +130,7 @@
 			watch.on = true
 		}
 		d.Lines += len(u.Members)
-		watch.told(u)
+		answer(u)
 	})
 }
 
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -254,8 +254,8 @@
 func TestDirectory(t *testing.T) {
 	b := newBench(t, nil)
 	var told []Update
-	b.Directory.Join(0, func(u Update) { told = append(told, u) })
-	b.Directory.Ask(0, false, true)
+	b.Directory.Join(0, b.Directory.Version(), func(u Update) { told = append(told, u) })
+	b.Directory.Ask(0, false, true, nil)
 	b.run(time.Second)
 	m := b.Directory.entry(1)
 	m.Phase = Draining
@@ -265,12 +265,12 @@
 	m.Phase = Gone
 	b.Directory.know(m)
 	b.run(time.Second)
-	b.Directory.Ask(0, false, true)
+	b.Directory.Ask(0, false, true, nil)
 	b.run(time.Second)
 	b.Directory.outage(false)
-	b.Directory.Ask(0, false, true)
+	b.Directory.Ask(0, false, true, nil)
 	b.run(time.Second)
-	b.Directory.Ask(0, true, false)
+	b.Directory.Ask(0, true, false, nil)
 	b.run(time.Second)
 	if len(told) != 6 || len(told[0].Members) != 0 || told[1].Members[0].Phase != Draining || !told[2].Failed ||
 		!told[3].Failed || told[4].Members[0].Phase != Gone || !told[5].Full || len(told[5].Members) != 10 {
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -93,6 +93,12 @@
 	return w
 }
 
+// Member is what the directory has of a server; one that was never listed is gone.
+func (w *World) Member(index int) Member { return w.Directory.entry(index) }
+
+// Servers is how many servers there have been: the origin, which is 0, and all slot caches.
+func (w *World) Servers() int { return len(w.hosts) }
+
 // Day is what the world was made from.
 func (w *World) Day() *Day { return w.day }
 
--- a/internal/sim/actions.go
+++ b/internal/sim/actions.go
@@ -30,7 +30,7 @@
 	inv.calls = append(inv.calls, c)
 	c.server, c.id = index, server
 	r.tell(request, "call %d goes to server %d, %v to answer", c.Attempt, index, timeout)
-	t.tally.called(now, r, m)
+	t.tally.Called(m.Zone != r.index%t.day.Zones)
 	if !known || len(inv.calls) > t.day.Rules.Attempts {
 		t.world.After(time.Millisecond, func() { r.outcome(c, hoptiller.Moot) }) // time passes, or a policy that sends on would never end
 		return
@@ -99,21 +99,21 @@
 }
 
 // FetchList implements hoptiller.Actions.
-func (r *router) FetchList() { r.t.world.Directory.Ask(r.index, true, false) }
+func (r *router) FetchList() { r.t.world.Directory.Ask(r.index, true, false, nil) }
 
 // Watch implements hoptiller.Actions.
 func (r *router) Watch(on bool) {
 	r.t.check.Watches(r.index, on)
-	r.t.world.Directory.Ask(r.index, false, on)
+	r.t.world.Directory.Ask(r.index, false, on, nil)
 }
 
 // Log implements hoptiller.Actions.
-func (r *router) Log(text string) { r.t.tally.log(r.t.world.Now(), r.index, text) }
+func (r *router) Log(text string) { r.t.tally.Log(r.t.world.Now(), r.index, text) }
 
 // Tell implements Teller.
 func (r *router) Tell(to int, message []byte) {
 	message = slices.Clone(message)
-	r.t.tally.peerBytes += len(message)
+	r.t.tally.Told(len(message))
 	r.t.world.Tell(r.index, to, func() {
 		if p := r.t.routers[to]; p != nil {
 			if h, ok := p.policy.(Hearer); ok {
--- a/internal/sim/router.go
+++ b/internal/sim/router.go
@@ -6,6 +6,7 @@
 
 	"hoptiller"
 	"hoptiller/internal/model"
+	"hoptiller/internal/tally"
 )
 
 // serving is how long a router that was told to stop takes requests, as the real one does.
@@ -53,7 +54,7 @@
 		list: map[uint32]model.Member{}, pools: map[int]*pool{}}
 	seed := model.Stream(t.day.Seed, "router", index+1000*life).Uint64()
 	r.policy = t.policy(r.now(), Settings(t.day, index), seed, r)
-	t.world.Directory.Join(index, func(u model.Update) {
+	t.world.Directory.Join(index, t.world.Directory.Version(), func(u model.Update) {
 		if !r.dead {
 			r.told(u)
 		}
@@ -97,7 +98,7 @@
 	r.last++
 	inv := &invocation{id: r.last, try: try, end: try.At + try.Remaining}
 	r.open[inv.id], r.byTry[try] = inv, inv
-	t.tally.taken++
+	t.tally.Taken()
 	t.check.Taken(now, r.index, inv.id, try.Op.Class, inv.end)
 	r.tell(inv.id, "request taken: %s, key %016x, client request %d, try %d, %v left", t.day.Classes[try.Op.Class].Name,
 		try.Op.Key, try.Op.ID, try.N, inv.end-now)
@@ -140,7 +141,7 @@
 	r.t.check.Final(r.t.world.Now(), r.index, inv.id, kind)
 	final := [...]model.Final{hoptiller.StepServed: model.Value, hoptiller.StepReject: model.Refused, hoptiller.StepFail: model.Failure}[kind]
 	r.tell(inv.id, "final answer: %s", [...]string{"served", "refused", "failed"}[final])
-	r.t.tally.answered(r.t.world.Now(), final)
+	r.t.tally.Answered(r.t.world.Now(), final)
 	r.t.world.Reply(inv.try, final, after)
 	r.close(inv)
 }
@@ -223,9 +224,9 @@
 	}
 	c.open = false
 	inv, now := c.inv, r.t.world.Now()
-	r.tell(inv.id, "call %d to server %d ends: %s after %v", c.Attempt, c.server, statusNames[status], now-c.sent)
+	r.tell(inv.id, "call %d to server %d ends: %s after %v", c.Attempt, c.server, tally.StatusNames[status], now-c.sent)
 	r.t.check.Ended(now, r.index, inv.id, c.Attempt, status)
-	r.t.tally.ends[status]++
+	r.t.tally.Closed(status)
 	served := status == hoptiller.OK && !inv.closed
 	if served {
 		r.answer(inv, hoptiller.StepServed, 0)
@@ -236,7 +237,3 @@
 		Closed: closed}
 	r.event(func() { r.policy.Outcome(r.now(), o) })
 }
-
-var statusNames = [...]string{hoptiller.OK: "served", hoptiller.ServerError: "error", hoptiller.Full: "turned away",
-	hoptiller.Timeout: "timed out", hoptiller.ConnectFailed: "no connection", hoptiller.Reset: "reset",
-	hoptiller.Cancelled: "cancelled", hoptiller.Moot: "moot", hoptiller.Miss: "miss"}
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -13,6 +13,7 @@
 	"hoptiller"
 	"hoptiller/internal/model"
 	"hoptiller/internal/rules"
+	"hoptiller/internal/tally"
 )
 
 // Policy makes the decisions of one router that starts at now.
@@ -51,9 +52,9 @@
 }
 
 // Run plays a day, which must have passed Check. When ctx ends it stops where it is and returns ctx's error.
-func Run(ctx context.Context, day *model.Day, policy Policy, opt Options) (*Result, error) {
+func Run(ctx context.Context, day *model.Day, policy Policy, opt Options) (*tally.Result, error) {
 	t := &tier{day: day, policy: policy, check: rules.New(day), opt: opt}
-	t.tally = newTally(day, opt.Series)
+	t.tally = tally.New(day, opt.Series)
 	t.routers = make([]*router, day.Routers)
 	t.world = model.New(day, t, t, t)
 	for i := range t.routers {
@@ -65,7 +66,7 @@
 			return nil, ctx.Err()
 		}
 		t.world.RunUntil(min(now+100*time.Millisecond, end))
-		t.tally.sample(t.world)
+		t.tally.Sample(t.world)
 	}
 	longest := time.Duration(0)
 	for _, c := range day.Classes {
@@ -73,7 +74,9 @@
 	}
 	t.world.RunUntil(end + longest + time.Second)
 	t.check.Finish(t.world.Now())
-	return t.tally.result(t), nil
+	r := t.tally.Result(t.world, t.check)
+	r.Story = t.story
+	return r, nil
 }
 
 // tier is the routers of a day. It is what the world sees of them, and all that the world tells goes through it.
@@ -84,7 +87,7 @@
 	check   *rules.Checker
 	routers []*router // nil while one is down
 	lives   []int
-	tally   *tally
+	tally   *tally.Tally
 	opt     Options
 	story   []string
 }
@@ -129,15 +132,15 @@
 		t.routers[i] = nil
 		r.die()
 		t.check.Reset(i)
-		t.world.Directory.Ask(i, false, false)
+		t.world.Directory.Ask(i, false, false, nil)
 	}
 }
 
 // Ended implements model.Watcher.
-func (t *tier) Ended(op *model.Op) { t.tally.ended(op) }
+func (t *tier) Ended(op *model.Op) { t.tally.Ended(op) }
 
 // Fetched implements model.Watcher.
-func (t *tier) Fetched(call *model.Call) { t.tally.fetched(t.world.Now(), call) }
+func (t *tier) Fetched(call *model.Call) { t.tally.Fetched(t.world.Now(), call) }
 
 // Ran implements model.Watcher.
 func (t *tier) Ran(call *model.Call) {
@@ -146,7 +149,7 @@
 
 // FellOver implements model.Watcher.
 func (t *tier) FellOver(server int, started time.Duration, by map[int]float64) {
-	t.tally.falls++
+	t.tally.Fell()
 	t.check.FellOver(t.world.Now(), server, started, by)
 }
 
@@ -161,4 +164,4 @@
 }
 
 // Fault implements model.Watcher.
-func (t *tier) Fault(text string) { t.tally.fault(t.world.Now(), text) }
+func (t *tier) Fault(text string) { t.tally.Fault(t.world.Now(), text) }
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -13,6 +13,7 @@
 	"hoptiller/internal/model"
 	"hoptiller/internal/rival"
 	"hoptiller/internal/rules"
+	"hoptiller/internal/tally"
 	"hoptiller/internal/unit"
 )
 
@@ -25,7 +26,7 @@
 	return &day
 }
 
-func play(t *testing.T, day *model.Day, policy Policy, opt Options) *Result {
+func play(t *testing.T, day *model.Day, policy Policy, opt Options) *tally.Result {
 	t.Helper()
 	if err := day.Check(); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/standin/client.go
@@ -0,0 +1,153 @@
+package standin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"hoptiller/internal/model"
+)
+
+// tier is the routers as the model's clients see them; e.mu is held.
+type tier Engine
+
+// client is one connection of a client to a router. It carries one request at a time.
+type client struct {
+	c net.Conn
+	r *bufio.Reader
+}
+
+// Take implements model.Tier.
+func (t *tier) Take(try *model.Try) bool {
+	e := (*Engine)(t)
+	n := e.nodes[try.Router]
+	r := e.newRequest(try)
+	e.tally.Taken()
+	e.check.Taken(e.world.Now(), n.index, r.number, try.Op.Class, try.At+try.Remaining)
+	var c *client
+	if last := len(n.idle) - 1; last >= 0 {
+		c, n.idle = n.idle[last], n.idle[:last]
+	}
+	left := try.At + try.Remaining - e.world.Now()
+	e.goes(func() { n.ask(r, c, left) })
+	return true
+}
+
+// Leave implements model.Tier.
+func (t *tier) Leave(try *model.Try) {
+	for id, r := range t.tries {
+		if r.try == try {
+			t.check.Left(try.Router, r.number)
+			delete(t.tries, id)
+			if r.conn != nil {
+				r.conn.c.Close()
+			}
+			return
+		}
+	}
+}
+
+// ask carries one request to its end.
+func (n *node) ask(r *request, c *client, left time.Duration) {
+	f, after, err := n.exchange(r, c, left)
+	if err != nil && c != nil { // the router may close an idle connection just then
+		c = nil
+		f, after, err = n.exchange(r, nil, left)
+	}
+	e := n.e
+	e.do(func() {
+		if e.tries[r.id] != r { // the client has gone
+			if r.conn != nil {
+				r.conn.c.Close()
+				delete(e.closers, r.conn.c)
+			}
+			return
+		}
+		delete(e.tries, r.id)
+		if err != nil {
+			f = model.Lost
+			if errors.Is(err, errNoRoute) {
+				f = model.NoRoute
+			}
+			e.check.Left(n.index, r.number)
+			if r.conn != nil {
+				r.conn.c.Close()
+				delete(e.closers, r.conn.c)
+			}
+		} else {
+			e.check.Final(e.world.Now(), n.index, r.number, final[f])
+			n.idle = append(n.idle, r.conn)
+		}
+		e.tally.Answered(e.world.Now(), f)
+		e.world.Reply(r.try, f, after)
+	})
+}
+
+var errNoRoute = errors.New("no router there")
+
+// exchange writes a request and reads its answer, on an open connection or a new one.
+func (n *node) exchange(r *request, c *client, left time.Duration) (f model.Final, after time.Duration, err error) {
+	if c == nil {
+		nc, err := net.DialTimeout("tcp", n.addr, time.Second)
+		if err != nil {
+			return 0, 0, errNoRoute
+		}
+		if !n.e.keep(nc) {
+			return 0, 0, errNoRoute
+		}
+		c = &client{nc, bufio.NewReader(nc)}
+	}
+	n.e.mu.Lock()
+	r.conn = c
+	gone := n.e.tries[r.id] != r
+	n.e.mu.Unlock()
+	if gone {
+		return 0, 0, net.ErrClosed
+	}
+	op := r.try.Op
+	facts := fmt.Sprintf("Pc=%s,d=%d", n.e.day.Classes[op.Class].Name, max(1, left.Milliseconds()))
+	if n.e.day.Classes[op.Class].Effect == "keyed" {
+		facts += fmt.Sprintf(",k=%016x", op.ID)
+	}
+	command := fmt.Sprintf("mg %s v O%s %s\r\n", key(op.Key), r.id, facts)
+	if op.Write {
+		command = fmt.Sprintf("ms %s 2 O%s %s\r\nhi\r\n", key(op.Key), r.id, facts)
+	}
+	if _, err := io.WriteString(c.c, command); err != nil {
+		return 0, 0, err
+	}
+	line, err := c.r.ReadString('\n')
+	if err != nil {
+		return 0, 0, err
+	}
+	word := strings.Fields(line)
+	switch {
+	case len(word) >= 3 && word[0] == "VA" && !op.Write:
+		size, err := strconv.Atoi(word[1])
+		if err != nil || size < 0 || size > 1<<20 {
+			return 0, 0, fmt.Errorf("answer %q", line)
+		}
+		b := make([]byte, size+2)
+		if _, err := io.ReadFull(c.r, b); err != nil {
+			return 0, 0, err
+		}
+		if string(b[:size]) != value(r.id, op.Size) {
+			return 0, 0, errors.New("a value that was not made for this request")
+		}
+		return model.Value, 0, nil
+	case len(word) >= 3 && word[0] == "HD" && op.Write && word[2] == "cr"+r.id:
+		return model.Value, 0, nil
+	case len(word) >= 2 && word[0] == "SERVER_ERROR" && word[1] == "busy":
+		if len(word) > 2 {
+			ms, _ := strconv.Atoi(word[2])
+			after = time.Duration(ms) * time.Millisecond
+		}
+		return model.Refused, after, nil
+	}
+	return model.Failure, 0, nil
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,241 @@
+// Package standin plays a model.Day in real time on loopback sockets, with the
+// router's real program in it: slot caches that speak the meta protocol, an
+// origin that speaks HTTP, a directory, and the clients. What they do is the
+// model's; this package only carries it over sockets.
+//
+// It binds to loopback addresses alone, starts no program but the router that it
+// is told, and ends what it has started.
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"hoptiller/internal/model"
+	"hoptiller/internal/rules"
+	"hoptiller/internal/tally"
+	"hoptiller/internal/unit"
+)
+
+// Options say how a day is played.
+type Options struct {
+	Router string    // the router's program
+	Series bool      // keep what happens second by second
+	Log    io.Writer // what routers write; nil for none
+	// Progress, if set, is called once a second while no step is taken.
+	Progress func(now time.Duration, w *model.World, t *tally.Tally)
+}
+
+// slack is what a rule's time limits are longer on sockets: what is seen here is later than what was done.
+const slack = 50 * time.Millisecond
+
+// Engine is one day that is played. The world is guarded by mu: whoever has it
+// may take steps up to the present.
+type Engine struct {
+	opt   Options
+	day   *model.Day
+	ctx   context.Context
+	wake  chan struct{}
+	done  sync.WaitGroup
+	begun time.Time
+
+	mu      sync.Mutex
+	world   *model.World
+	tally   *tally.Tally
+	check   *rules.Checker
+	nodes   []*node
+	tries   map[string]*request // by id, of requests that are open
+	nextID  uint64
+	closing bool
+	closers map[io.Closer]bool
+}
+
+// request is one try of a client on its way through a router.
+type request struct {
+	try    *model.Try
+	id     string
+	number uint32 // at its router, for the rules
+	calls  int
+	conn   *client // that carries it
+}
+
+// Run plays a day, which must have passed Check, and then ends all that it has started.
+func Run(ctx context.Context, day *model.Day, opt Options) (*tally.Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	e := &Engine{opt: opt, day: day, ctx: ctx, wake: make(chan struct{}, 1), tries: map[string]*request{},
+		closers: map[io.Closer]bool{}, begun: time.Now()}
+	judged := *day
+	judged.Rules.Drain += unit.Duration(slack)
+	judged.Rules.Grace += unit.Duration(slack)
+	judged.Rules.Copies = true // whether a call has ended before the next began can't be told from here
+	e.check = rules.New(&judged)
+	e.tally = tally.New(day, opt.Series)
+	defer e.done.Wait()
+	defer e.close()
+	defer cancel()
+	e.world = model.New(day, (*tier)(e), (*steward)(e), (*watcher)(e))
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	for i := range e.nodes {
+		if err := e.nodes[i].start(); err != nil {
+			return nil, err
+		}
+	}
+	for _, n := range e.nodes {
+		if err := n.ready(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return e.play(ctx)
+}
+
+// play takes the world's steps as they fall due. The day begins now, not when its parts were started.
+func (e *Engine) play(ctx context.Context) (*tally.Result, error) {
+	e.mu.Lock()
+	e.begun = time.Now()
+	e.mu.Unlock()
+	longest := time.Duration(0)
+	for _, c := range e.day.Classes {
+		longest = max(longest, c.Deadline.D())
+	}
+	end := e.world.End() + longest + time.Second
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	second := time.Second
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timer.C:
+		case <-e.wake:
+		}
+		e.mu.Lock()
+		e.step()
+		now := e.world.Now()
+		if now >= second && now < e.world.End()+time.Second {
+			second += time.Second
+			e.tally.Sample(e.world)
+			if e.opt.Progress != nil {
+				e.opt.Progress(now, e.world, e.tally)
+			}
+		}
+		due, ok := e.world.Due()
+		if now >= end {
+			e.check.Finish(now)
+			r := e.tally.Result(e.world, e.check)
+			e.closing = true
+			e.mu.Unlock()
+			return r, nil
+		}
+		e.mu.Unlock()
+		if due = min(due, second); !ok {
+			due = second
+		}
+		timer.Reset(max(0, due-time.Since(e.begun)))
+	}
+}
+
+// step takes all steps up to the present; e.mu is held.
+func (e *Engine) step() { e.world.RunUntil(time.Since(e.begun)) }
+
+// do has something happen in the world now.
+func (e *Engine) do(run func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closing {
+		return
+	}
+	e.step()
+	run()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// listen opens a listener for each pair of router and server, and for the directory of each router: a
+// router reaches every party at addresses of its own, by which it is known.
+func (e *Engine) listen() error {
+	for i := range e.day.Routers {
+		n := &node{e: e, index: i, servers: map[int]net.Listener{}}
+		e.nodes = append(e.nodes, n)
+		if err := n.listenDirectory(); err != nil {
+			return err
+		}
+		for s := range e.world.Servers() {
+			if err := n.listenServer(s); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// keep has something closed at the end, unless forget says that it is.
+func (e *Engine) keep(c io.Closer) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closing {
+		c.Close()
+		return false
+	}
+	e.closers[c] = true
+	return true
+}
+
+func (e *Engine) forget(c io.Closer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.closers, c)
+}
+
+func (e *Engine) close() {
+	e.mu.Lock()
+	e.closing = true
+	for c := range e.closers {
+		c.Close()
+	}
+	nodes := e.nodes
+	e.mu.Unlock()
+	for _, n := range nodes {
+		n.kill()
+	}
+}
+
+// goes runs something until the engine has ended.
+func (e *Engine) goes(run func()) {
+	e.done.Add(1)
+	go func() {
+		defer e.done.Done()
+		run()
+	}()
+}
+
+// newRequest gives a try its id.
+func (e *Engine) newRequest(t *model.Try) *request {
+	e.nextID++
+	r := &request{try: t, id: fmt.Sprintf("%016x", e.nextID), number: uint32(e.nextID)}
+	e.tries[r.id] = r
+	return r
+}
+
+// value is what is answered to one request, and to no other.
+func value(id string, size float64) string {
+	n := max(len(id), min(60000, int(200*size)))
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = id[i%len(id)]
+	}
+	return string(b)
+}
+
+func key(k uint64) string {
+	s := strconv.FormatUint(k, 16)
+	return "0000000000000000"[len(s):] + s
+}
--- /dev/null
+++ b/internal/standin/node.go
@@ -0,0 +1,238 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"hoptiller/internal/model"
+)
+
+// node is one router and the addresses at which it finds all others.
+type node struct {
+	e         *Engine
+	index     int
+	addr      string // at which it serves clients
+	directory string
+	servers   map[int]net.Listener // guarded by e.mu
+
+	mu      sync.Mutex
+	program *exec.Cmd
+	ended   chan struct{}
+
+	idle []*client // connections of clients without a request, guarded by e.mu
+}
+
+// loopback listens on a free port of an address that only one router uses.
+func loopback(router int) (net.Listener, error) {
+	return net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", 1+router/250, 1+router%250))
+}
+
+// config writes the file that the router is started with.
+func (n *node) config() (string, error) {
+	e := n.e
+	dir, err := os.MkdirTemp("", "hoplab")
+	if err != nil {
+		return "", err
+	}
+	e.mu.Lock()
+	present := model.Update{Full: true, Members: e.world.Directory.Present()}
+	known := n.listing(present)
+	e.check.Told(e.world.Now(), n.index, present)
+	e.mu.Unlock()
+	c := map[string]any{
+		"name": fmt.Sprintf("n%d", n.index), "listen": n.addr, "discovery": n.directory, "seed": fmt.Sprintf("%016x", e.day.Seed+uint64(n.index)),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":  known, "settings": SettingsJSON(e.day, n.index),
+	}
+	text, err := json.Marshal(c)
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "config.json")
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+// start starts the router's process.
+func (n *node) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.addr == "" {
+		l, err := loopback(n.index)
+		if err != nil {
+			return err
+		}
+		n.addr = l.Addr().String()
+		l.Close()
+	}
+	path, err := n.config()
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(n.e.opt.Router)
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path)
+	cmd.Stdout, cmd.Stderr = n.e.opt.Log, n.e.opt.Log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("starting the router: %w", err)
+	}
+	ended := make(chan struct{})
+	n.program, n.ended = cmd, ended
+	go func() {
+		cmd.Wait()
+		close(ended)
+		os.RemoveAll(filepath.Dir(path))
+	}()
+	return nil
+}
+
+// ready waits until the router answers.
+func (n *node) ready(ctx context.Context) error {
+	for range 200 {
+		if c, err := net.Dial("tcp", n.addr); err == nil {
+			c.SetDeadline(time.Now().Add(time.Second))
+			fmt.Fprint(c, "mn\r\n")
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			c.Close()
+			if line == "MN\r\n" {
+				return nil
+			}
+		}
+		select {
+		case <-n.ended:
+			return errors.New("the router has ended; see what it logged")
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return errors.New("the router does not answer")
+}
+
+func (n *node) signal(s os.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.program != nil {
+		n.program.Process.Signal(s)
+	}
+}
+
+func (n *node) stop() { n.signal(syscall.SIGTERM) }
+
+// kill ends the process and waits for that.
+func (n *node) kill() {
+	n.signal(syscall.SIGKILL)
+	n.mu.Lock()
+	ended := n.ended
+	n.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// listing is an update in the directory's form; e.mu is held.
+func (n *node) listing(u model.Update) map[string]any {
+	list := []map[string]any{}
+	for _, m := range u.Members {
+		l := n.servers[m.Index]
+		if l == nil {
+			continue
+		}
+		kind := "origin"
+		if !m.Origin {
+			kind = n.e.day.Kinds[m.Kind].Name
+		}
+		entry := map[string]any{"id": fmt.Sprintf("s-%08x", m.ID), "addr": l.Addr().String(), "zone": zone(m.Zone),
+			"kind": kind, "cell": m.Cell, "weight": m.Weight, "started_ms": 0,
+			"state": [...]string{model.Gone: "left", model.Draining: "leaving", model.Ready: "active"}[m.Phase]}
+		if m.Started > 0 {
+			entry["started_ms"] = n.e.begun.Add(m.Started).UnixMilli()
+		}
+		list = append(list, entry)
+	}
+	return map[string]any{"version": n.e.world.Directory.Version(), "full": u.Full, "servers": list}
+}
+
+func zone(i int) string { return fmt.Sprintf("z%d", i) }
+
+// listenDirectory serves the directory to one router.
+func (n *node) listenDirectory() error {
+	l, err := loopback(n.index)
+	if err != nil {
+		return err
+	}
+	n.directory = l.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", n.serveDirectory)
+	server := &http.Server{Handler: mux}
+	n.e.keep(server)
+	n.e.goes(func() { server.Serve(l) })
+	return nil
+}
+
+func (n *node) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	e := n.e
+	watching := r.URL.Query().Get("watch") == "1"
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	updates := make(chan []byte, 256) // the text of each; empty for the end
+	told := func(u model.Update) {
+		var text []byte
+		if !u.Failed {
+			text, _ = json.Marshal(n.listing(u))
+		}
+		e.check.Told(e.world.Now(), n.index, u)
+		select {
+		case updates <- text:
+		default:
+		}
+	}
+	e.do(func() {
+		if watching {
+			e.world.Directory.Join(n.index, after, told)
+			e.check.Watches(n.index, true)
+		}
+		e.world.Directory.Ask(n.index, !watching, watching, told)
+	})
+	if watching {
+		defer e.do(func() {
+			e.check.Watches(n.index, false)
+			e.world.Directory.Ask(n.index, false, false, nil)
+		})
+	}
+	flush := http.NewResponseController(w)
+	tick := time.NewTicker(2 * time.Second)
+	defer tick.Stop()
+	for first := true; ; first = false {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-e.ctx.Done():
+			return
+		case <-tick.C:
+			if !first {
+				fmt.Fprintln(w)
+			}
+		case text := <-updates:
+			if text == nil {
+				if first {
+					http.Error(w, "not now", http.StatusServiceUnavailable)
+				}
+				return
+			}
+			if fmt.Fprintf(w, "%s\n", text); !watching {
+				return
+			}
+		}
+		flush.Flush()
+	}
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,223 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/meta"
+	"hoptiller/internal/model"
+)
+
+// listenServer opens the address at which a router finds a server.
+func (n *node) listenServer(server int) error {
+	n.e.mu.Lock()
+	defer n.e.mu.Unlock()
+	return n.listenServerLocked(server)
+}
+
+func (n *node) listenServerLocked(server int) error {
+	l, err := loopback(n.index)
+	if err != nil {
+		return err
+	}
+	n.servers[server] = l
+	n.e.closers[l] = true
+	n.e.goes(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n.e.goes(func() { n.serve(server, c) })
+		}
+	})
+	return nil
+}
+
+// link is a connection of a router to a server: a socket on one side, the model's on the other.
+type link struct {
+	n      *node
+	server int
+	c      net.Conn
+	out    chan []byte
+	opened chan struct{}
+	once   sync.Once
+
+	conn  *model.Conn // guarded by e.mu, as is the rest
+	calls map[*model.Call]*request
+	ended bool
+}
+
+const mostOut = 256 // answers that wait to be written; a router that reads none is not waited for
+
+func (n *node) serve(server int, c net.Conn) {
+	e := n.e
+	if !e.keep(c) {
+		return
+	}
+	defer e.forget(c)
+	l := &link{n: n, server: server, c: c, out: make(chan []byte, mostOut), opened: make(chan struct{}),
+		calls: map[*model.Call]*request{}}
+	e.goes(func() {
+		for b := range l.out {
+			c.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			if _, err := c.Write(b); err != nil {
+				c.Close()
+			}
+		}
+	})
+	e.do(func() { l.conn = e.world.Dial(n.index, server, l) })
+	l.read()
+	c.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l.ended = true
+	close(l.out)
+	if e.closing || l.conn == nil {
+		return
+	}
+	e.step()
+	for call, r := range l.calls {
+		e.check.Ended(e.world.Now(), n.index, r.number, call.Attempt, hoptiller.Cancelled)
+		e.tally.Closed(hoptiller.Cancelled)
+	}
+	l.conn.Close()
+}
+
+// read takes calls until the connection ends.
+func (l *link) read() {
+	r := bufio.NewReader(l.c)
+	if _, err := r.Peek(1); err != nil {
+		return
+	}
+	<-l.opened // nothing is read before the handshake is over
+	if l.server == 0 {
+		l.readOrigin(r)
+		return
+	}
+	var b []byte
+	buf := make([]byte, 16<<10)
+	for {
+		for {
+			c, used, err := meta.ParseCommand(b)
+			if err != nil || used == 0 && len(b) > 1<<20 {
+				l.say("CLIENT_ERROR bad command\r\n")
+				return
+			}
+			if used == 0 {
+				break
+			}
+			l.call(string(c.ID))
+			b = b[used:]
+		}
+		k, err := r.Read(buf)
+		if b = append(b, buf[:k]...); err != nil {
+			return
+		}
+	}
+}
+
+func (l *link) readOrigin(r *bufio.Reader) {
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		l.call(q.Header.Get("X-Correlation-Id"))
+	}
+}
+
+// call passes a call on to the model.
+func (l *link) call(id string) {
+	e := l.n.e
+	e.do(func() {
+		r := e.tries[id]
+		if r == nil { // its client has gone, and with it what is known of the request
+			l.write([]byte("SERVER_ERROR busy\r\n"), []byte("HTTP/1.1 503 gone\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"))
+			return
+		}
+		call := &model.Call{Try: r.try, Attempt: r.calls}
+		r.calls++
+		l.calls[call] = r
+		e.check.Sent(e.world.Now(), l.n.index, r.number, l.server)
+		m := e.world.Member(l.server)
+		e.tally.Called(m.Zone != l.n.index%e.day.Zones)
+		l.conn.Send(call)
+	})
+}
+
+func (l *link) write(cache, origin []byte) {
+	if l.ended {
+		return
+	}
+	if l.server == 0 {
+		cache = origin
+	}
+	select {
+	case l.out <- cache:
+	default:
+		l.c.Close()
+	}
+}
+
+func (l *link) say(text string) { l.c.Write([]byte(text)) }
+
+// Opened implements model.Holder.
+func (l *link) Opened(*model.Conn) { l.once.Do(func() { close(l.opened) }) }
+
+// Refused implements model.Holder.
+func (l *link) Refused(*model.Conn) { l.Lost(nil) }
+
+// Lost implements model.Holder.
+func (l *link) Lost(*model.Conn) {
+	for call, r := range l.calls {
+		l.n.e.check.Ended(l.n.e.world.Now(), l.n.index, r.number, call.Attempt, hoptiller.Reset)
+		l.n.e.tally.Closed(hoptiller.Reset)
+	}
+	clear(l.calls)
+	if tcp, ok := l.c.(*net.TCPConn); ok {
+		tcp.SetLinger(0) // as when a process dies
+	}
+	l.c.Close()
+	l.once.Do(func() { close(l.opened) })
+}
+
+// Answered implements model.Holder.
+func (l *link) Answered(call *model.Call, a model.Answer) {
+	r := l.calls[call]
+	if r == nil {
+		return
+	}
+	delete(l.calls, call)
+	e := l.n.e
+	status := [...]hoptiller.Status{model.Served: hoptiller.OK, model.Missed: hoptiller.Miss, model.Failed: hoptiller.ServerError,
+		model.Busy: hoptiller.Full}[a]
+	e.check.Ended(e.world.Now(), l.n.index, r.number, call.Attempt, status)
+	e.tally.Closed(status)
+	text := value(r.id, call.Try.Op.Size)
+	if call.Try.Op.Write {
+		text = "r" + r.id
+	}
+	var cache, origin string
+	switch a {
+	case model.Served:
+		cache = fmt.Sprintf("VA %d O%s h1\r\n%s\r\n", len(text), r.id, text)
+		origin = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	case model.Missed:
+		cache = fmt.Sprintf("EN O%s h0\r\n", r.id)
+	case model.Failed:
+		cache, origin = "SERVER_ERROR failed\r\n", "HTTP/1.1 500 failed\r\nContent-Length: 0\r\n\r\n"
+	case model.Busy:
+		cache, origin = "SERVER_ERROR busy\r\n", "HTTP/1.1 503 busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	l.write([]byte(cache), []byte(origin))
+}
--- a/internal/sim/tally.go
+++ b/internal/tally/tally.go
@@ -1,4 +1,6 @@
-package sim
+// Package tally counts what becomes of a day, whichever engine plays it, and sums it
+// up in a Result. It sees all that happens and must not be shown to a router.
+package tally
 
 import (
 	"cmp"
@@ -75,8 +77,8 @@
 	Text string  `json:"text"`
 }
 
-// tally counts.
-type tally struct {
+// Tally counts. Make one with New; it is not safe for concurrent use.
+type Tally struct {
 	day       *model.Day
 	series    *Series
 	from      time.Duration // of the day proper
@@ -110,8 +112,9 @@
 	times         *hdrhistogram.Histogram
 }
 
-func newTally(day *model.Day, series bool) *tally {
-	t := &tally{day: day, from: day.Warm.D(), sampled: day.Warm.D()}
+// New returns a Tally of a day; series tells whether to keep what happens second by second.
+func New(day *model.Day, series bool) *Tally {
+	t := &Tally{day: day, from: day.Warm.D(), sampled: day.Warm.D()}
 	t.seconds = make([]second, int(day.Length.Seconds())+1)
 	for range day.Classes {
 		t.classes = append(t.classes, class{times: hdrhistogram.New(1, 600e6, 3)})
@@ -123,14 +126,15 @@
 }
 
 // at finds the second of a time; nil before the day proper or after it.
-func (t *tally) at(now time.Duration) *second {
+func (t *Tally) at(now time.Duration) *second {
 	if i := int((now - t.from) / time.Second); now >= t.from && i < len(t.seconds) {
 		return &t.seconds[i]
 	}
 	return nil
 }
 
-func (t *tally) ended(op *model.Op) {
+// Ended takes the end of what a client wanted.
+func (t *Tally) Ended(op *model.Op) {
 	s := t.at(op.At)
 	if s == nil {
 		return
@@ -157,41 +161,57 @@
 	}
 }
 
-func (t *tally) answered(now time.Duration, f model.Final) {
+// Answered takes a router's final answer.
+func (t *Tally) Answered(now time.Duration, f model.Final) {
 	t.finals[f]++
 	if s := t.at(now); s != nil && f == model.Refused {
 		s.refused++
 	}
 }
 
-func (t *tally) fetched(now time.Duration, call *model.Call) {
+// Fetched takes a call that has come to the origin.
+func (t *Tally) Fetched(now time.Duration, call *model.Call) {
 	if s := t.at(now); s != nil && !call.Try.Op.Write {
 		s.fetches++
 	}
 }
 
-func (t *tally) called(now time.Duration, r *router, m model.Member) {
+// Taken takes a request that has come to a router.
+func (t *Tally) Taken() { t.taken++ }
+
+// Called takes a call; cross tells that it goes to another zone.
+func (t *Tally) Called(cross bool) {
 	t.calls++
-	if m.Zone != r.index%t.day.Zones {
+	if cross {
 		t.cross++
 	}
 }
 
-func (t *tally) fault(now time.Duration, text string) {
+// Closed takes the end of a call.
+func (t *Tally) Closed(s hoptiller.Status) { t.ends[s]++ }
+
+// Fell takes the fall of a cold cache.
+func (t *Tally) Fell() { t.falls++ }
+
+// Told takes a message between routers of so many bytes.
+func (t *Tally) Told(bytes int) { t.peerBytes += bytes }
+
+// Fault takes the beginning or end of a fault.
+func (t *Tally) Fault(now time.Duration, text string) {
 	if t.series != nil {
 		t.series.Faults = append(t.series.Faults, SeriesFault{(now - t.from).Seconds(), text})
 	}
 }
 
-// log keeps the first lines that routers log.
-func (t *tally) log(now time.Duration, router int, text string) {
+// Log keeps the first lines that routers log.
+func (t *Tally) Log(now time.Duration, router int, text string) {
 	if len(t.logs) < 200 {
 		t.logs = append(t.logs, fmt.Sprintf("%10.3f s  router %d: %s", (now-t.from).Seconds(), router, text))
 	}
 }
 
-// sample looks at the caches once a second.
-func (t *tally) sample(w *model.World) {
+// Sample looks at the caches once a second.
+func (t *Tally) Sample(w *model.World) {
 	now := w.Now()
 	if now < t.sampled+time.Second {
 		return
@@ -229,11 +249,11 @@
 	return a / b
 }
 
-func (t *tally) result(of *tier) *Result {
-	w := of.world
+// Result sums up, when the day is over.
+func (t *Tally) Result(w *model.World, check *rules.Checker) *Result {
 	r := &Result{Asked: t.asked, Tries: float64(t.tries) / float64(max(t.asked, 1)), Taken: t.taken, Waste: w.Waste / max(t.work, 1e-9),
-		Stops: w.Origin.Stops, Falls: t.falls, Broken: of.check.Count, Violations: of.check.Found, ColdPeak: t.coldPeak,
-		Answers: map[string]int{}, Outcomes: map[string]int{}, Story: of.story, Log: t.logs, Series: t.series}
+		Stops: w.Origin.Stops, Falls: t.falls, Broken: check.Count, Violations: check.Found, ColdPeak: t.coldPeak,
+		Answers: map[string]int{}, Outcomes: map[string]int{}, Log: t.logs, Series: t.series}
 	taken := float64(max(t.taken, 1))
 	r.Calls, r.CrossZone = float64(t.calls)/taken, float64(t.cross)/taken
 	r.NewConns, r.PeerBytes = float64(w.Handshakes)/taken, float64(t.peerBytes)/taken
@@ -241,7 +261,7 @@
 		r.Answers[name] = t.finals[f]
 	}
 	for s, n := range t.ends {
-		r.Outcomes[statusNames[s]] = n
+		r.Outcomes[StatusNames[s]] = n
 	}
 	var asked, served float64
 	fetches, peak := 0, 0
@@ -280,3 +300,8 @@
 	slices.SortStableFunc(r.Violations, func(a, b rules.Violation) int { return cmp.Compare(a.At, b.At) })
 	return r
 }
+
+// StatusNames are the ends of a call in words.
+var StatusNames = [...]string{hoptiller.OK: "served", hoptiller.ServerError: "error", hoptiller.Full: "turned away",
+	hoptiller.Timeout: "timed out", hoptiller.ConnectFailed: "no connection", hoptiller.Reset: "reset",
+	hoptiller.Cancelled: "cancelled", hoptiller.Moot: "moot", hoptiller.Miss: "miss"}
