--- a/cmd/hoplab/main.go
+++ b/cmd/hoplab/main.go
@@ -23,6 +23,9 @@
 var errFinding = errors.New("found")
 
 type cli struct {
+	Demo    demoCmd    `cmd:"" help:"A fleet, its routers and load in one, on loopback sockets, with a live summary."`
+	Fleet   fleetCmd   `cmd:"" help:"The stand-ins alone: slot caches, origin and directory for routers that you start."`
+	Load    loadCmd    `cmd:"" help:"Send load to routers and measure it."`
 	Run     runCmd     `cmd:"" help:"Play an experiment and keep its results."`
 	Compare compareCmd `cmd:"" help:"Set two results against each other, with confidence intervals."`
 	Plot    plotCmd    `cmd:"" help:"Draw results as SVG or PNG."`
--- /dev/null
+++ b/cmd/hoplab/sockets.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"hoptiller/internal/experiment"
+	"hoptiller/internal/load"
+	"hoptiller/internal/model"
+	"hoptiller/internal/standin"
+	"hoptiller/internal/tally"
+	"hoptiller/internal/unit"
+)
+
+// fleetFlags say what a fleet on sockets is like.
+type fleetFlags struct {
+	Caches  int           `help:"Slot caches." default:"6"`
+	Routers int           `help:"Routers." default:"2"`
+	For     time.Duration `help:"How long to go on." default:"1m"`
+	Seed    uint64        `help:"Seed of the day." default:"1"`
+}
+
+func (f *fleetFlags) day() model.Day {
+	day := model.Prairie()
+	day.Fleet.Caches, day.Routers, day.Seed, day.Length = f.Caches, f.Routers, f.Seed, unit.Duration(f.For)
+	return day
+}
+
+type demoCmd struct {
+	fleetFlags `embed:""`
+	Level      float64 `help:"Load, as a part of the fleet's capacity." default:"0.5"`
+	Fault      string  `help:"What goes wrong a third of the way; see hoplab kinds." default:"crash"`
+	Router     string  `help:"The router's program." default:"bin/hoptiller" type:"existingfile"`
+	Log        string  `help:"File for what the routers log." default:"" type:"path"`
+}
+
+func (c *demoCmd) Run(ctx context.Context) error {
+	day := c.day()
+	day.Load.Level, day.Warm = c.Level, unit.Duration(5*time.Second)
+	if c.Fault != "" && c.Fault != "none" {
+		day.Faults = []model.Fault{{Kind: c.Fault, At: day.Length / 3, For: day.Length / 6, Part: 0.2, Size: 0.3, Count: 1,
+			Gap: unit.Duration(2 * time.Second)}}
+		switch c.Fault {
+		case "resets":
+			day.Faults[0].Size = 10
+		case "origin_slow":
+			day.Faults[0].Size = 3
+		}
+	}
+	if err := day.Check(); err != nil {
+		return err
+	}
+	var log io.Writer
+	if c.Log != "" {
+		f, err := os.Create(c.Log)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		log = f
+	}
+	fmt.Printf("%d slot caches, %d routers, an origin and a directory on loopback; %v of load at %.2f of capacity, %s on the way\n",
+		c.Caches, c.Routers, c.For, c.Level, c.Fault)
+	fmt.Println("      s  asked  within aim  refused  fetches  caches up")
+	r, err := standin.Run(ctx, &day, standin.Options{Router: c.Router, Log: log, Progress: func(now time.Duration, w *model.World, t *tally.Tally) {
+		at := int((now-day.Warm.D())/time.Second) - 2 // what was asked two seconds ago has its answers
+		s, ok := t.Second(at)
+		if !ok {
+			fmt.Println("   warming up")
+			return
+		}
+		up := 0
+		for _, cache := range w.Caches {
+			if cache.Up() {
+				up++
+			}
+		}
+		fmt.Printf("  %5d  %5d       %4.0f %%    %5d    %5d      %3d\n", at, s.Asked, 100*s.Service, s.Refused, s.Fetches, up)
+	}})
+	if errors.Is(err, context.Canceled) {
+		fmt.Println("stopped")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return experiment.WriteSummary(os.Stdout, []*experiment.Record{{Experiment: "demo", Policy: "hoptiller", Seed: c.Seed, Result: r}}, "")
+}
+
+type fleetCmd struct {
+	fleetFlags `embed:""`
+	Dir        string `help:"Folder for the routers' configurations." default:"fleet" type:"path"`
+}
+
+func (c *fleetCmd) Run(ctx context.Context) error {
+	day := c.day()
+	day.Load.Level, day.Warm = 0, 0
+	if err := day.Check(); err != nil {
+		return err
+	}
+	fmt.Printf("%d slot caches, an origin and a directory; each router finds them at addresses of its own. Start routers with\n", c.Caches)
+	for i := range c.Routers {
+		fmt.Printf("  RELAY_CONFIG=%s bin/hoptiller\n", filepath.Join(c.Dir, fmt.Sprintf("router%d", i), "config.json"))
+	}
+	_, err := standin.Run(ctx, &day, standin.Options{Dir: c.Dir})
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+type loadCmd struct {
+	Addrs   []string      `arg:"" help:"Routers' addresses, on loopback."`
+	Rate    float64       `help:"Requests a second; 0: as many as the connections carry." default:"100"`
+	For     time.Duration `help:"How long to send." default:"10s"`
+	Conns   int           `help:"Connections at the most." default:"200"`
+	Keys    int           `help:"Different keys." default:"600"`
+	Zipf    float64       `help:"Exponent of the keys' popularity." default:"1"`
+	Retries int           `help:"Repeats of a request that is told to come back." default:"2"`
+	Seed    uint64        `help:"Seed of times and keys." default:"1"`
+	JSON    bool          `help:"Report as a line of JSON."`
+}
+
+func (c *loadCmd) Run(ctx context.Context) error {
+	p := load.Plan{Addrs: c.Addrs, Rate: c.Rate, For: c.For, Conns: c.Conns, Keys: c.Keys, Zipf: c.Zipf, Offset: 3, Seed: c.Seed,
+		Retries: c.Retries, Value: 2}
+	day := model.Prairie()
+	for _, k := range day.Classes {
+		p.Classes = append(p.Classes, load.Class{Name: k.Name, Share: k.Share, Aim: k.Aim.D(), Deadline: k.Deadline.D(), Worth: k.Worth,
+			Write: k.Write})
+	}
+	if terminal(os.Stderr) {
+		p.Progress = func(r *load.Report) {
+			fmt.Fprintf(os.Stderr, "\r%4.0f s  %6.0f/s  %.4f within aim, p99 %.1f ms ", r.Seconds, r.Rate, r.Classes[0].Service, r.Classes[0].P99)
+		}
+		defer fmt.Fprintln(os.Stderr)
+	}
+	r, err := load.Run(ctx, p)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return r.WriteJSON(os.Stdout)
+	}
+	return r.WriteText(os.Stdout)
+}
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -71,7 +71,11 @@
 			w.meanWork += c.Share * c.Work.Seconds()
 		}
 	}
-	w.Rate = day.Load.Level * capacity / max(w.meanWork, 1e-6) * all
+	level := day.Load.Level
+	if level == 0 {
+		level = 0.5 // nobody asks, but the origin is made for some load
+	}
+	w.Rate = level * capacity / max(w.meanWork, 1e-6) * all
 	w.meanWork /= max(reads, 1e-9)
 	w.Origin = w.newOrigin(0)
 	w.hosts[0] = &w.Origin.host
@@ -89,7 +93,9 @@
 		w.schedule(i, &day.Faults[i])
 	}
 	w.clients.drift(Stream(day.Seed, "drift", 0))
-	w.clients.run(day.Warm.D() + day.Length.D())
+	if day.Load.Level > 0 {
+		w.clients.run(day.Warm.D() + day.Length.D())
+	}
 	return w
 }
 
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,216 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"hoptiller"
+)
+
+// caller answers calls by a script and keeps what it was asked.
+type caller struct {
+	mu     sync.Mutex
+	script []Result // in turn; the last one goes on
+	asked  []string
+	block  chan struct{} // if set, a call waits until its context ends, and then tells here
+	keeps  bool          // has connections, so that nothing is forgotten
+}
+
+func (c *caller) note(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = append(c.asked, fmt.Sprintf(format, args...))
+}
+
+func (c *caller) Call(ctx context.Context, server uint32, inv *Invocation) Result {
+	c.note("call %d", server)
+	if c.block != nil {
+		c.block <- struct{}{}
+		<-ctx.Done()
+		return Result{Status: hoptiller.Cancelled}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.script[0]
+	if len(c.script) > 1 {
+		c.script = c.script[1:]
+	}
+	return r
+}
+
+func (c *caller) Update(s Server, moved bool) {
+	c.note("update %d phase %d moved %v", s.ID, s.Phase, moved)
+}
+func (c *caller) Forget(server uint32) bool { c.note("forget %d", server); return !c.keeps }
+func (c *caller) CloseIdle(server uint32)   { c.note("idle %d", server) }
+
+func (c *caller) said() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	said := c.asked
+	c.asked = nil
+	return said
+}
+
+var set = hoptiller.Settings{Balancers: 1, Aside: true, OriginKind: 1, MaxAttempts: 3, MayCancel: true, RetryAfter: true,
+	MaxRetryAfter: 2 * time.Second, Classes: []hoptiller.Class{
+		{Aim: 9 * time.Second, Deadline: 9 * time.Second, Worth: 1},
+		{Aim: 9 * time.Second, Deadline: 9 * time.Second, Worth: 3, Effect: hoptiller.AtMostOnce}}}
+
+func entry(id uint32, phase hoptiller.Phase, origin bool) Server {
+	s := Server{Server: hoptiller.Server{ID: id, Phase: phase, Weight: 1}, Addr: fmt.Sprint("a", id), Origin: origin}
+	if origin {
+		s.Kind = 1
+	}
+	return s
+}
+
+func newRelay(providers, origins []Result) (*Relay, *caller, *caller) {
+	p, o := &caller{script: providers}, &caller{script: origins}
+	r := New(set, 1, p, o)
+	r.Told(hoptiller.ListFull, []Server{entry(1, hoptiller.Ready, false), entry(9, hoptiller.Ready, true)})
+	p.said()
+	o.said()
+	return r, p, o
+}
+
+func invocation(class int, write bool) *Invocation {
+	return &Invocation{Key: []byte("k"), ID: []byte("1"), Class: class, Write: write, Remaining: 5 * time.Second}
+}
+
+// A miss goes to the origin, once the call that missed has ended; the answer is the one that was made for it.
+func TestMissGoesToTheOrigin(t *testing.T) {
+	ended := false
+	r, p, o := newRelay([]Result{{Status: hoptiller.Miss, End: func() { ended = true }}}, []Result{{Status: hoptiller.OK, Data: []byte("v")}})
+	a := r.Serve(context.Background(), invocation(0, false))
+	if a.Kind != hoptiller.StepServed || string(a.Data) != "v" || !ended {
+		t.Errorf("%+v, the first call's end %v", a, ended)
+	}
+	if got := append(p.said(), o.said()...); !slices.Equal(got, []string{"call 1", "call 9"}) {
+		t.Errorf("asked %v", got)
+	}
+	if len(r.live) != 0 {
+		t.Error("an invocation that is over is held")
+	}
+}
+
+// What may have run is not called again where it must not run twice, and is not called harmless.
+func TestBookIsNotRepeated(t *testing.T) {
+	for status, want := range map[hoptiller.Status]hoptiller.StepKind{hoptiller.Reset: hoptiller.StepFail,
+		hoptiller.ServerError: hoptiller.StepFail, hoptiller.Timeout: hoptiller.StepFail} {
+		r, _, o := newRelay([]Result{{}}, []Result{{Status: status}})
+		if a := r.Serve(context.Background(), invocation(1, true)); a.Kind != want {
+			t.Errorf("status %d: %+v", status, a)
+		}
+		if got := o.said(); len(got) != 1 {
+			t.Errorf("status %d: asked %v", status, got)
+		}
+	}
+}
+
+// Where every call is turned away the client is told that trying again is harmless, and when.
+func TestTurnedAway(t *testing.T) {
+	r, _, o := newRelay([]Result{{}}, []Result{{Status: hoptiller.Full}})
+	a := r.Serve(context.Background(), invocation(1, true))
+	if a.Kind != hoptiller.StepReject || a.RetryAfter != 2*time.Second || len(o.said()) > 3 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// When its client leaves, an invocation's call ends, and so does the invocation.
+func TestClientLeaves(t *testing.T) {
+	r, p, _ := newRelay([]Result{{}}, nil)
+	p.block = make(chan struct{})
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan Answer)
+	go func() { done <- r.Serve(ctx, invocation(0, false)) }()
+	<-p.block
+	leave()
+	if a := <-done; a.Kind == hoptiller.StepServed || len(r.live) != 0 {
+		t.Errorf("%+v, %d live", a, len(r.live))
+	}
+}
+
+// A call that the module has withdrawn ends; one that it withdrew before it began is never made.
+func TestWithdrawn(t *testing.T) {
+	r, p, _ := newRelay([]Result{{}}, nil)
+	p.block = make(chan struct{})
+	done := make(chan Answer)
+	go func() { done <- r.Serve(context.Background(), invocation(0, false)) }()
+	<-p.block
+	r.withdraw(hoptiller.CallID{Invocation: 1, Attempt: 0})
+	r.withdraw(hoptiller.CallID{Invocation: 1, Attempt: 1})
+	r.withdraw(hoptiller.CallID{Invocation: 1, Attempt: 2})
+	r.withdraw(hoptiller.CallID{Invocation: 77, Attempt: 0}) // over already
+	<-done
+	if got := p.said(); len(got) != 1 {
+		t.Errorf("asked %v", got)
+	}
+}
+
+// The callers hear of a newcomer before it may be picked and of a drain after it may not; what has left is
+// forgotten as soon as nothing leads to it, and a new start time or address tells that it runs anew.
+func TestTold(t *testing.T) {
+	r, p, _ := newRelay([]Result{{Status: hoptiller.OK}}, []Result{{Status: hoptiller.Full}})
+	p.keeps = true
+	moved := entry(1, hoptiller.Ready, false)
+	moved.Addr = "elsewhere"
+	r.Told(hoptiller.ListDelta, []Server{moved})
+	r.Told(hoptiller.ListDelta, []Server{entry(1, hoptiller.Draining, false)})
+	r.Told(hoptiller.ListFull, []Server{entry(9, hoptiller.Ready, true)})
+	if !r.Knows(1) {
+		t.Error("forgotten while there are connections")
+	}
+	p.keeps = false
+	r.Told(hoptiller.ListDelta, nil)
+	if r.Knows(1) || !r.Knows(9) {
+		t.Error("not forgotten, or the wrong one")
+	}
+	want := []string{"update 1 phase 2 moved true", "update 1 phase 1 moved true", "update 1 phase 0 moved false", "forget 1", "forget 1"}
+	if got := p.said(); !slices.Equal(got, want) {
+		t.Errorf("told %v", got)
+	}
+	if a := r.Serve(context.Background(), invocation(0, false)); a.Kind == hoptiller.StepServed {
+		t.Error("served by a cache that has left")
+	}
+}
+
+// orders is a directory that keeps what it is asked.
+type orders chan string
+
+func (o orders) Watch(on bool) { o <- fmt.Sprint("watch ", on) }
+func (o orders) List()         { o <- "list" }
+
+// The relay opens the watch that the module wants, and asks again when it breaks.
+func TestWatch(t *testing.T) {
+	on := set
+	on.ListOnRequest = true
+	r := New(on, 1, &caller{}, &caller{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	asked := make(orders, 10)
+	go r.Run(ctx, asked)
+	for range 2 {
+		select {
+		case got := <-asked:
+			if got != "watch true" {
+				t.Errorf("asked %q", got)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("no watch")
+		}
+		r.Told(hoptiller.ListFailed, nil)
+	}
+}
+
+// A key's number is what its hexadecimal digits say, else a hash, and never 0.
+func TestKeyNumber(t *testing.T) {
+	if keyNumber([]byte("00000000000000ff")) != 255 || keyNumber([]byte("0000000000000000")) == 0 ||
+		keyNumber([]byte("a")) == keyNumber([]byte("b")) || keyNumber(nil) == 0 {
+		t.Error("wrong number")
+	}
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -6,9 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hoptiller"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/model"
@@ -113,7 +117,8 @@
 			if used == 0 {
 				break
 			}
-			l.call(string(c.ID))
+			class, _ := meta.Fact(c.Facts, "c")
+			l.call(string(c.ID), string(class), string(c.Key), c.Verb == meta.Set)
 			b = b[used:]
 		}
 		k, err := r.Read(buf)
@@ -132,15 +137,24 @@
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
-		l.call(q.Header.Get("X-Correlation-Id"))
+		class, _ := meta.Fact([]byte(q.Header.Get("X-Facts")), "c")
+		l.call(q.Header.Get("X-Correlation-Id"), string(class), strings.TrimPrefix(q.URL.Path, "/"), q.Method == http.MethodPut)
 	}
 }
 
 // call passes a call on to the model.
-func (l *link) call(id string) {
+func (l *link) call(id, class, k string, write bool) {
 	e := l.n.e
 	e.do(func() {
 		r := e.tries[id]
+		if r == nil && e.opt.Router == "" {
+			number, err := strconv.ParseUint(k, 16, 64)
+			if err != nil {
+				number = xxhash.Sum64String(k)
+			}
+			r = e.stranger(id, class, number, write)
+			e.check.Taken(e.world.Now(), l.n.index, r.number, r.try.Op.Class, e.world.Now()+time.Hour)
+		}
 		if r == nil { // its client has gone, and with it what is known of the request
 			l.write([]byte("SERVER_ERROR busy\r\n"), []byte("HTTP/1.1 503 gone\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"))
 			return
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"hoptiller/internal/model"
+	"hoptiller/internal/sim"
+	"hoptiller/internal/unit"
+)
+
+var router string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "standin")
+	if err == nil {
+		router = filepath.Join(dir, "hoptiller")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", router, "hoptiller/cmd/hoptiller").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func span(s float64) unit.Duration { return unit.Duration(s * float64(time.Second)) }
+
+// A day on sockets is served as in virtual time, through a crash, a router that is killed, one that is stopped,
+// a cache that joins and one that leaves; no rule is broken.
+func TestDay(t *testing.T) {
+	day := model.Prairie()
+	day.Warm, day.Length, day.Fleet.Caches, day.Load.Level = span(3), span(6), 6, 0.35
+	day.Directory.Notice = [2]unit.Duration{span(0.1), span(0.3)}
+	day.Clients.Notice = span(0.3)
+	day.Classes[0].Work, day.Classes[1].Deadline, day.Classes[0].Deadline = span(0.05), span(2), span(2)
+	for _, faults := range [][]model.Fault{
+		nil,
+		{{Kind: "crash", At: span(1), For: span(2), Part: 0.2}, {Kind: "router_kill", At: span(2), For: span(1)}},
+		{{Kind: "add", At: span(1)}, {Kind: "drain", At: span(2)}, {Kind: "router_restart", At: span(1)}, {Kind: "resets", At: span(3), For: span(1), Size: 10}},
+	} {
+		t.Run(fmt.Sprint(len(faults)), func(t *testing.T) {
+			t.Parallel()
+			day := day
+			day.Faults = faults
+			if err := day.Check(); err != nil {
+				t.Fatal(err)
+			}
+			r, err := Run(context.Background(), &day, Options{Router: router, Series: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			want, err := sim.Run(context.Background(), &day, sim.Hoptiller, sim.Options{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Broken > 0 {
+				t.Errorf("%d breaches, first %v", r.Broken, r.Violations[0])
+			}
+			// A machine that is busy with other tests is late; how near the two come is a measurement of its own.
+			if r.Asked != want.Asked || r.Service < want.Service-0.25 {
+				t.Errorf("service %.3f of %d, in virtual time %.3f of %d", r.Service, r.Asked, want.Service, want.Asked)
+			}
+		})
+	}
+}
+
+// A program that is no router is told.
+func TestBadRouter(t *testing.T) {
+	day := model.Prairie()
+	for program, want := range map[string]string{"/bin/false": "has ended", "/no/such/program": "starting the router"} {
+		if _, err := Run(context.Background(), &day, Options{Router: program}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", program, err)
+		}
+	}
+}
+
+// A value is its request's own.
+func TestValue(t *testing.T) {
+	if value("aa", 1) == value("ab", 1) || len(value("aa", 0.01)) < 2 || len(value("aa", 1e9)) > 64<<10 {
+		t.Error("values are alike, too short or too long")
+	}
+}
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -241,6 +241,21 @@
 	}
 }
 
+// Second is what happened in one second of the day proper.
+type Second struct {
+	Asked, Refused, Fetches int
+	Service                 float64 // of what was asked in it and has ended
+}
+
+// Last tells of a second that is over, counted from 0.
+func (t *Tally) Second(i int) (s Second, ok bool) {
+	if i < 0 || i >= len(t.seconds) {
+		return s, false
+	}
+	x := &t.seconds[i]
+	return Second{x.ops, x.refused, x.fetches, part(x.served, x.asked)}, true
+}
+
 // part is a over b, or 1 where nothing was asked for.
 func part(a, b float64) float64 {
 	if b <= 0 {
