--- a/cmd/hoplab/sockets.go
+++ b/cmd/hoplab/sockets.go
@@ -43,7 +43,7 @@
 
 func (c *demoCmd) Run(ctx context.Context) error {
 	day := c.day()
-	day.Load.Level, day.Warm = c.Level, unit.Duration(5*time.Second)
+	day.Load.Level, day.Warm, day.Fill = c.Level, unit.Duration(3*time.Second), true
 	if c.Fault != "" && c.Fault != "none" {
 		day.Faults = []model.Fault{{Kind: c.Fault, At: day.Length / 3, For: day.Length / 6, Part: 0.2, Size: 0.3, Count: 1,
 			Gap: unit.Duration(2 * time.Second)}}
--- a/internal/model/client.go
+++ b/internal/model/client.go
@@ -135,14 +135,33 @@
 	if hot < c.hotPart && len(c.hot) > 0 {
 		op.Key = c.hot[int(which*float64(len(c.hot)))]
 	}
-	sizes := rand.New(rand.NewPCG(op.Key, day.Seed))
-	op.Size = lognormal(sizes, day.Load.Sizes)
+	op.Size = c.w.size(op.Key)
 	op.patience = between(r, day.Clients.Try[0], day.Clients.Try[1])
 	op.honours = r.Float64() < day.Clients.Honour
 	op.jitter = r.Float64()
 	return op
 }
 
+// size is that of a key's object.
+func (w *World) size(key uint64) float64 {
+	return lognormal(rand.New(rand.NewPCG(key, w.day.Seed)), w.day.Load.Sizes)
+}
+
+// Fill puts each key, the most popular ones last, into the cache that is its home; home gives a server's
+// id, or 0 for none.
+func (w *World) Fill(home func(key uint64) uint32) {
+	byID := map[uint32]*Cache{}
+	for _, c := range w.Caches {
+		byID[w.Member(c.index).ID] = c
+	}
+	for i := len(w.clients.ranks) - 1; i >= 0; i-- {
+		key := w.clients.ranks[i]
+		if c := byID[home(key)]; c != nil {
+			c.store.put(key, w.size(key))
+		}
+	}
+}
+
 // ask sends a try to a router of the client's zone.
 func (c *clients) ask(op *Op, n int) {
 	class := &c.w.day.Classes[op.Class]
--- a/internal/model/day.go
+++ b/internal/model/day.go
@@ -11,6 +11,7 @@
 type Day struct {
 	Seed    uint64        `toml:"seed"`
 	Warm    unit.Duration `toml:"warm"`    // before the day proper, with an origin that never tires; not counted
+	Fill    bool          `toml:"fill"`    // caches begin with what a router would have asked them for: large fleets are never warm in seconds
 	Length  unit.Duration `toml:"length"`  // of what is counted
 	Routers int           `toml:"routers"` // spread evenly over the zones
 	Zones   int           `toml:"zones"`
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -57,6 +57,9 @@
 	t.tally = tally.New(day, opt.Series)
 	t.routers = make([]*router, day.Routers)
 	t.world = model.New(day, t, t, t)
+	if day.Fill {
+		t.world.Fill(Homes(day, policy, t.world.Directory.Present()))
+	}
 	for i := range t.routers {
 		t.Start(i)
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -280,6 +280,19 @@
 	}
 }
 
+// Caches that begin full serve from the first second on, with every policy that has homes.
+func TestFill(t *testing.T) {
+	for _, policy := range []Policy{Hoptiller, rival.New("ring"), rival.New("maglev")} {
+		day := shortDay()
+		day.Warm = 0
+		empty := play(t, day, policy, Options{})
+		day.Fill = true
+		if r := play(t, day, policy, Options{}); r.Outcomes["miss"] > empty.Outcomes["miss"]*3/4 || r.Service < empty.Service || r.Service < 0.95 {
+			t.Errorf("service %.3f with %d misses, %.3f with %d from empty", r.Service, r.Outcomes["miss"], empty.Service, empty.Outcomes["miss"])
+		}
+	}
+}
+
 func TestStory(t *testing.T) {
 	r := play(t, shortDay(), Hoptiller, Options{Story: &Subject{0, 7}})
 	if len(r.Story) < 4 || !bytes.Contains([]byte(r.Story[len(r.Story)-1]), []byte("final answer")) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -19,6 +19,7 @@
 
 	"hoptiller/internal/model"
 	"hoptiller/internal/rules"
+	"hoptiller/internal/sim"
 	"hoptiller/internal/tally"
 	"hoptiller/internal/unit"
 )
@@ -81,6 +82,9 @@
 	defer e.close()
 	defer cancel()
 	e.world = model.New(day, (*tier)(e), (*steward)(e), (*watcher)(e))
+	if day.Fill {
+		e.world.Fill(sim.Homes(day, sim.Hoptiller, e.world.Directory.Present()))
+	}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -214,6 +214,12 @@
 func (t *Tally) Sample(w *model.World) {
 	now := w.Now()
 	if now < t.sampled+time.Second {
+		if now <= t.from { // what was sent in the warm-up is not the first second's
+			t.sent = t.sent[:0]
+			for _, c := range w.Caches {
+				t.sent = append(t.sent, c.Sent)
+			}
+		}
 		return
 	}
 	span := (now - t.sampled).Seconds()
