--- a/cmd/hoplab/lab.go
+++ b/cmd/hoplab/lab.go
@@ -192,6 +192,20 @@
 	return draw.Sweep(records, c.X, c.Y, c.Out)
 }
 
+type tableCmd struct {
+	Results string `arg:"" help:"Results of hoplab run." type:"existingfile"`
+	X       string `help:"Figure of the sweep, a row for each value." short:"x"`
+	Y       string `help:"Figure in the table." short:"y" default:"score"`
+}
+
+func (c *tableCmd) Run() error {
+	records, _, err := experiment.ReadRecords(c.Results)
+	if err != nil {
+		return err
+	}
+	return experiment.WriteTable(os.Stdout, records, c.X, c.Y)
+}
+
 type huntCmd struct {
 	For    time.Duration `help:"How long to look." default:"1m"`
 	Days   int           `help:"Most days to play." default:"1000000"`
--- a/cmd/hoplab/main.go
+++ b/cmd/hoplab/main.go
@@ -29,6 +29,7 @@
 	Run     runCmd     `cmd:"" help:"Play an experiment and keep its results."`
 	Compare compareCmd `cmd:"" help:"Set two results against each other, with confidence intervals."`
 	Plot    plotCmd    `cmd:"" help:"Draw results as SVG or PNG."`
+	Table   tableCmd   `cmd:"" help:"Write results as a Markdown table."`
 	Hunt    huntCmd    `cmd:"" help:"Draw random days until one breaks a rule or a rival does better."`
 	Story   storyCmd   `cmd:"" help:"Play one run again and tell the course of one request."`
 	Speed   speedCmd   `cmd:"" help:"Measure what the router adds to a request, beside a bare relay."`
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -84,6 +84,11 @@
 			t.Errorf("record %d is read as another", i)
 		}
 	}
+	var table bytes.Buffer
+	if err := WriteTable(&table, records, "fault.1.kind", "service"); err != nil || !strings.HasPrefix(table.String(), "| fault.1.kind | hoptiller | ring |\n") ||
+		strings.Count(table.String(), "**") != 4 {
+		t.Errorf("%v\n%s", err, &table)
+	}
 	rows, missing := Compare(records, read, []string{"score", "book.service"})
 	if len(rows) != 16 || missing != 0 || rows[0].Difference.Mean != 0 || rows[0].Difference.Sure() {
 		t.Errorf("%d rows, %d missing, %+v", len(rows), missing, rows[0])
