--- a/router.go
+++ b/router.go
@@ -121,6 +121,8 @@
 	ranked          []*server
 
 	rate              float64 // answers a second from warm caches, smoothed
+	served            int     // of them that were no misses
+	carried           float64 // and those a second, smoothed
 	rateAt            time.Duration
 	answers, arrived  int
 	arrivals          float64       // requests a second, smoothed
@@ -805,7 +807,8 @@
 	if s.origin || o.Status != OK && o.Status != Miss {
 		return
 	}
-	if r.fade(s) >= 1 && o.Status == OK { // a miss costs so little that it tells nothing of what is carried
+	if r.fade(s) >= 1 {
+		r.served += int(one(o.Status == OK)) // a miss costs little, and tells nothing of what is carried
 		r.answers++
 	}
 	if o.Status == OK && q.Key != 0 {
@@ -878,8 +881,9 @@
 	if span := (r.now - r.rateAt).Seconds(); span >= 0.1 {
 		part := min(1, span/max(0.5, min(10, 32/max(r.rate, 1)))) // over at least 32 answers
 		r.rate += (float64(r.answers)/span - r.rate) * part
+		r.carried += (float64(r.served)/span - r.carried) * part
 		r.arrivals += (float64(r.arrived)/span - r.arrivals) * part
-		r.answers, r.arrived, r.rateAt = 0, 0, r.now
+		r.answers, r.served, r.arrived, r.rateAt = 0, 0, 0, r.now
 		borne := badMost
 		if r.pressure > 1 {
 			borne *= 8
@@ -988,7 +992,7 @@
 		allowed += r.tenantRate(i)
 	}
 	if warm > 0 {
-		r.unit = max(r.rate/warm, r.unit*(1-span/30))
+		r.unit = max(r.carried/warm, r.unit*(1-span/30))
 	}
 	r.unit = max(r.unit, allowed/max(all, 1e-9)/2)
 }
