Test each command of hoplab with its exit code and its words

Why: the command line had no test, though the operators' page promises its exit codes and its messages; what it prints for a bad file is all that an operator sees.

Change: cmd/hoplab/main_test.go builds the program once and runs 19 command lines on small files, each with the exit code and the words that the page states.

--- /dev/null
+++ b/cmd/hoplab/main_test.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var binary string // of the program, built once
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hoplab")
+	if err == nil {
+		binary = filepath.Join(dir, "hoplab")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// Each command does what the operators' page says, with its exit code and its words.
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"day.toml": "policies = [\"hoptiller\", \"ring\"]\nseries = true\nseeds = 2\n[day]\nwarm = \"2 s\"\nlength = \"4 s\"\n" +
+			"[sweep]\n\"load.level\" = [0.3, 0.5]\n",
+		"worse.toml": "policies = [\"p2c\"]\nseries = true\nseeds = 2\n[day]\nwarm = \"2 s\"\nlength = \"4 s\"\n" +
+			"[sweep]\n\"load.level\" = [0.3, 0.5]\n",
+		"bad.toml": "[day]\n\nfleet.cashes = 3\n",
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, test := range []struct {
+		args string
+		code int
+		says string
+	}{
+		{"run day.toml", 0, "load.level=0.5"},
+		{"run worse.toml -q", 0, ""},
+		{"run bad.toml", 1, `bad.toml:3:1: there is no "day.fleet.cashes"`},
+		{"run none.toml", 80, "none.toml"},
+		{"run day.toml --sockets --router none", 1, "the router's program"},
+		{"compare day.jsonl day.jsonl", 0, "0.0000 ± 0.0000"},
+		{"compare day.jsonl worse.jsonl --against hoptiller", 3, "p2c has fallen at load.level=0.3"},
+		{"compare day.jsonl worse.jsonl", 1, "no run in common"},
+		{"table day.jsonl -x load.level", 0, "| load.level | hoptiller | ring |"},
+		{"plot day.jsonl -x load.level -o a.svg", 0, ""},
+		{"plot day.jsonl -x time -y load -o b.png", 0, ""},
+		{"plot day.jsonl -y beauty -o c.svg", 1, `no number "beauty"`},
+		{"story day.toml --router 1 --request 9", 0, "final answer"},
+		{"story day.toml --router 1 --request 99999", 1, "has taken no request"},
+		{"hunt --days 2 --for 30s --out found --policy random --rivals ring --seed 5", 3, "behind ring: 1 days"},
+		{"hunt --policy best", 1, `policy "best" is not known`},
+		{"load 10.0.0.1:80", 1, "no loopback address"},
+		{"kinds", 0, "zone_loss"},
+		{"run --nonsense", 80, "unknown flag"},
+	} {
+		cmd := exec.Command(binary, strings.Fields(test.args)...)
+		cmd.Dir = dir
+		out, err := cmd.CombinedOutput()
+		code := 0
+		var exit *exec.ExitError
+		if errors.As(err, &exit) {
+			code = exit.ExitCode()
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		if code != test.code || !strings.Contains(string(out), test.says) {
+			t.Errorf("hoplab %s: exit code %d, said\n%s\nwant %d and %q", test.args, code, out, test.code, test.says)
+		}
+	}
+	for _, name := range []string{"a.svg", "b.png"} {
+		if info, err := os.Stat(filepath.Join(dir, name)); err != nil || info.Size() < 1000 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
