--- a/cmd/hoplab/main.go
+++ b/cmd/hoplab/main.go
@@ -33,6 +33,7 @@
 	Hunt    huntCmd    `cmd:"" help:"Draw random days until one breaks a rule or a rival does better."`
 	Story   storyCmd   `cmd:"" help:"Play one run again and tell the course of one request."`
 	Speed   speedCmd   `cmd:"" help:"Measure what the router adds to a request, beside a bare relay."`
+	Pick    pickCmd    `cmd:"" help:"Measure a pick by the size of the fleet, for each policy."`
 	Relay   relayCmd   `cmd:"" hidden:"" help:"The bare relay that speed measures."`
 	Kinds   kindsCmd   `cmd:"" help:"List the kinds of fault and the policies."`
 }
--- a/cmd/hoplab/main_test.go
+++ b/cmd/hoplab/main_test.go
@@ -67,6 +67,8 @@
 		{"hunt --policy best", 1, `policy "best" is not known`},
 		{"load 10.0.0.1:80", 1, "no loopback address"},
 		{"kinds", 0, "zone_loss"},
+		{"pick --caches 5,20 --for 5ms -o pick.svg", 0, "rendezvous"},
+		{"pick --caches 0", 1, "1 to 20000"},
 		{"run --nonsense", 80, "unknown flag"},
 	} {
 		cmd := exec.Command(binary, strings.Fields(test.args)...)
--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -260,3 +260,28 @@
 	slices.Sort(keys)
 	return keys
 }
+
+// Curve is one line of a plot.
+type Curve struct {
+	Name string
+	X, Y []float64
+}
+
+// Curves plots lines over a common axis, both axes logarithmic; all values must be more than 0.
+func Curves(title, x, y string, curves []Curve, path string) error {
+	p := newPlot(title, x, y)
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	for n, c := range curves {
+		points := make(plotter.XYs, len(c.X))
+		for i := range points {
+			if points[i] = (plotter.XY{X: c.X[i], Y: c.Y[i]}); !(c.X[i] > 0 && c.Y[i] > 0) {
+				return fmt.Errorf("%s: a logarithmic axis has no place for %v", c.Name, points[i])
+			}
+		}
+		if err := line(p, n, c.Name, points); err != nil {
+			return err
+		}
+	}
+	return save(p, path)
+}
