Say once what both engines of the lab share, and drop what nothing used

Why: reading the lab again, both engines had the same watcher, the settings were written twice (once as values, once as JSON), three test files built a program in the same way, and four counters, a unit and a list of names had no reader.

Change: tally.Judge is the watcher of both engines; the JSON settings are made from sim.Settings, and a test reads them back with the router's own parser; internal/testprog builds programs for tests; faults that set something and take it back share one function; clients on sockets are found by their try instead of by a search.

--- a/cmd/hoplab/main_test.go
+++ b/cmd/hoplab/main_test.go
@@ -2,33 +2,18 @@
 
 import (
 	"errors"
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"hoptiller/internal/testprog"
 )
 
 var binary string // of the program, built once
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "hoplab")
-	if err == nil {
-		binary = filepath.Join(dir, "hoplab")
-		var out []byte
-		if out, err = exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-			err = fmt.Errorf("%w: %s", err, out)
-		}
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { testprog.Main(m, ".", &binary) }
 
 // Each command does what the operators' page says, with its exit code and its words.
 func TestCommands(t *testing.T) {
--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"hoptiller/internal/testprog"
 )
 
 // The scenario language. Each line of a scenario is "ACTOR VERB TEXT":
@@ -71,23 +73,7 @@
 
 var binary string // of the program, built once
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "hoptiller")
-	if err == nil {
-		binary = filepath.Join(dir, "hoptiller")
-		var out []byte
-		if out, err = exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-			err = fmt.Errorf("%w: %s", err, out)
-		}
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { testprog.Main(m, ".", &binary) }
 
 const settings = `{"balancers":1,"bounds":{"connIdle":60000000,"connectTimeout":250000,"maxRetryAfter":2000000,
 	"mayCancel":true,"mostTries":3,"retryAfter":true,"streamsPerConn":100},"classes":[
--- a/internal/model/cache.go
+++ b/internal/model/cache.go
@@ -15,7 +15,6 @@
 	Begun   bool // after the start of the day: it came up cold and empty
 
 	Sent float64 // work that has come, in standard-core seconds
-	Done float64 // and of it what was done
 
 	station station
 	store   *store
@@ -104,7 +103,6 @@
 	}
 	call.job = job{call: call}
 	if !c.station.add(&call.job, false) {
-		c.w.Turned++
 		call.Conn.finish(call, Busy)
 	}
 }
@@ -122,7 +120,6 @@
 
 func (c *Cache) end(j *job) {
 	call, a := j.call, j.call.answer
-	c.Done += j.work
 	if c.Kind.ErrorRate > 0 && c.rand.Float64() < c.Kind.ErrorRate {
 		a = Failed
 	}
--- a/internal/model/directory.go
+++ b/internal/model/directory.go
@@ -37,8 +37,6 @@
 
 // Directory lists servers. It learns late of what happens, and it can do only so much.
 type Directory struct {
-	Calls, Lines int // answered, and entries that were sent in all
-
 	w       *World
 	set     *ListSet
 	rand    *rand.Rand
@@ -118,7 +116,6 @@
 			answer(Update{Failed: true})
 			return
 		}
-		d.Calls++
 		full := list || watch.version == 0
 		var u Update
 		if u.Full = full; full {
@@ -129,7 +126,6 @@
 		if watch.version = d.version; !list {
 			watch.on = true
 		}
-		d.Lines += len(u.Members)
 		answer(u)
 	})
 }
@@ -188,7 +184,6 @@
 		}
 		u := Update{Members: d.since(watch.version)}
 		watch.version = d.version
-		d.Lines += len(u.Members)
 		watch.told(u)
 	})
 }
--- a/internal/model/fault.go
+++ b/internal/model/fault.go
@@ -152,15 +152,13 @@
 }
 
 func crash(w *World, f *Fault, r *rand.Rand) func() {
-	hit := w.some(r, f.Part)
-	for _, c := range hit {
-		w.die(c)
-	}
-	return func() {
-		for _, c := range hit {
+	return onSome(w, f.Part, r, func(c *Cache, dead bool) {
+		if dead {
+			w.die(c)
+		} else {
 			w.back(c)
 		}
-	}
+	})
 }
 
 func vanish(w *World, f *Fault, r *rand.Rand) func() {
@@ -183,28 +181,32 @@
 	}
 }
 
-func failing(w *World, f *Fault, r *rand.Rand) func() {
-	hit := w.some(r, f.Part)
+// onSome sets something at part of the caches, and takes it back when the fault ends.
+func onSome(w *World, part float64, r *rand.Rand, set func(c *Cache, on bool)) (end func()) {
+	hit := w.some(r, part)
 	for _, c := range hit {
-		c.errors = f.Size
+		set(c, true)
 	}
 	return func() {
 		for _, c := range hit {
-			c.errors = 0
+			set(c, false)
 		}
 	}
 }
 
+func failing(w *World, f *Fault, r *rand.Rand) func() {
+	return onSome(w, f.Part, r, func(c *Cache, on bool) { c.errors = when(on, f.Size) })
+}
+
 func slow(w *World, f *Fault, r *rand.Rand) func() {
-	hit := w.some(r, f.Part)
-	for _, c := range hit {
-		c.slowed = f.Size
-	}
-	return func() {
-		for _, c := range hit {
-			c.slowed = 0
-		}
+	return onSome(w, f.Part, r, func(c *Cache, on bool) { c.slowed = when(on, f.Size) })
+}
+
+func when(on bool, size float64) float64 {
+	if on {
+		return size
 	}
+	return 0
 }
 
 func hotKey(w *World, f *Fault, r *rand.Rand) func() {
@@ -372,8 +374,8 @@
 }
 
 func peers(w *World, _ *Fault, _ *rand.Rand) func() {
-	w.losePeers(true)
-	return func() { w.losePeers(false) }
+	w.peersLost = true
+	return func() { w.peersLost = false }
 }
 
 func zoneCut(w *World, f *Fault, _ *rand.Rand) func() {
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -169,8 +169,8 @@
 	first.Close()
 	b.run(time.Second)
 	b.expect(t, "served", "served", "busy")
-	if b.Waste < 0.5 || b.Turned != 1 {
-		t.Errorf("waste %.2f, turned away %d", b.Waste, b.Turned)
+	if b.Waste < 0.5 {
+		t.Errorf("waste %.2f", b.Waste)
 	}
 }
 
--- a/internal/model/net.go
+++ b/internal/model/net.go
@@ -60,6 +60,3 @@
 	}
 	w.At(at, run)
 }
-
-// Peers has the messages of all routers lost, or no more.
-func (w *World) losePeers(lost bool) { w.peersLost = lost }
--- a/internal/model/origin.go
+++ b/internal/model/origin.go
@@ -90,7 +90,6 @@
 	if o.station.add(&call.job, false) {
 		return
 	}
-	o.w.Turned++
 	if o.set.Drops {
 		call.Conn.Break()
 	} else {
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -32,8 +32,8 @@
 	Directory *Directory
 	Rate      float64 // mean requests a second
 
-	Handshakes, Turned int     // connections that routers opened, and calls turned away for want of room
-	Waste              float64 // work done for nobody, in standard-core seconds
+	Handshakes int     // connections that routers opened
+	Waste      float64 // work done for nobody, in standard-core seconds
 
 	day                  *Day
 	hosts                []*host
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"hoptiller"
@@ -23,11 +25,6 @@
 	Listed    = "listed"     // only servers that the router's own list has named are called
 )
 
-// Names lists the rules.
-func Names() []string {
-	return []string{OneAnswer, Effects, OneCall, Attempts, Drain, Cold, Origin, Listed}
-}
-
 // Violation is one breach.
 type Violation struct {
 	Rule    string        `json:"rule"`
@@ -289,13 +286,11 @@
 // Finish tells that the day is over: whatever is open has no answer.
 func (c *Checker) Finish(now time.Duration) {
 	for i := range c.routers {
-		var lost []uint32
-		for id, q := range c.routers[i].requests {
-			if !q.final && now > q.end+c.day.Rules.Grace.D() {
-				lost = append(lost, id)
+		open := c.routers[i].requests
+		for _, id := range slices.Sorted(maps.Keys(open)) { // what is found must not hang on map order
+			if q := open[id]; q.final || now <= q.end+c.day.Rules.Grace.D() {
+				continue
 			}
-		}
-		for _, id := range sorted(lost) {
 			c.breach(OneAnswer, now, i, id, "no final answer")
 		}
 	}
--- a/internal/sim/actions.go
+++ b/internal/sim/actions.go
@@ -13,11 +13,11 @@
 // Send implements hoptiller.Actions.
 func (r *router) Send(request, server uint32, timeout time.Duration) {
 	t := r.t
-	now := t.world.Now()
+	now := t.World.Now()
 	m, known := r.list[server]
 	inv := r.open[request]
 	if inv == nil || inv.closed {
-		t.check.Sent(now, r.index, request, m.Index)
+		t.Check.Sent(now, r.index, request, m.Index)
 		return
 	}
 	c := &call{inv: inv, sent: now, open: true}
@@ -26,13 +26,13 @@
 	if !known {
 		index = -1
 	}
-	t.check.Sent(now, r.index, request, index)
+	t.Check.Sent(now, r.index, request, index)
 	inv.calls = append(inv.calls, c)
 	c.server, c.id = index, server
 	r.tell(request, "call %d goes to server %d, %v to answer", c.Attempt, index, timeout)
-	t.tally.Called(m.Zone != r.index%t.day.Zones)
+	t.Tally.Called(m.Zone != r.index%t.day.Zones)
 	if !known || len(inv.calls) > t.day.Rules.Attempts {
-		t.world.After(time.Millisecond, func() { r.outcome(c, hoptiller.Moot) }) // time passes, or a policy that sends on would never end
+		t.World.After(time.Millisecond, func() { r.outcome(c, hoptiller.Moot) }) // time passes, or a policy that sends on would never end
 		return
 	}
 	if g := inv.given; g != nil { // one call out at a time: what was given up must end first
@@ -40,7 +40,7 @@
 		r.end(g, hoptiller.Cancelled)
 	}
 	timeout = min(timeout, inv.end-now)
-	t.world.After(timeout, func() {
+	t.World.After(timeout, func() {
 		if c.open && !r.dead {
 			r.give(c)
 			r.outcome(c, hoptiller.Timeout)
@@ -56,7 +56,7 @@
 		return
 	}
 	c := inv.calls[attempt]
-	r.t.world.After(0, func() {
+	r.t.World.After(0, func() {
 		if c.open && !r.dead {
 			r.give(c)
 			r.outcome(c, hoptiller.Cancelled)
@@ -87,11 +87,11 @@
 
 // SetTimer implements hoptiller.Actions.
 func (r *router) SetTimer(token uint64, delay time.Duration) {
-	due := r.t.world.Now() + delay
+	due := r.t.World.Now() + delay
 	if round := r.t.day.Round.D(); round > 0 {
-		due = max((due+round-1)/round, r.t.world.Now()/round+1) * round
+		due = max((due+round-1)/round, r.t.World.Now()/round+1) * round
 	}
-	r.t.world.At(due, func() {
+	r.t.World.At(due, func() {
 		if !r.dead {
 			r.policy.Timer(r.now(), token)
 		}
@@ -99,22 +99,22 @@
 }
 
 // FetchList implements hoptiller.Actions.
-func (r *router) FetchList() { r.t.world.Directory.Ask(r.index, true, false, nil) }
+func (r *router) FetchList() { r.t.World.Directory.Ask(r.index, true, false, nil) }
 
 // Watch implements hoptiller.Actions.
 func (r *router) Watch(on bool) {
-	r.t.check.Watches(r.index, on)
-	r.t.world.Directory.Ask(r.index, false, on, nil)
+	r.t.Check.Watches(r.index, on)
+	r.t.World.Directory.Ask(r.index, false, on, nil)
 }
 
 // Log implements hoptiller.Actions.
-func (r *router) Log(text string) { r.t.tally.Log(r.t.world.Now(), r.index, text) }
+func (r *router) Log(text string) { r.t.Tally.Log(r.t.World.Now(), r.index, text) }
 
 // Tell implements Teller.
 func (r *router) Tell(to int, message []byte) {
 	message = slices.Clone(message)
-	r.t.tally.Told(len(message))
-	r.t.world.Tell(r.index, to, func() {
+	r.t.Tally.Told(len(message))
+	r.t.World.Tell(r.index, to, func() {
 		if p := r.t.routers[to]; p != nil {
 			if h, ok := p.policy.(Hearer); ok {
 				p.event(func() { h.Told(p.now(), r.index, message) })
--- a/internal/sim/pool.go
+++ b/internal/sim/pool.go
@@ -60,7 +60,7 @@
 // place finds a connection for a call and writes it.
 func (p *pool) place(c *call) {
 	share, most := p.limits()
-	now, world := p.r.t.world.Now(), p.r.t.world
+	now, world := p.r.t.World.Now(), p.r.t.World
 	idle := p.r.t.day.Fleet.IdleFor.D() * 3 / 4
 	for i := len(p.conns) - 1; i >= 0; i-- {
 		if v := p.conns[i]; len(v.calls) == 0 && !v.ending {
@@ -114,7 +114,7 @@
 	p.dialing = slices.DeleteFunc(p.dialing, func(o *conn) bool { return o == v })
 	p.conns = append(p.conns, v)
 	c := v.first
-	v.first, c.dialing, v.idleAt = nil, nil, p.r.t.world.Now()
+	v.first, c.dialing, v.idleAt = nil, nil, p.r.t.World.Now()
 	if c.open {
 		v.write(c)
 	}
@@ -139,7 +139,7 @@
 	c := v.calls[0] // answers come in order
 	v.calls = v.calls[1:]
 	if len(v.calls) == 0 {
-		v.idleAt = r.t.world.Now()
+		v.idleAt = r.t.World.Now()
 	}
 	if v.ending && !v.wanted() {
 		r.end(v, hoptiller.Cancelled)
--- a/internal/sim/router.go
+++ b/internal/sim/router.go
@@ -54,17 +54,17 @@
 		list: map[uint32]model.Member{}, pools: map[int]*pool{}}
 	seed := model.Stream(t.day.Seed, "router", index+1000*life).Uint64()
 	r.policy = t.policy(r.now(), Settings(t.day, index), seed, r)
-	t.world.Directory.Join(index, t.world.Directory.Version(), func(u model.Update) {
+	t.World.Directory.Join(index, t.World.Directory.Version(), func(u model.Update) {
 		if !r.dead {
 			r.told(u)
 		}
 	})
-	known := model.Update{Full: true, Members: t.world.Directory.Present()}
+	known := model.Update{Full: true, Members: t.World.Directory.Present()}
 	r.listed(known, hoptiller.ListCached)
 	return r
 }
 
-func (r *router) now() time.Duration { return Epoch + r.t.world.Now() }
+func (r *router) now() time.Duration { return Epoch + r.t.World.Now() }
 
 func (r *router) refuses(now time.Duration) bool { return r.stopped > 0 && now > r.stopped+serving }
 
@@ -75,9 +75,9 @@
 		run()
 		return
 	}
-	now := r.t.world.Now()
+	now := r.t.World.Now()
 	at := (now + round - 1) / round * round
-	r.t.world.At(at, func() {
+	r.t.World.At(at, func() {
 		if !r.dead {
 			run()
 		}
@@ -87,19 +87,19 @@
 // tell adds to the story that was asked for.
 func (r *router) tell(id uint32, format string, args ...any) {
 	if s := r.t.opt.Story; s != nil && s.Router == r.index && s.Request == id {
-		r.t.story = append(r.t.story, fmt.Sprintf("%12v  ", r.t.world.Now())+fmt.Sprintf(format, args...))
+		r.t.story = append(r.t.story, fmt.Sprintf("%12v  ", r.t.World.Now())+fmt.Sprintf(format, args...))
 	}
 }
 
 // take takes a client's request.
 func (r *router) take(try *model.Try) {
 	t := r.t
-	now := t.world.Now()
+	now := t.World.Now()
 	r.last++
 	inv := &invocation{id: r.last, try: try, end: try.At + try.Remaining}
 	r.open[inv.id], r.byTry[try] = inv, inv
-	t.tally.Taken()
-	t.check.Taken(now, r.index, inv.id, try.Op.Class, inv.end)
+	t.Tally.Taken()
+	t.Check.Taken(now, r.index, inv.id, try.Op.Class, inv.end)
 	r.tell(inv.id, "request taken: %s, key %016x, client request %d, try %d, %v left", t.day.Classes[try.Op.Class].Name,
 		try.Op.Key, try.Op.ID, try.N, inv.end-now)
 	r.event(func() {
@@ -107,7 +107,7 @@
 			return
 		}
 		r.policy.Request(r.now(), hoptiller.Request{ID: inv.id, Class: try.Op.Class, Tenant: try.Op.Tenant, Key: try.Op.Key,
-			Write: try.Op.Write, Remaining: max(inv.end-t.world.Now(), 0)})
+			Write: try.Op.Write, Remaining: max(inv.end-t.World.Now(), 0)})
 	})
 }
 
@@ -117,16 +117,16 @@
 	if inv == nil || inv.closed {
 		return
 	}
-	if now := r.t.world.Now(); now >= inv.end {
+	if now := r.t.World.Now(); now >= inv.end {
 		// It has waited to the end. Its router still has the grace to answer, and breaks a rule if it does not.
-		r.t.world.At(inv.end+r.t.day.Rules.Grace.D()+1, func() {
+		r.t.World.At(inv.end+r.t.day.Rules.Grace.D()+1, func() {
 			if !r.dead && !inv.closed {
 				r.gone(inv)
 			}
 		})
 		return
 	}
-	r.t.check.Left(r.index, inv.id)
+	r.t.Check.Left(r.index, inv.id)
 	r.gone(inv)
 }
 
@@ -138,11 +138,11 @@
 
 // answer gives the final answer.
 func (r *router) answer(inv *invocation, kind hoptiller.StepKind, after time.Duration) {
-	r.t.check.Final(r.t.world.Now(), r.index, inv.id, kind)
+	r.t.Check.Final(r.t.World.Now(), r.index, inv.id, kind)
 	final := [...]model.Final{hoptiller.StepServed: model.Value, hoptiller.StepReject: model.Refused, hoptiller.StepFail: model.Failure}[kind]
 	r.tell(inv.id, "final answer: %s", [...]string{"served", "refused", "failed"}[final])
-	r.t.tally.Answered(r.t.world.Now(), final)
-	r.t.world.Reply(inv.try, final, after)
+	r.t.Tally.Answered(r.t.World.Now(), final)
+	r.t.World.Reply(inv.try, final, after)
 	r.close(inv)
 }
 
@@ -168,7 +168,7 @@
 func (r *router) die() {
 	r.dead = true
 	for _, try := range r.tries() {
-		r.t.world.Reply(try, model.Lost, 0)
+		r.t.World.Reply(try, model.Lost, 0)
 	}
 	for _, p := range r.poolList() {
 		for _, c := range p.all() {
@@ -179,8 +179,8 @@
 
 // told takes what the directory says.
 func (r *router) told(u model.Update) {
-	now := r.t.world.Now()
-	r.t.check.Told(now, r.index, u)
+	now := r.t.World.Now()
+	r.t.Check.Told(now, r.index, u)
 	kind := hoptiller.ListDelta
 	switch {
 	case u.Failed:
@@ -194,7 +194,7 @@
 
 func (r *router) listed(u model.Update, kind hoptiller.ListKind) {
 	if kind == hoptiller.ListCached {
-		r.t.check.Told(r.t.world.Now(), r.index, u)
+		r.t.Check.Told(r.t.World.Now(), r.index, u)
 	}
 	servers := make([]hoptiller.Server, len(u.Members))
 	for i, m := range u.Members {
@@ -223,10 +223,10 @@
 		return
 	}
 	c.open = false
-	inv, now := c.inv, r.t.world.Now()
+	inv, now := c.inv, r.t.World.Now()
 	r.tell(inv.id, "call %d to server %d ends: %s after %v", c.Attempt, c.server, tally.StatusNames[status], now-c.sent)
-	r.t.check.Ended(now, r.index, inv.id, c.Attempt, status)
-	r.t.tally.Closed(status)
+	r.t.Check.Ended(now, r.index, inv.id, c.Attempt, status)
+	r.t.Tally.Closed(status)
 	served := status == hoptiller.OK && !inv.closed
 	if served {
 		r.answer(inv, hoptiller.StepServed, 0)
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -53,44 +53,42 @@
 
 // Run plays a day, which must have passed Check. When ctx ends it stops where it is and returns ctx's error.
 func Run(ctx context.Context, day *model.Day, policy Policy, opt Options) (*tally.Result, error) {
-	t := &tier{day: day, policy: policy, check: rules.New(day), opt: opt}
-	t.tally = tally.New(day, opt.Series)
+	t := &tier{day: day, policy: policy, opt: opt}
+	t.Check, t.Tally = rules.New(day), tally.New(day, opt.Series)
 	t.routers = make([]*router, day.Routers)
-	t.world = model.New(day, t, t, t)
+	t.World = model.New(day, t, t, t)
 	if day.Fill {
-		t.world.Fill(Homes(day, policy, t.world.Directory.Present()))
+		t.World.Fill(Homes(day, policy, t.World.Directory.Present()))
 	}
 	for i := range t.routers {
 		t.Start(i)
 	}
-	end := t.world.End()
+	end := t.World.End()
 	for now := time.Duration(0); now < end; now += 100 * time.Millisecond {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		t.world.RunUntil(min(now+100*time.Millisecond, end))
-		t.tally.Sample(t.world)
+		t.World.RunUntil(min(now+100*time.Millisecond, end))
+		t.Tally.Sample(t.World)
 	}
 	longest := time.Duration(0)
 	for _, c := range day.Classes {
 		longest = max(longest, c.Deadline.D())
 	}
-	t.world.RunUntil(end + longest + time.Second)
-	t.check.Finish(t.world.Now())
-	r := t.tally.Result(t.world, t.check)
+	t.World.RunUntil(end + longest + time.Second)
+	t.Check.Finish(t.World.Now())
+	r := t.Tally.Result(t.World, t.Check)
 	r.Story = t.story
 	return r, nil
 }
 
 // tier is the routers of a day. It is what the world sees of them, and all that the world tells goes through it.
 type tier struct {
+	tally.Judge
 	day     *model.Day
-	world   *model.World
 	policy  Policy
-	check   *rules.Checker
 	routers []*router // nil while one is down
 	lives   []int
-	tally   *tally.Tally
 	opt     Options
 	story   []string
 }
@@ -98,7 +96,7 @@
 // Take implements model.Tier.
 func (t *tier) Take(try *model.Try) bool {
 	r := t.routers[try.Router]
-	if r == nil || r.refuses(t.world.Now()) {
+	if r == nil || r.refuses(t.World.Now()) {
 		return false
 	}
 	r.take(try)
@@ -122,14 +120,14 @@
 		t.lives = append(t.lives, 0)
 	}
 	t.lives[i]++
-	t.check.Reset(i)
+	t.Check.Reset(i)
 	t.routers[i] = newRouter(t, i, t.lives[i])
 }
 
 // Stop implements model.Steward.
 func (t *tier) Stop(i int) {
 	if r := t.routers[i]; r != nil {
-		r.stopped = t.world.Now()
+		r.stopped = t.World.Now()
 	}
 }
 
@@ -138,37 +136,7 @@
 	if r := t.routers[i]; r != nil {
 		t.routers[i] = nil
 		r.die()
-		t.check.Reset(i)
-		t.world.Directory.Ask(i, false, false, nil)
+		t.Check.Reset(i)
+		t.World.Directory.Ask(i, false, false, nil)
 	}
 }
-
-// Ended implements model.Watcher.
-func (t *tier) Ended(op *model.Op) { t.tally.Ended(op) }
-
-// Fetched implements model.Watcher.
-func (t *tier) Fetched(call *model.Call) { t.tally.Fetched(t.world.Now(), call) }
-
-// Ran implements model.Watcher.
-func (t *tier) Ran(call *model.Call) {
-	t.check.Ran(t.world.Now(), call.Conn.Router, call.Try.Op.ID, call.Try.Op.Class)
-}
-
-// FellOver implements model.Watcher.
-func (t *tier) FellOver(server int, started time.Duration, by map[int]float64) {
-	t.tally.Fell()
-	t.check.FellOver(t.world.Now(), server, started, by)
-}
-
-// OriginStopped implements model.Watcher.
-func (t *tier) OriginStopped(part, due float64) { t.check.OriginStopped(t.world.Now(), part, due) }
-
-// Listed implements model.Watcher.
-func (t *tier) Listed(m model.Member) {
-	if t.world != nil {
-		t.check.Listed(t.world.Now(), m)
-	}
-}
-
-// Fault implements model.Watcher.
-func (t *tier) Fault(text string) { t.tally.Fault(t.world.Now(), text) }
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -27,27 +27,24 @@
 	e := (*Engine)(t)
 	n := e.nodes[try.Router]
 	r := e.newRequest(try)
-	e.tally.Taken()
-	e.check.Taken(e.world.Now(), n.index, r.number, try.Op.Class, try.At+try.Remaining)
+	e.Tally.Taken()
+	e.Check.Taken(e.World.Now(), n.index, r.number, try.Op.Class, try.At+try.Remaining)
 	var c *client
 	if last := len(n.idle) - 1; last >= 0 {
 		c, n.idle = n.idle[last], n.idle[:last]
 	}
-	left := try.At + try.Remaining - e.world.Now()
+	left := try.At + try.Remaining - e.World.Now()
 	e.goes(func() { n.ask(r, c, left) })
 	return true
 }
 
 // Leave implements model.Tier.
 func (t *tier) Leave(try *model.Try) {
-	for id, r := range t.tries {
-		if r.try == try {
-			t.check.Left(try.Router, r.number)
-			delete(t.tries, id)
-			if r.conn != nil {
-				r.conn.c.Close()
-			}
-			return
+	if r := t.byTry[try]; r != nil {
+		t.Check.Left(try.Router, r.number)
+		(*Engine)(t).over(r)
+		if r.conn != nil {
+			r.conn.c.Close()
 		}
 	}
 }
@@ -68,23 +65,23 @@
 			}
 			return
 		}
-		delete(e.tries, r.id)
+		e.over(r)
 		if err != nil {
 			f = model.Lost
 			if errors.Is(err, errNoRoute) {
 				f = model.NoRoute
 			}
-			e.check.Left(n.index, r.number)
+			e.Check.Left(n.index, r.number)
 			if r.conn != nil {
 				r.conn.c.Close()
 				delete(e.closers, r.conn.c)
 			}
 		} else {
-			e.check.Final(e.world.Now(), n.index, r.number, final[f])
+			e.Check.Final(e.World.Now(), n.index, r.number, final[f])
 			n.idle = append(n.idle, r.conn)
 		}
-		e.tally.Answered(e.world.Now(), f)
-		e.world.Reply(r.try, f, after)
+		e.Tally.Answered(e.World.Now(), f)
+		e.World.Reply(r.try, f, after)
 	})
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -47,12 +47,11 @@
 	done  sync.WaitGroup
 	begun time.Time
 
-	mu      sync.Mutex
-	world   *model.World
-	tally   *tally.Tally
-	check   *rules.Checker
+	mu sync.Mutex
+	tally.Judge
 	nodes   []*node
-	tries   map[string]*request // by id, of requests that are open
+	tries   map[string]*request     // by id, of requests that are open
+	byTry   map[*model.Try]*request // and by what they are for
 	nextID  uint64
 	closing bool
 	closers map[io.Closer]bool
@@ -70,20 +69,20 @@
 // Run plays a day, which must have passed Check, and then ends all that it has started.
 func Run(ctx context.Context, day *model.Day, opt Options) (*tally.Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	e := &Engine{opt: opt, day: day, ctx: ctx, wake: make(chan struct{}, 1), tries: map[string]*request{},
+	e := &Engine{opt: opt, day: day, ctx: ctx, wake: make(chan struct{}, 1), tries: map[string]*request{}, byTry: map[*model.Try]*request{},
 		closers: map[io.Closer]bool{}, begun: time.Now()}
 	judged := *day
 	judged.Rules.Drain += unit.Duration(slack)
 	judged.Rules.Grace += unit.Duration(slack)
 	judged.Rules.Copies = true // whether a call has ended before the next began can't be told from here
-	e.check = rules.New(&judged)
-	e.tally = tally.New(day, opt.Series)
+	e.Check = rules.New(&judged)
+	e.Tally = tally.New(day, opt.Series)
 	defer e.done.Wait()
 	defer e.close()
 	defer cancel()
-	e.world = model.New(day, (*tier)(e), (*steward)(e), (*watcher)(e))
+	e.World = model.New(day, (*tier)(e), (*steward)(e), watcher{e})
 	if day.Fill {
-		e.world.Fill(sim.Homes(day, sim.Hoptiller, e.world.Directory.Present()))
+		e.World.Fill(sim.Homes(day, sim.Hoptiller, e.World.Directory.Present()))
 	}
 	if err := e.listen(); err != nil {
 		return nil, err
@@ -120,7 +119,7 @@
 	for _, c := range e.day.Classes {
 		longest = max(longest, c.Deadline.D())
 	}
-	end := e.world.End() + longest + time.Second
+	end := e.World.End() + longest + time.Second
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	second := time.Second
@@ -133,18 +132,18 @@
 		}
 		e.mu.Lock()
 		e.step()
-		now := e.world.Now()
-		if now >= second && now < e.world.End()+time.Second {
+		now := e.World.Now()
+		if now >= second && now < e.World.End()+time.Second {
 			second += time.Second
-			e.tally.Sample(e.world)
+			e.Tally.Sample(e.World)
 			if e.opt.Progress != nil {
-				e.opt.Progress(now, e.world, e.tally)
+				e.opt.Progress(now, e.World, e.Tally)
 			}
 		}
-		due, ok := e.world.Due()
+		due, ok := e.World.Due()
 		if now >= end {
-			e.check.Finish(now)
-			r := e.tally.Result(e.world, e.check)
+			e.Check.Finish(now)
+			r := e.Tally.Result(e.World, e.Check)
 			e.closing = true
 			e.mu.Unlock()
 			return r, nil
@@ -158,7 +157,7 @@
 }
 
 // step takes all steps up to the present; e.mu is held.
-func (e *Engine) step() { e.world.RunUntil(time.Since(e.begun)) }
+func (e *Engine) step() { e.World.RunUntil(time.Since(e.begun)) }
 
 // do has something happen in the world now.
 func (e *Engine) do(run func()) {
@@ -184,7 +183,7 @@
 		if err := n.listenDirectory(); err != nil {
 			return err
 		}
-		for s := range e.world.Servers() {
+		for s := range e.World.Servers() {
 			if err := n.listenServer(s); err != nil {
 				return err
 			}
@@ -237,10 +236,16 @@
 func (e *Engine) newRequest(t *model.Try) *request {
 	e.nextID++
 	r := &request{try: t, id: fmt.Sprintf("%016x", e.nextID), number: uint32(e.nextID)}
-	e.tries[r.id] = r
+	e.tries[r.id], e.byTry[t] = r, r
 	return r
 }
 
+// over forgets a request; e.mu is held.
+func (e *Engine) over(r *request) {
+	delete(e.tries, r.id)
+	delete(e.byTry, r.try)
+}
+
 // stranger makes a request of a client that is not the model's: it came to a router that someone else
 // started. e.mu is held.
 func (e *Engine) stranger(id, name string, k uint64, write bool) *request {
@@ -252,10 +257,10 @@
 	}
 	work := e.day.Classes[class].Work.Seconds()
 	e.nextID++
-	op := &model.Op{ID: e.nextID, Class: class, Key: k, Work: work, Size: 1, Write: write, At: e.world.Now()}
-	r := &request{try: &model.Try{Op: op, At: e.world.Now()}, id: id, number: uint32(e.nextID)}
+	op := &model.Op{ID: e.nextID, Class: class, Key: k, Work: work, Size: 1, Write: write, At: e.World.Now()}
+	r := &request{try: &model.Try{Op: op, At: e.World.Now()}, id: id, number: uint32(e.nextID)}
 	e.tries[id] = r
-	e.world.After(e.day.Classes[class].Deadline.D(), func() { delete(e.tries, id) })
+	e.World.After(e.day.Classes[class].Deadline.D(), func() { delete(e.tries, id) })
 	return r
 }
 
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -52,9 +52,9 @@
 		n.dir = dir
 	}
 	e.mu.Lock()
-	present := model.Update{Full: true, Members: e.world.Directory.Present()}
+	present := model.Update{Full: true, Members: e.World.Directory.Present()}
 	known := n.listing(present)
-	e.check.Told(e.world.Now(), n.index, present)
+	e.Check.Told(e.World.Now(), n.index, present)
 	e.mu.Unlock()
 	c := map[string]any{
 		"name": fmt.Sprintf("n%d", n.index), "listen": n.addr, "discovery": n.directory, "seed": fmt.Sprintf("%016x", e.day.Seed+uint64(n.index)),
@@ -201,7 +201,7 @@
 		}
 		list = append(list, entry)
 	}
-	return map[string]any{"version": n.e.world.Directory.Version(), "full": u.Full, "servers": list}
+	return map[string]any{"version": n.e.World.Directory.Version(), "full": u.Full, "servers": list}
 }
 
 func zone(i int) string { return fmt.Sprintf("z%d", i) }
@@ -231,7 +231,7 @@
 		if !u.Failed {
 			text, _ = json.Marshal(n.listing(u))
 		}
-		e.check.Told(e.world.Now(), n.index, u)
+		e.Check.Told(e.World.Now(), n.index, u)
 		select {
 		case updates <- text:
 		default:
@@ -239,15 +239,15 @@
 	}
 	e.do(func() {
 		if watching {
-			e.world.Directory.Join(n.index, after, told)
-			e.check.Watches(n.index, true)
+			e.World.Directory.Join(n.index, after, told)
+			e.Check.Watches(n.index, true)
 		}
-		e.world.Directory.Ask(n.index, !watching, watching, told)
+		e.World.Directory.Ask(n.index, !watching, watching, told)
 	})
 	if watching {
 		defer e.do(func() {
-			e.check.Watches(n.index, false)
-			e.world.Directory.Ask(n.index, false, false, nil)
+			e.Check.Watches(n.index, false)
+			e.World.Directory.Ask(n.index, false, false, nil)
 		})
 	}
 	flush := http.NewResponseController(w)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -76,7 +76,7 @@
 			}
 		}
 	})
-	e.do(func() { l.conn = e.world.Dial(n.index, server, l) })
+	e.do(func() { l.conn = e.World.Dial(n.index, server, l) })
 	l.read()
 	c.Close()
 	e.mu.Lock()
@@ -88,8 +88,8 @@
 	}
 	e.step()
 	for call, r := range l.calls {
-		e.check.Ended(e.world.Now(), n.index, r.number, call.Attempt, hoptiller.Cancelled)
-		e.tally.Closed(hoptiller.Cancelled)
+		e.Check.Ended(e.World.Now(), n.index, r.number, call.Attempt, hoptiller.Cancelled)
+		e.Tally.Closed(hoptiller.Cancelled)
 	}
 	l.conn.Close()
 }
@@ -153,7 +153,7 @@
 				number = xxhash.Sum64String(k)
 			}
 			r = e.stranger(id, class, number, write)
-			e.check.Taken(e.world.Now(), l.n.index, r.number, r.try.Op.Class, e.world.Now()+time.Hour)
+			e.Check.Taken(e.World.Now(), l.n.index, r.number, r.try.Op.Class, e.World.Now()+time.Hour)
 		}
 		if r == nil { // its client has gone, and with it what is known of the request
 			l.write([]byte("SERVER_ERROR busy\r\n"), []byte("HTTP/1.1 503 gone\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"))
@@ -162,9 +162,9 @@
 		call := &model.Call{Try: r.try, Attempt: r.calls}
 		r.calls++
 		l.calls[call] = r
-		e.check.Sent(e.world.Now(), l.n.index, r.number, l.server)
-		m := e.world.Member(l.server)
-		e.tally.Called(m.Zone != l.n.index%e.day.Zones)
+		e.Check.Sent(e.World.Now(), l.n.index, r.number, l.server)
+		m := e.World.Member(l.server)
+		e.Tally.Called(m.Zone != l.n.index%e.day.Zones)
 		l.conn.Send(call)
 	})
 }
@@ -194,8 +194,8 @@
 // Lost implements model.Holder.
 func (l *link) Lost(*model.Conn) {
 	for call, r := range l.calls {
-		l.n.e.check.Ended(l.n.e.world.Now(), l.n.index, r.number, call.Attempt, hoptiller.Reset)
-		l.n.e.tally.Closed(hoptiller.Reset)
+		l.n.e.Check.Ended(l.n.e.World.Now(), l.n.index, r.number, call.Attempt, hoptiller.Reset)
+		l.n.e.Tally.Closed(hoptiller.Reset)
 	}
 	clear(l.calls)
 	if tcp, ok := l.c.(*net.TCPConn); ok {
@@ -215,8 +215,8 @@
 	e := l.n.e
 	status := [...]hoptiller.Status{model.Served: hoptiller.OK, model.Missed: hoptiller.Miss, model.Failed: hoptiller.ServerError,
 		model.Busy: hoptiller.Full}[a]
-	e.check.Ended(e.world.Now(), l.n.index, r.number, call.Attempt, status)
-	e.tally.Closed(status)
+	e.Check.Ended(e.World.Now(), l.n.index, r.number, call.Attempt, status)
+	e.Tally.Closed(status)
 	text := value(r.id, call.Try.Op.Size)
 	if call.Try.Op.Write {
 		text = "r" + r.id
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -1,35 +1,40 @@
 package standin
 
-import "hoptiller/internal/model"
+import (
+	"time"
 
-// SettingsJSON is the settings of a router of a day in the platform's form. Times are in microseconds.
+	"hoptiller"
+	"hoptiller/internal/model"
+	"hoptiller/internal/sim"
+)
+
+// SettingsJSON is what sim.Settings tells a router of a day, in the platform's form. Times are in microseconds.
 func SettingsJSON(day *model.Day, self int) map[string]any {
+	set := sim.Settings(day, self)
+	us := time.Duration.Microseconds
 	var classes, kinds, zones []any
-	effects := map[string]string{"safe": "idempotent", "unsafe": "at_most_once", "keyed": "deduplicated"}
-	for _, c := range day.Classes {
-		classes = append(classes, map[string]any{"name": c.Name, "effect": effects[c.Effect], "group": "all",
-			"deadline": c.Deadline.D().Microseconds(), "onTime": c.Aim.D().Microseconds(), "keyTtl": c.Window.D().Microseconds(),
-			"worth": c.Worth, "lateValue": 0.0, "stream": false})
+	for i, c := range set.Classes {
+		effect := [...]string{hoptiller.Idempotent: "idempotent", hoptiller.Deduplicated: "deduplicated",
+			hoptiller.AtMostOnce: "at_most_once"}[c.Effect]
+		classes = append(classes, map[string]any{"name": day.Classes[i].Name, "effect": effect, "group": "all",
+			"deadline": us(c.Deadline), "onTime": us(c.Aim), "keyTtl": us(c.KeyTTL), "worth": c.Worth, "lateValue": c.LateValue,
+			"stream": c.Stream})
 	}
-	coldFrom, cold := 1.0, int64(0)
 	for _, k := range day.Kinds {
 		kinds = append(kinds, k.Name)
-		coldFrom, cold = min(coldFrom, k.ColdFrom), max(cold, k.ColdFor.D().Microseconds())
 	}
 	for i := range day.Zones {
 		zones = append(zones, zone(i))
 	}
 	return map[string]any{
-		"selfIndex": self, "balancers": day.Routers, "zone": self % day.Zones, "classes": classes,
-		"kinds": append(kinds, "origin"), "failureDomains": zones, "membershipMode": "on_request", "overShareWorth": 0.1,
-		"period":     day.Round.D().Microseconds(),
-		"familyInfo": map[string]any{"mode": "aside", "ordered": true, "originKind": len(day.Kinds)},
-		"bounds": map[string]any{"connIdle": day.Fleet.IdleFor.D().Microseconds(),
-			"connectTimeout": day.Fleet.ConnectFor.D().Microseconds(), "mayCancel": true, "mostTries": day.Rules.Attempts,
-			"maxRetryAfter": day.Clients.MostWait.D().Microseconds(), "retryAfter": true, "secondCopies": day.Rules.Copies,
-			"streamsPerConn": 100},
-		"rules": map[string]any{"askWithin": day.Rules.AskWithin.D().Microseconds(), "cold": cold, "coldFrom": coldFrom,
-			"fall": day.Rules.Fall.D().Microseconds(), "graceToAnswer": day.Rules.Grace.D().Microseconds(),
-			"overloadFactor": day.Rules.Overload, "stopSendingWithin": day.Rules.Drain.D().Microseconds()},
+		"selfIndex": set.Self, "balancers": set.Balancers, "zone": set.Zone, "classes": classes,
+		"kinds": append(kinds, "origin"), "failureDomains": zones, "membershipMode": "on_request",
+		"overShareWorth": set.OverShareWorth, "period": us(set.Tick),
+		"familyInfo": map[string]any{"mode": "aside", "ordered": set.Ordered, "originKind": set.OriginKind},
+		"bounds": map[string]any{"connIdle": us(day.Fleet.IdleFor.D()), "connectTimeout": us(set.ConnTimeout),
+			"mayCancel": set.MayCancel, "mostTries": set.MaxAttempts, "maxRetryAfter": us(set.MaxRetryAfter),
+			"retryAfter": set.RetryAfter, "secondCopies": set.SecondCopies, "streamsPerConn": 100},
+		"rules": map[string]any{"askWithin": us(set.AskWithin), "cold": us(set.Cold), "coldFrom": set.ColdFrom, "fall": us(set.Fall),
+			"graceToAnswer": us(set.AnswerGrace), "overloadFactor": set.OverloadFactor, "stopSendingWithin": us(set.StopSendingWithin)},
 	}
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -2,38 +2,23 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
-	"os"
-	"os/exec"
-	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	"hoptiller/internal/config"
 	"hoptiller/internal/model"
 	"hoptiller/internal/sim"
+	"hoptiller/internal/testprog"
 	"hoptiller/internal/unit"
 )
 
 var router string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "standin")
-	if err == nil {
-		router = filepath.Join(dir, "hoptiller")
-		var out []byte
-		if out, err = exec.Command("go", "build", "-o", router, "hoptiller/cmd/hoptiller").CombinedOutput(); err != nil {
-			err = fmt.Errorf("%w: %s", err, out)
-		}
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { testprog.Main(m, "hoptiller/cmd/hoptiller", &router) }
 
 func span(s float64) unit.Duration { return unit.Duration(s * float64(time.Second)) }
 
@@ -86,6 +71,20 @@
 	}
 }
 
+// The real router reads the same settings that a simulated one is given.
+func TestSettings(t *testing.T) {
+	day := model.Prairie()
+	day.Round, day.Rules.Copies = span(0.005), true
+	text, err := json.Marshal(SettingsJSON(&day, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := config.ParseSettings(text)
+	if want := sim.Settings(&day, 1); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%v\n got %+v\nwant %+v", err, got, want)
+	}
+}
+
 // A value is its request's own.
 func TestValue(t *testing.T) {
 	if value("aa", 1) == value("ab", 1) || len(value("aa", 0.01)) < 2 || len(value("aa", 1e9)) > 64<<10 {
--- a/internal/standin/watch.go
+++ b/internal/standin/watch.go
@@ -1,41 +1,16 @@
 package standin
 
 import (
-	"time"
-
 	"hoptiller"
 	"hoptiller/internal/model"
 )
 
-// watcher takes what really happens; e.mu is held.
-type watcher Engine
-
-// Ended implements model.Watcher.
-func (w *watcher) Ended(op *model.Op) { w.tally.Ended(op) }
-
-// Fetched implements model.Watcher.
-func (w *watcher) Fetched(call *model.Call) { w.tally.Fetched(w.world.Now(), call) }
-
-// Ran implements model.Watcher.
-func (w *watcher) Ran(call *model.Call) {
-	w.check.Ran(w.world.Now(), call.Conn.Router, call.Try.Op.ID, call.Try.Op.Class)
-}
-
-// FellOver implements model.Watcher.
-func (w *watcher) FellOver(server int, started time.Duration, by map[int]float64) {
-	w.tally.Fell()
-	w.check.FellOver(w.world.Now(), server, started, by)
-}
-
-// OriginStopped implements model.Watcher.
-func (w *watcher) OriginStopped(part, due float64) { w.check.OriginStopped(w.world.Now(), part, due) }
+// watcher is the engine's Judge, which also opens addresses for new caches; e.mu is held.
+type watcher struct{ *Engine }
 
 // Listed implements model.Watcher. A cache that is new gets its listeners before any router hears of it.
-func (w *watcher) Listed(m model.Member) {
-	if w.world == nil {
-		return
-	}
-	w.check.Listed(w.world.Now(), m)
+func (w watcher) Listed(m model.Member) {
+	w.Judge.Listed(m)
 	for _, n := range w.nodes {
 		if n.servers[m.Index] == nil && m.Phase == model.Ready {
 			n.listenServerLocked(m.Index)
@@ -43,15 +18,12 @@
 	}
 }
 
-// Fault implements model.Watcher.
-func (w *watcher) Fault(text string) { w.tally.Fault(w.world.Now(), text) }
-
 // steward starts and ends routers' processes; e.mu is held.
 type steward Engine
 
 // Kill implements model.Steward.
 func (s *steward) Kill(i int) {
-	s.check.Reset(i)
+	s.Check.Reset(i)
 	go s.nodes[i].kill()
 }
 
--- a/internal/unit/unit.go
+++ b/internal/unit/unit.go
@@ -73,23 +73,6 @@
 	return strconv.FormatFloat(float64(d)/float64(time.Microsecond), 'f', -1, 64) + " us"
 }
 
-// Part is a part of a whole, written as a number such as 0.25 or as "25 %".
-type Part float64
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (p *Part) UnmarshalText(text []byte) error {
-	number, name := split(string(text))
-	x, err := strconv.ParseFloat(number, 64)
-	if err != nil || name != "" && name != "%" || math.IsNaN(x) {
-		return fmt.Errorf("%q is no part of a whole: a number such as 0.25 or a percentage such as \"25 %%\" is meant", text)
-	}
-	if name == "%" {
-		x /= 100
-	}
-	*p = Part(x)
-	return nil
-}
-
 // split cuts a quantity into its number and its unit.
 func split(text string) (number, unit string) {
 	text = strings.TrimSpace(text)
--- a/internal/unit/unit_test.go
+++ b/internal/unit/unit_test.go
@@ -31,15 +31,3 @@
 		}
 	})
 }
-
-func TestPart(t *testing.T) {
-	var p Part
-	for text, want := range map[string]Part{"25 %": 0.25, "0.5": 0.5, "150%": 1.5} {
-		if err := p.UnmarshalText([]byte(text)); err != nil || p != want {
-			t.Errorf("%q: %v, %v", text, p, err)
-		}
-	}
-	if p.UnmarshalText([]byte("5 s")) == nil || p.UnmarshalText([]byte("%")) == nil {
-		t.Error("no error")
-	}
-}
