Give the model late origins, work by object size, and addresses that are taken over

Why: the issue names them, and the model had none: the origin never said 504, objects' sizes cost room but no work, and a new cache never stood at an old address.

Change: what has waited at the origin longer than its line is meant for is given up unseen; a part of a read's work goes with its object's size; under churn a new cache takes over the address of one that has left, and who still calls the old one reaches it. A cache that was pushed over is now missed by the directory as any dead one is: until now it stayed listed for ever. The ring's points no longer hang on the other servers' weights.

--- a/internal/model/cache.go
+++ b/internal/model/cache.go
@@ -13,6 +13,7 @@
 	Speed   float64 // of a core, as it really is
 	Started time.Duration
 	Begun   bool // after the start of the day: it came up cold and empty
+	Addr    int  // the address, as the index of the server that was there first
 
 	Sent float64 // work that has come, in standard-core seconds
 
@@ -58,7 +59,7 @@
 
 func (w *World) newCache(index int, kind *Kind) *Cache {
 	r := Stream(w.day.Seed, "cache", index)
-	c := &Cache{Kind: kind, Cores: kind.Cores, rand: r}
+	c := &Cache{Kind: kind, Cores: kind.Cores, rand: r, Addr: index}
 	c.Speed = kind.Speed * between(r, 1-kind.Spread, 1+kind.Spread)
 	c.host = host{w: w, index: index, zone: index % w.day.Zones, most: kind.Cores * w.day.Fleet.ConnsCore}
 	c.host.serve, c.host.drop, c.host.greet = c.take, c.give, c.greetNew
@@ -71,6 +72,7 @@
 // start starts the process, cold and empty unless it ran before the day.
 func (c *Cache) start(before bool) {
 	c.up, c.mute, c.Begun, c.Started = true, false, !before, c.w.Now()
+	c.w.occupants[c.Addr] = &c.host
 	c.errors, c.slowed, c.cold, c.coldSum = 0, 0, nil, 0
 	c.station.clear()
 	c.store = newStore(float64(c.w.day.Fleet.Memory) * c.weight() / c.w.meanWeight)
@@ -159,6 +161,6 @@
 		pushes[p.router] += p.work
 	}
 	c.fallen = true
-	c.halt()
+	c.w.die(c)
 	c.w.watcher.FellOver(c.index, c.Started, pushes)
 }
--- a/internal/model/client.go
+++ b/internal/model/client.go
@@ -136,6 +136,9 @@
 		op.Key = c.hot[int(which*float64(len(c.hot)))]
 	}
 	op.Size = c.w.size(op.Key)
+	if !op.Write {
+		op.Work *= 1 + day.Load.SizeWork*(op.Size-1)
+	}
 	op.patience = between(r, day.Clients.Try[0], day.Clients.Try[1])
 	op.honours = r.Float64() < day.Clients.Honour
 	op.jitter = r.Float64()
--- a/internal/model/conn.go
+++ b/internal/model/conn.go
@@ -8,12 +8,13 @@
 // Answer is what a server says to a call.
 type Answer uint8
 
-// The answers. None but Busy tells that the call never ran.
+// The answers. Busy and Stale tell that the call never ran, as Missed does.
 const (
 	Served Answer = iota
 	Missed        // not kept there; no effect
 	Failed        // may have run
 	Busy          // turned away unseen
+	Stale         // waited too long, and was never begun
 )
 
 // Call is one call of a router to a server.
@@ -70,7 +71,11 @@
 // Dial opens a connection from a router; holder hears what becomes of it. It
 // takes two round trips, as with TLS.
 func (w *World) Dial(router, server int, holder Holder) *Conn {
-	c := &Conn{Router: router, Server: server, w: w, host: w.hosts[server], holder: holder}
+	h := w.hosts[server]
+	if server > 0 { // a router that has not heard yet reaches whoever has taken over the address
+		h = w.occupants[w.Caches[server-1].Addr]
+	}
+	c := &Conn{Router: router, Server: server, w: w, host: h, holder: holder}
 	w.Handshakes++
 	c.toServer(func() {
 		h := c.host
--- a/internal/model/directory.go
+++ b/internal/model/directory.go
@@ -19,6 +19,7 @@
 type Member struct {
 	ID      uint32 // the same at every router and after a restart
 	Index   int    // by which Dial names it
+	Addr    int    // where it is found: that of one that has left may be taken over
 	Zone    int
 	Kind    int // that of the origin is the number of kinds
 	Cell    int
--- a/internal/model/fault.go
+++ b/internal/model/fault.go
@@ -40,7 +40,7 @@
 	"lossy":          {"a size of the segments of every router is lost", lossy},
 	"add":            {"count caches join, one every gap", add},
 	"drain":          {"count caches leave, one every gap, told ahead", drain},
-	"churn":          {"one cache after another is replaced by a new one, every gap", churn},
+	"churn":          {"one cache after another is replaced by a new one, every gap, some at old addresses", churn},
 	"directory":      {"the directory is down", directoryDown},
 	"router_kill":    {"count routers are killed and come back after for", routerKill},
 	"router_restart": {"count routers are stopped and started anew, one every gap", routerRestart},
@@ -269,21 +269,28 @@
 	return func() { clear(w.lossy) }
 }
 
-// join adds one cache that has never been, of a kind drawn by chance.
-func (w *World) join(r *rand.Rand) {
+// join adds one cache that has never been, of a kind drawn by chance. With reuse it takes over the address of
+// one that is gone for good, if there is one.
+func (w *World) join(r *rand.Rand, reuse bool) {
 	x, k := r.Float64(), 0
 	for ; k < len(w.day.Kinds)-1 && x >= w.day.Kinds[k].Share; k++ {
 		x -= w.day.Kinds[k].Share
 	}
 	c := w.newCache(len(w.Caches)+1, &w.day.Kinds[k])
 	w.Caches, w.hosts = append(w.Caches, c), append(w.hosts, &c.host)
+	for _, old := range w.Caches {
+		if reuse && !old.up && old.fallen && w.occupants[old.Addr] == &old.host {
+			c.Addr = old.Addr
+			break
+		}
+	}
 	c.start(false)
 	w.list(c)
 }
 
 func add(w *World, f *Fault, r *rand.Rand) func() {
 	for i := range max(1, f.Count) {
-		w.After(time.Duration(i)*f.Gap.D(), func() { w.join(r) })
+		w.After(time.Duration(i)*f.Gap.D(), func() { w.join(r, false) })
 	}
 	return nil
 }
@@ -328,7 +335,7 @@
 func churn(w *World, f *Fault, r *rand.Rand) func() {
 	return each(w, f.Gap.D(), func() {
 		if list := w.some(r, 0); len(list) > 0 {
-			w.join(r)
+			w.join(r, true)
 			w.leave(list[0])
 		}
 	})
--- a/internal/model/origin.go
+++ b/internal/model/origin.go
@@ -49,7 +49,7 @@
 	places := max(1, int(o.Capacity*set.Time.Seconds()+0.5))
 	o.station = station{q: &w.Queue, places: places, room: int(o.Capacity*set.Queue.Seconds()) + 1,
 		rate:  func() float64 { return o.Capacity / float64(places) / o.slow },
-		began: o.begin, ended: o.end}
+		began: o.begin, ended: o.end, stale: o.tooLate}
 	return o
 }
 
@@ -97,6 +97,15 @@
 	}
 }
 
+// tooLate gives up what has waited longer than the line is meant for.
+func (o *Origin) tooLate(j *job) bool {
+	late := o.w.Now()-j.since > o.set.Queue.D()
+	if late {
+		j.call.Conn.finish(j.call, Stale)
+	}
+	return late
+}
+
 func (o *Origin) begin(j *job) float64 {
 	work := exp(o.rand, 1)
 	if j.call.Try.Op.Write {
--- a/internal/model/station.go
+++ b/internal/model/station.go
@@ -14,6 +14,7 @@
 	rate    func() float64
 	began   func(*job) (work float64) // what a piece takes, known when it begins
 	ended   func(*job)
+	stale   func(*job) bool // takes what has waited too long off the line; nil: nothing does
 	busy    int
 	waiting []*job
 }
@@ -73,6 +74,10 @@
 	for len(s.waiting) > 0 && s.busy < s.places {
 		j := s.waiting[0]
 		s.waiting = s.waiting[1:]
+		if s.stale != nil && s.stale(j) {
+			j.state = jobOver
+			continue
+		}
 		s.begin(j)
 	}
 }
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -37,6 +37,7 @@
 
 	day                  *Day
 	hosts                []*host
+	occupants            map[int]*host // who is, or was last, at each address of a cache
 	tier                 Tier
 	steward              Steward
 	watcher              Watcher
@@ -52,7 +53,7 @@
 
 // New returns the world at the start of a day, which must have passed Check.
 func New(day *Day, tier Tier, steward Steward, watcher Watcher) *World {
-	w := &World{day: day, tier: tier, steward: steward, watcher: watcher, lossy: map[int]bool{},
+	w := &World{day: day, tier: tier, steward: steward, watcher: watcher, lossy: map[int]bool{}, occupants: map[int]*host{},
 		netRand: Stream(day.Seed, "net", 0)}
 	w.zipf = NewZipf(day.Load.Keys*day.Fleet.Caches, day.Load.Zipf, day.Load.Offset)
 	kinds := w.kinds(day.Fleet.Caches)
@@ -142,7 +143,7 @@
 
 // member is the list entry of a cache that runs.
 func (w *World) member(c *Cache) Member {
-	m := Member{Index: c.index, Zone: c.zone, Cell: c.index / 4, Phase: Ready,
+	m := Member{Index: c.index, Addr: c.Addr, Zone: c.zone, Cell: c.index / 4, Phase: Ready,
 		Weight: c.weight()}
 	for k := range w.day.Kinds {
 		if c.Kind == &w.day.Kinds[k] {
--- a/internal/rival/choose.go
+++ b/internal/rival/choose.go
@@ -45,8 +45,8 @@
 }
 
 // ring is consistent hashing: Karger, Lehman, Leighton, Panigrahy, Levine and
-// Lewin, "Consistent Hashing and Random Trees" (STOC 1997), with as many points
-// a server as the ketama library has, by weight.
+// Lewin, "Consistent Hashing and Random Trees" (STOC 1997), with points by weight, about as
+// many for a slot cache as the ketama library has for a server.
 type ring struct {
 	points  []point
 	servers int
@@ -57,16 +57,14 @@
 	s  *server
 }
 
-const ringPoints = 160 // for a server of mean weight
+// ringPoints are those of a unit of weight. They must not hang on the others' weights, or a server that comes
+// or goes moves points of all.
+const ringPoints = 40
 
 func (c *ring) rebuild(servers []*server) {
 	c.points, c.servers = c.points[:0], len(servers)
-	mean := 0.0
 	for _, s := range servers {
-		mean += s.Weight / float64(len(servers))
-	}
-	for _, s := range servers {
-		for i := range max(1, int(ringPoints*s.Weight/mean+0.5)) {
+		for i := range max(1, int(ringPoints*s.Weight+0.5)) {
 			c.points = append(c.points, point{hash(uint64(s.ID), uint64(i)), s})
 		}
 	}
--- /dev/null
+++ b/internal/rules/rules_test.go
@@ -0,0 +1,134 @@
+package rules
+
+import (
+	"testing"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/model"
+)
+
+const ms = time.Millisecond
+
+// The first and the last moment at which each rule still holds, and the first at which it does not.
+func TestBounds(t *testing.T) {
+	read, book, cancel := 0, 1, 2
+	ready := model.Update{Full: true, Members: []model.Member{{Index: 0, Phase: model.Ready, Origin: true}, {Index: 1, Phase: model.Ready}}}
+	left := model.Update{Members: []model.Member{{Index: 1, Phase: model.Draining}}}
+	for _, test := range []struct {
+		name string
+		rule string // that is broken; none if empty
+		run  func(c *Checker)
+	}{
+		{"an answer at the end of the grace", "", func(c *Checker) { c.Final(4020*ms, 0, 1, hoptiller.StepFail) }},
+		{"an answer after it", OneAnswer, func(c *Checker) { c.Final(4021*ms, 0, 1, hoptiller.StepFail) }},
+		{"a second answer", OneAnswer, func(c *Checker) {
+			c.Sent(0, 0, 1, 1) // its call is out, so that it is not forgotten
+			c.Final(0, 0, 1, hoptiller.StepFail)
+			c.Final(0, 0, 1, hoptiller.StepFail)
+		}},
+		{"no answer", OneAnswer, func(c *Checker) { c.Finish(9000 * ms) }},
+		{"a client that leaves", "", func(c *Checker) { c.Left(0, 1); c.Finish(9000 * ms) }},
+		{"a router that dies", "", func(c *Checker) { c.Reset(0); c.Finish(9000 * ms) }},
+		{"a read repeated after an error", "", func(c *Checker) {
+			c.Sent(0, 0, 1, 1)
+			c.Ended(0, 0, 1, 0, hoptiller.ServerError)
+			c.Sent(0, 0, 1, 1)
+		}},
+		{"a booking repeated after it was turned away", "", func(c *Checker) {
+			c.Taken(0, 0, 2, book, time.Second)
+			c.Sent(0, 0, 2, 0)
+			c.Ended(0, 0, 2, 0, hoptiller.Full)
+			c.Sent(0, 0, 2, 0)
+		}},
+		{"a booking repeated after a reset", Effects, func(c *Checker) {
+			c.Taken(0, 0, 2, book, time.Second)
+			c.Sent(0, 0, 2, 0)
+			c.Ended(0, 0, 2, 0, hoptiller.Reset)
+			c.Sent(0, 0, 2, 0)
+		}},
+		{"a booking refused after a time-out", Effects, func(c *Checker) {
+			c.Taken(0, 0, 2, book, time.Second)
+			c.Sent(0, 0, 2, 0)
+			c.Ended(0, 0, 2, 0, hoptiller.Timeout)
+			c.Final(0, 0, 2, hoptiller.StepReject)
+		}},
+		{"a booking that ran twice", Effects, func(c *Checker) { c.Ran(0, 0, 7, book); c.Ran(0, 1, 7, book) }},
+		{"a cancel repeated at the end of its window", "", func(c *Checker) {
+			c.Taken(0, 0, 2, cancel, 4*time.Second)
+			c.Sent(0, 0, 2, 0)
+			c.Ended(0, 0, 2, 0, hoptiller.Timeout)
+			c.Sent(1500*ms, 0, 2, 0)
+		}},
+		{"a cancel repeated after it", Effects, func(c *Checker) {
+			c.Taken(0, 0, 2, cancel, 4*time.Second)
+			c.Sent(0, 0, 2, 0)
+			c.Ended(0, 0, 2, 0, hoptiller.Timeout)
+			c.Sent(1501*ms, 0, 2, 0)
+		}},
+		{"a fifth call", "", func(c *Checker) { calls(c, 5) }},
+		{"a sixth one", Attempts, func(c *Checker) { calls(c, 6) }},
+		{"a call 500 ms after a drain was told", "", func(c *Checker) { c.Told(0, 0, left); c.Sent(500*ms, 0, 1, 1) }},
+		{"one after that", Drain, func(c *Checker) { c.Told(0, 0, left); c.Sent(501*ms, 0, 1, 1) }},
+		{"a drain that is told again later", Drain, func(c *Checker) { c.Told(0, 0, left); c.Told(400*ms, 0, left); c.Sent(501*ms, 0, 1, 1) }},
+		{"a server back after its drain", "", func(c *Checker) { c.Told(0, 0, left); c.Told(0, 0, ready); c.Sent(600*ms, 0, 1, 1) }},
+		{"absence from a whole list", Drain, func(c *Checker) {
+			c.Told(0, 0, model.Update{Full: true, Members: ready.Members[:1]})
+			c.Sent(501*ms, 0, 1, 1)
+		}},
+		{"a router that asks nothing, 10.5 s after the listing", "", func(c *Checker) { c.Listed(0, left.Members[0]); c.Sent(10500*ms, 0, 1, 1) }},
+		{"and later", Drain, func(c *Checker) { c.Listed(0, left.Members[0]); c.Sent(10501*ms, 0, 1, 1) }},
+		{"the same with a watch", "", func(c *Checker) {
+			c.Watches(0, true)
+			c.Listed(0, left.Members[0])
+			c.Sent(60*time.Second, 0, 1, 1)
+		}},
+		{"after a failed call four times as long", "", func(c *Checker) {
+			c.Told(0, 0, model.Update{Failed: true})
+			c.Listed(0, left.Members[0])
+			c.Sent(40500*ms, 0, 1, 1)
+		}},
+		{"a cold cache pushed by those who knew", Cold, func(c *Checker) { c.FellOver(0, 1, 0, map[int]float64{0: 2, 1: 1}) }},
+		{"and by those who did not", "", func(c *Checker) { c.FellOver(0, 1, time.Second, map[int]float64{0: 2, 1: 1}) }},
+		{"an origin stopped by misses at cold caches", Origin, func(c *Checker) { c.OriginStopped(0, 0.31, 1.26) }},
+		{"by those that were due there", "", func(c *Checker) { c.OriginStopped(0, 0.31, 1.25) }},
+		{"by others", "", func(c *Checker) { c.OriginStopped(0, 0.3, 9) }},
+		{"a server that was never listed", Listed, func(c *Checker) { c.Sent(0, 0, 1, 5) }},
+		{"two calls at once", OneCall, func(c *Checker) { c.Sent(0, 0, 1, 1); c.Sent(0, 0, 1, 0) }},
+	} {
+		day := model.Prairie()
+		c := New(&day)
+		c.Told(0, 0, ready)
+		c.Told(0, 1, ready)
+		c.Taken(0, 0, 1, read, 4*time.Second)
+		test.run(c)
+		switch {
+		case test.rule == "" && c.Count > 0:
+			t.Errorf("%s: %v", test.name, c.Found[0])
+		case test.rule != "" && (c.Count != 1 || c.Found[0].Rule != test.rule):
+			t.Errorf("%s: %d breaches, %v, want one of %s", test.name, c.Count, c.Found, test.rule)
+		}
+	}
+}
+
+func calls(c *Checker, n int) {
+	for i := range n {
+		c.Sent(0, 0, 1, 1)
+		c.Ended(0, 0, 1, i, hoptiller.Full)
+	}
+}
+
+// What is over is forgotten, and of a flood of breaches only the first are kept.
+func TestMemory(t *testing.T) {
+	day := model.Prairie()
+	c := New(&day)
+	for id := range uint32(1000) {
+		c.Taken(0, 0, id, 0, time.Second)
+		c.Sent(0, 0, id, 77)
+		c.Final(0, 0, id, hoptiller.StepFail)
+		c.Ended(0, 0, id, 0, hoptiller.Timeout)
+	}
+	if len(c.routers[0].requests) != 0 || c.Count != 1000 || len(c.Found) != keep {
+		t.Errorf("%d requests held, %d breaches, %d kept", len(c.routers[0].requests), c.Count, len(c.Found))
+	}
+}
--- a/internal/sim/pool.go
+++ b/internal/sim/pool.go
@@ -145,7 +145,7 @@
 		r.end(v, hoptiller.Cancelled)
 	}
 	r.outcome(c, [...]hoptiller.Status{model.Served: hoptiller.OK, model.Missed: hoptiller.Miss,
-		model.Failed: hoptiller.ServerError, model.Busy: hoptiller.Full}[a])
+		model.Failed: hoptiller.ServerError, model.Busy: hoptiller.Full, model.Stale: hoptiller.Full}[a])
 }
 
 // Lost implements model.Holder.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -214,7 +214,7 @@
 	delete(l.calls, call)
 	e := l.n.e
 	status := [...]hoptiller.Status{model.Served: hoptiller.OK, model.Missed: hoptiller.Miss, model.Failed: hoptiller.ServerError,
-		model.Busy: hoptiller.Full}[a]
+		model.Busy: hoptiller.Full, model.Stale: hoptiller.Full}[a]
 	e.Check.Ended(e.World.Now(), l.n.index, r.number, call.Attempt, status)
 	e.Tally.Closed(status)
 	text := value(r.id, call.Try.Op.Size)
@@ -232,6 +232,8 @@
 		cache, origin = "SERVER_ERROR failed\r\n", "HTTP/1.1 500 failed\r\nContent-Length: 0\r\n\r\n"
 	case model.Busy:
 		cache, origin = "SERVER_ERROR busy\r\n", "HTTP/1.1 503 busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+	case model.Stale:
+		origin = "HTTP/1.1 504 too late\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
 	}
 	l.write([]byte(cache), []byte(origin))
 }
