Draw the plots that an experiment asks for in the run itself

Why: a file's list of plots was read and used by nothing, and the issue wants one command to answer a question with a plot.

--- a/cmd/hoplab/lab.go
+++ b/cmd/hoplab/lab.go
@@ -26,6 +26,7 @@
 	Out   string `help:"File for the results, as JSON lines; beside the experiment file if not stated, - for none." short:"o"`
 	Cores int    `help:"Cores to use; 0 for all." default:"0"`
 	Seeds int    `help:"Seeds to play instead of the file's." default:"0"`
+	Plots string `help:"Folder for the plots that the file asks for, as SVG." type:"path"`
 	Quiet bool   `help:"No progress and no table." short:"q"`
 
 	Sockets bool   `help:"Play the days in real time on loopback sockets, with the router's program; hoptiller alone, one run after the other."`
@@ -76,6 +77,9 @@
 			fmt.Fprintf(os.Stderr, "\r%d of %d runs", n, of)
 		}
 	})
+	if c.Plots != "" && err == nil {
+		err = c.plot(f, records)
+	}
 	if c.Quiet {
 		return err
 	}
@@ -99,6 +103,40 @@
 	return err
 }
 
+// plot draws what the file asks for.
+func (c *runCmd) plot(f *experiment.File, records []*experiment.Record) error {
+	if err := os.MkdirAll(c.Plots, 0o755); err != nil {
+		return err
+	}
+	for _, y := range f.Plot.Y {
+		path := filepath.Join(c.Plots, f.Name+"-"+y+".svg")
+		if err := plot(records, f.Plot.X, y, "hoptiller", 1, path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// plot draws a figure over another one, as bars where that has no numbers, or the course of a policy's run.
+func plot(records []*experiment.Record, x, y, policy string, run int, path string) error {
+	switch x {
+	case "":
+		return draw.Bars(records, "", y, path)
+	case "time":
+		var own []*experiment.Record
+		for _, r := range records {
+			if r.Policy == policy {
+				own = append(own, r)
+			}
+		}
+		if run < 1 || run > len(own) {
+			return fmt.Errorf("there are %d runs of %s", len(own), policy)
+		}
+		return draw.Course(own[run-1], y, path)
+	}
+	return draw.Sweep(records, x, y, path)
+}
+
 // terminal tells whether a person watches what is written there.
 func terminal(f *os.File) bool {
 	info, err := f.Stat()
@@ -171,7 +209,7 @@
 	Y       string `help:"Figure to plot." short:"y" default:"score"`
 	Out     string `help:"File to write, .svg or .png." short:"o" required:""`
 	Policy  string `help:"Policy whose course is plotted." default:"hoptiller"`
-	Run_    int    `name:"run" help:"Run of the policy whose course is plotted, from 1." default:"1"`
+	Nth     int    `name:"run" help:"Run of the policy whose course is plotted, from 1." default:"1"`
 }
 
 func (c *plotCmd) Run() error {
@@ -179,17 +217,7 @@
 	if err != nil {
 		return err
 	}
-	switch c.X {
-	case "":
-		return draw.Bars(records, "", c.Y, c.Out)
-	case "time":
-		records = slices.DeleteFunc(records, func(r *experiment.Record) bool { return r.Policy != c.Policy })
-		if c.Run_ < 1 || c.Run_ > len(records) {
-			return fmt.Errorf("there are %d runs of %s", len(records), c.Policy)
-		}
-		return draw.Course(records[c.Run_-1], c.Y, c.Out)
-	}
-	return draw.Sweep(records, c.X, c.Y, c.Out)
+	return plot(records, c.X, c.Y, c.Policy, c.Nth, c.Out)
 }
 
 type tableCmd struct {
--- a/cmd/hoplab/main_test.go
+++ b/cmd/hoplab/main_test.go
@@ -19,10 +19,12 @@
 func TestCommands(t *testing.T) {
 	dir := t.TempDir()
 	for name, text := range map[string]string{
-		"day.toml": "policies = [\"hoptiller\", \"ring\"]\nseries = true\nseeds = 2\n[day]\nwarm = \"2 s\"\nlength = \"4 s\"\n" +
+		"day.toml": "policies = [\"hoptiller\", \"ring\"]\nseries = true\nseeds = 8\n[day]\nwarm = \"2 s\"\nlength = \"4 s\"\n" +
 			"[sweep]\n\"load.level\" = [0.3, 0.5]\n",
-		"worse.toml": "policies = [\"p2c\"]\nseries = true\nseeds = 2\n[day]\nwarm = \"2 s\"\nlength = \"4 s\"\n" +
+		"worse.toml": "policies = [\"p2c\"]\nseries = true\nseeds = 8\n[day]\nwarm = \"2 s\"\nlength = \"4 s\"\n" +
 			"[sweep]\n\"load.level\" = [0.3, 0.5]\n",
+		"plots.toml": "[day]\nwarm = \"1 s\"\nlength = \"2 s\"\n[sweep]\n\"load.level\" = [0.3, 0.5]\n" +
+			"[plot]\nx = \"load.level\"\ny = [\"score\", \"call_p99\"]\n",
 		"bad.toml": "[day]\n\nfleet.cashes = 3\n",
 	} {
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
@@ -36,6 +38,7 @@
 	}{
 		{"run day.toml", 0, "load.level=0.5"},
 		{"run worse.toml -q", 0, ""},
+		{"run plots.toml --plots drawn", 0, "0.5    hoptiller"},
 		{"run bad.toml", 1, `bad.toml:3:1: there is no "day.fleet.cashes"`},
 		{"run none.toml", 80, "none.toml"},
 		{"run day.toml --sockets --router none", 1, "the router's program"},
@@ -70,7 +73,7 @@
 			t.Errorf("hoplab %s: exit code %d, said\n%s\nwant %d and %q", test.args, code, out, test.code, test.says)
 		}
 	}
-	for _, name := range []string{"a.svg", "b.png"} {
+	for _, name := range []string{"a.svg", "b.png", "drawn/plots-score.svg", "drawn/plots-call_p99.svg"} {
 		if info, err := os.Stat(filepath.Join(dir, name)); err != nil || info.Size() < 1000 {
 			t.Errorf("%s: %v", name, err)
 		}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -41,6 +41,8 @@
 		"[day]\nfleet.caches = 0":                     "x.toml:2: fleet.caches is 0: 1 to 20000 is possible",
 		"[[day.fault]]\nkind = \"fire\"":              `x.toml:2: fault 1: kind is "fire": one of add,`,
 		"policies = [\"best\"]":                       `x.toml:1: policy "best" is not known: hoptiller, random`,
+		"[plot]\nx = \"load.level\"":                  `x.toml:2: plot over "load.level": "time" or a figure of the sweep is meant`,
+		"[plot]\nx = \"time\"":                        `x.toml:2: plot over "time": series = true is needed for that`,
 		"seeds = -1":                                  "x.toml:1: seeds is -1: 1 to 100000 is possible",
 		"[sweep]\n\"load.level\" = 3":                 `x.toml:2: sweep of "load.level": a list of values is meant`,
 		"[sweep]\n\"load.levle\" = [3]":               `x.toml:2: sweep at map[load.levle:3]: there is no "day.load.levle"`,
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -95,6 +95,12 @@
 		f.Policies = []string{"hoptiller"}
 	}
 	f.Seeds = max(f.Seeds, 1)
+	if x := f.Plot.X; x != "" && x != "time" && !f.sweeps(x) {
+		return nil, f.fault("plot.x", fmt.Sprintf("plot over %q: \"time\" or a figure of the sweep is meant", x))
+	}
+	if f.Plot.X == "time" && !f.Series {
+		return nil, f.fault("plot.x", "plot over \"time\": series = true is needed for that")
+	}
 	_, err = f.Points() // what a sweep asks for is checked before anything is played
 	return f, err
 }
@@ -170,6 +176,18 @@
 	return 0
 }
 
+// sweeps tells whether a figure is swept.
+func (f *File) sweeps(figure string) bool {
+	for names := range f.Sweep {
+		for _, name := range strings.Split(names, ",") {
+			if strings.TrimSpace(name) == figure {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Point is one day of a sweep.
 type Point struct {
 	At  map[string]any // figures that were set
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -42,7 +42,9 @@
 // Value is a figure of the result by the name it has in JSON; for a class "book.service" and the like.
 func (r *Record) Value(name string) (float64, bool) {
 	class, figure, ofClass := strings.Cut(name, ".")
-	text, err := json.Marshal(r.Result)
+	figures := *r.Result // without what is long and has no figure
+	figures.Series, figures.Violations = nil, nil
+	text, err := json.Marshal(figures)
 	if err != nil {
 		return 0, false
 	}
