Bound fetches by the origin's window instead of a part of all misses

Change: where the router fetches, the origin's window bounds the fetches that are out, as it does at the caches. It begins at 2.4 for each cache over all balancers, is cut by fetches 1.5 times as late as what is kept may be, and grows while in use. The gate stays for fleets whose caches fetch.

TestOriginWindow fails without the change: 100 of 100 misses are fetched at once, none after late ones, and never as many as before.

--- a/router.go
+++ b/router.go
@@ -47,6 +47,9 @@
 	healthSlack = 1.25 // a server this little under its peers counts in full
 	healthLeast = 0.03 // what a sick server keeps of its weight, so that it is seen to mend
 	keyHeld     = 20.0 // seconds for which a key answered here is held to be kept at its home
+	originFirst = 2.4  // fetches that may be out at first for each cache, at all balancers
+	originLeast = 4.0  // and at each of them
+	originLate  = 1.5  // how much later a fetch may come than what is kept, and be no sign of a queue
 	gateCut     = 0.2  // part of the gate that a bad fetch takes
 	gateGain    = 0.06 // and what a good one adds to it, of what it is
 	gateMend    = 0.01 // what the gate opens by itself, a second
@@ -133,7 +136,7 @@
 	bad               float64       // part of outcomes over all servers that are signs of load
 	ill               float64       // and of all trouble
 	badFetch, badKept float64       // parts that end badly of what needs the origin, and of the rest
-	fetchAt, gateAt   time.Duration // last outcome of such, and last cut of the gate
+	fetchAt           time.Duration // last outcome of such
 	gate              float64       // part of the reads that need the origin that is let through
 
 	help  float64                  // part of requests that another server answers after an error
@@ -401,9 +404,9 @@
 	if q.Write || bad == 0 && o.Status != OK && o.Status != Miss {
 		return // a write is the origin's work
 	}
-	if o.Status != Reset && o.Status != ConnectFailed {
+	if !r.set.Aside && o.Status != Reset && o.Status != ConnectFailed {
 		lost := o.Status != OK && o.Status != Miss || o.Latency > q.class.Aim
-		r.learnGate(q.fresh || s.origin, one(lost), t.at)
+		r.learnGate(q.fresh, one(lost))
 	}
 	if !s.origin {
 		r.paths[s.Zone] += (bad - r.paths[s.Zone]) / pathOver
@@ -425,25 +428,17 @@
 	r.ill += (bad - r.ill) / min(64, max(8, r.rate))
 }
 
-// learnGate guards the origin, which is slow for all once it is sent more than it can do, and then
-// works on what nobody waits for any more: of what it has to fetch less is let through while fetches
+// learnGate guards an origin behind the servers, which is slow for all once it is sent more than it can do,
+// and then works on what nobody waits for any more: of what it has to fetch less is let through while fetches
 // end badly, until they end well. What ends badly without it is no fault of its own.
-func (r *Router) learnGate(fetch bool, x float64, sent time.Duration) {
+func (r *Router) learnGate(fetch bool, x float64) {
 	if !fetch {
 		r.badKept += (x - r.badKept) / 16
 		return
 	}
 	r.badFetch += (x - r.badFetch) / 8
 	cut, gain := gateCut*(1-min(1, r.badKept/max(r.badFetch, 0.01))), gateGain
-	if r.set.Aside { // the origin's own word
-		if x > 0 && sent < r.gateAt {
-			return // one cut for all that was out when it was cut
-		}
-		cut, gain = 2*gateCut*max(0, min(1, 4*r.badFetch-1)), gateGain/2 // one alone is chance
-	}
-	if gain = min(gain, 0.3*(r.now-r.fetchAt).Seconds()); x > 0 {
-		r.gateAt = r.now
-	}
+	gain = min(gain, 0.3*(r.now-r.fetchAt).Seconds())
 	r.fetchAt = r.now
 	r.gate = max(0.02, min(1, r.gate*(1-x*cut+(1-x)*gain)))
 }
@@ -452,12 +447,15 @@
 // signs of a queue, once for each window sent, and grown slowly while it is in use.
 func (r *Router) learnWindow(q *request, t *attempt, o *Outcome) {
 	s, used := t.to, float64(t.to.out+1)
-	late, aim := false, q.class.Aim.Seconds()
+	late, at := false, lateAt*q.class.Aim.Seconds()
+	if s.origin {
+		at *= originLate
+	}
 	switch o.Status {
 	case Full, ConnectFailed:
 		late = true
 	case Timeout, OK:
-		late = o.Latency.Seconds() > lateAt*aim
+		late = o.Latency.Seconds() > at
 	default:
 		return
 	}
@@ -584,7 +582,9 @@
 	}
 }
 
-// toOrigin sends to the origin what the gate lets through.
+// toOrigin sends to the origin what it bears. A part of the reads would not do: a small one starves itself of the
+// answers from which to learn that there is room again, and any part of a flood is a flood. So its window bounds
+// what is out there, from the start: until a first sign of a queue came back it would be too late.
 func (r *Router) toOrigin(q *request) {
 	var s *server
 	for _, o := range r.origins {
@@ -596,7 +596,10 @@
 		r.finish(q, false)
 		return
 	}
-	if !q.Write && r.chance() > r.gate {
+	if math.IsInf(s.window, 1) {
+		s.window = max(originLeast, originFirst*float64(len(r.caches))/r.balancers())
+	}
+	if !q.Write && !r.hasRoom(s) {
 		r.finish(q, true)
 		return
 	}
