Do not take a call that ended before it was read for one out beside another

The older call of a pair was looked at after the slack, the newer one was not, though here the newer one to be read was the one that had ended.

--- a/cmd/hoplab/lab.go
+++ b/cmd/hoplab/lab.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"hoptiller/internal/draw"
@@ -83,7 +84,8 @@
 	if c.Quiet {
 		return err
 	}
-	fmt.Fprintf(os.Stderr, "\r%d runs, %d requests in %v\n", len(records), taken, time.Since(at).Round(10*time.Millisecond))
+	fmt.Fprintf(os.Stderr, "\r%d runs, %d requests in %v, %d MB of memory at the most\n", len(records), taken,
+		time.Since(at).Round(10*time.Millisecond), memory())
 	if werr := experiment.WriteSummary(os.Stdout, records, f.Plot.X); werr != nil {
 		return errors.Join(err, werr)
 	}
@@ -137,6 +139,15 @@
 	return draw.Sweep(records, x, y, path)
 }
 
+// memory is the most that this process has held, in MB; 0 where that is not told.
+func memory() int64 {
+	var use syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &use) != nil {
+		return 0
+	}
+	return use.Maxrss / 1024
+}
+
 // terminal tells whether a person watches what is written there.
 func terminal(f *os.File) bool {
 	info, err := f.Stat()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -169,7 +169,8 @@
 }
 
 // alone sees to it that no other call of the request is out. The end of one may be read here a little after the
-// beginning of the next, on another connection; what is still out after that was out at the same time.
+// beginning of the next, on another connection; and a call on a connection that was still coming up is read after
+// it has been closed, and after the next one. What is out a while later, both of it, was out at the same time.
 func (l *link) alone(r *request, call *model.Call) {
 	e, before := l.n.e, r.out
 	r.out = call
@@ -177,7 +178,7 @@
 		return
 	}
 	e.World.After(slack, func() {
-		if !r.ended[before] {
+		if !r.ended[before] && !r.ended[call] {
 			e.Check.Together(e.World.Now(), l.n.index, r.number, before.Attempt, call.Attempt)
 		}
 	})
