Cut the origin's window also where little of it is in use

A late fetch now cuts the window at an origin in any case, and to no more than twice what was out at once since it was last cut; one late fetch of many that came in time still costs little.

TestOriginWindowOfMany fails without the change: 100 fetches out, 40 allowed.

--- a/defence_test.go
+++ b/defence_test.go
@@ -1,6 +1,7 @@
 package hoptiller
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -426,6 +427,39 @@
 	}
 }
 
+// Where a hundred routers share an origin that is sized for little traffic, none has half of its first window out,
+// and yet the origin is late for all: each cuts down to what it has out. 4,000 caches stopped theirs in the lab.
+func TestOriginWindowOfMany(t *testing.T) {
+	set := testSettings()
+	set.Aside, set.OriginKind, set.Balancers, set.MaxAttempts = true, 2, 1, 2
+	list := fleet(slices.Repeat([]float64{1}, 101)...)
+	list[100].Kind = 2
+	r, p := newRouter(set, list)
+	id := uint32(0)
+	miss := func(n int) (out []uint32) {
+		for range n {
+			id++
+			r.Request(r.now, Request{ID: id, Key: mix(uint64(id)), Remaining: time.Second})
+			answer(r, p, id, Miss, 5*time.Millisecond)
+			if p.last().request == id && p.last().server == 101 {
+				out = append(out, id)
+			}
+		}
+		return out
+	}
+	first := miss(20)
+	if len(first) != 20 {
+		t.Fatalf("%d of 20 misses are fetched by a window of %d", len(first), int(originFirst*100))
+	}
+	r.now += 400 * time.Millisecond
+	for _, id := range first {
+		answer(r, p, id, OK, 400*time.Millisecond)
+	}
+	if second := miss(100); len(second) > 40 || len(second) < 10 {
+		t.Errorf("%d fetches are out after 20 came late", len(second))
+	}
+}
+
 // Where the router fetches, a miss goes to the origin, and writes go straight there. No flood of misses comes to it
 // all at once, from the first moment on; while fetches are late or turned away fewer and fewer are out there, and when
 // they come in time again as many as before. Errors that come at once are no sign of a queue, and one late fetch is chance.
--- a/router.go
+++ b/router.go
@@ -63,6 +63,7 @@
 	weight     float64       // rating x fade x health, as of the last sweep
 	score      float64       // for the key ranked last
 	out        int           // own attempts outstanding
+	most       int           // out at once since the window was cut
 	heard      time.Duration // last answer of any kind
 	passed     time.Duration // when the latest attempt that has an answer was sent
 	window     float64       // own attempts that may be out before keys pass on
@@ -465,13 +466,16 @@
 		}
 		return
 	}
-	if t.at < s.cutAt || used < s.window/2 && !math.IsInf(s.window, 1) {
+	// What is late at a cache that has little of this instance's is for others to mend; an origin is all instances'.
+	if t.at < s.cutAt || used < s.window/2 && !s.origin && !math.IsInf(s.window, 1) {
 		return
 	}
 	s.cutAt = r.now
 	if math.IsInf(s.window, 1) {
 		s.window = max(windowFirst/r.balancers(), used)
 	}
+	s.window = min(s.window, 2*max(used, float64(s.most)))
+	s.most = s.out
 	s.window = max(1, windowCut*s.window)
 }
 
@@ -615,6 +619,7 @@
 	}
 	q.tries = append(q.tries, t)
 	s.out++
+	s.most = max(s.most, s.out)
 	if s.out == 1 {
 		s.heard = r.now
 	}
