Let a request be narrowed by its operator: pool, time, repeats, copies

The operator's file is to bound what is done for a route: which servers, how long a call may take, after which outcomes and how often it is repeated, out of what budget, and with or without second copies. The module decides all of that, and must go on deciding it.

Request has a Narrowing now, which the module asks where it decides: it skips servers that are not allowed, shortens a call's time, and makes no repeat or copy that it is not granted. A repeat is paid for only when all else allows it. What follows a miss is no repeat. There is no way to widen anything by it.

Ruled out: an instance of the module for each pool, told of its servers alone. Each would learn anew which server is sick, and the origin's window would be split among them.

--- a/api.go
+++ b/api.go
@@ -128,6 +128,25 @@
 	Write     bool
 	Retry     bool          // the client's own further try, where clients mark it
 	Remaining time.Duration // until the client gives up
+	Narrow    Narrowing     // what its operator forbids it; nil: nothing
+}
+
+// Narrowing takes from what a Router may do for a request. It can add nothing: what
+// the Router would not do it does not do with one either. The methods are called
+// within the Router's own.
+type Narrowing interface {
+	// Allows tells whether a server may get the request. The origin is not asked for.
+	Allows(server uint32) bool
+	// Timeout is how long one attempt may take at the most.
+	Timeout() time.Duration
+	// Repeats tells whether there may be another attempt after some, fetches after
+	// a miss not counted, of which the last ended with a status.
+	Repeats(attempts int, last Status) bool
+	// Spend takes a repeat that is about to be made out of a budget, and tells
+	// whether it had one.
+	Spend(now time.Duration) bool
+	// Copies tells whether two attempts may be out at once.
+	Copies() bool
 }
 
 // Status is how an attempt ended.
--- a/router.go
+++ b/router.go
@@ -86,6 +86,7 @@
 	stale     bool          // lost with an idle connection, which says nothing of the server
 	spent     bool          // out of the budget
 	failed    bool          // ended with an error
+	ended     Status        // once it is not open
 }
 
 // request is one client request that is not closed, or whose attempts are still out.
@@ -358,7 +359,7 @@
 	var tried *server
 	full, pass := 0, r.homes(q)
 	for s := range r.ranking(q) {
-		if !r.coldRoom(q, s, full+len(q.tries) == 0) || !r.mayResend(q, s) {
+		if q.Narrow != nil && !q.Narrow.Allows(s.ID) || !r.coldRoom(q, s, full+len(q.tries) == 0) || !r.mayResend(q, s) {
 			continue
 		}
 		if pass--; pass >= 0 || q.tried(s) {
@@ -569,7 +570,8 @@
 // dispatch sends a request to where it belongs now, holds it, or ends it.
 func (r *Router) dispatch(q *request) {
 	feeds := len(q.tries) > 0 && !q.missed && r.pressure > 1 // another attempt feeds an overload
-	if feeds || !r.mayTry(q) || (q.end-r.now).Seconds() < r.usualOf(q) || len(q.tries) >= r.set.MaxAttempts {
+	short := (q.end - r.now).Seconds() < r.usualOf(q)
+	if feeds || !r.mayTry(q) || short || len(q.tries) >= r.set.MaxAttempts || !q.mayRepeat() || !q.spend(r.now) {
 		r.finish(q, true) // no useful answer can come any more
 		return
 	}
@@ -623,7 +625,11 @@
 	if s.out == 1 {
 		s.heard = r.now
 	}
-	r.act.Send(q.ID, s.ID, q.end-r.now)
+	timeout := q.end - r.now
+	if q.Narrow != nil {
+		timeout = min(timeout, max(q.Narrow.Timeout(), time.Millisecond))
+	}
+	r.act.Send(q.ID, s.ID, timeout)
 }
 
 // freshen guards against connections that are dropped unseen while idle: once some were found
@@ -721,6 +727,31 @@
 	return float64(len(r.further)+1) <= room
 }
 
+// mayRepeat tells whether the operator lets a request be called again after what its last attempt came to, or, while
+// that is out, be taken from it. What follows a miss is no repeat.
+func (q *request) mayRepeat() bool {
+	n := len(q.tries)
+	if n == 0 || q.Narrow == nil || !q.tries[n-1].open && q.tries[n-1].ended == Miss {
+		return true
+	}
+	calls, last := 0, q.tries[n-1].ended
+	for i := range q.tries {
+		if t := &q.tries[i]; t.open || t.ended != Miss {
+			calls++
+		}
+	}
+	if q.tries[n-1].open {
+		last = Timeout
+	}
+	return q.Narrow.Repeats(calls, last)
+}
+
+// spend takes a repeat out of the operator's budget, if it has one.
+func (q *request) spend(now time.Duration) bool {
+	n := len(q.tries)
+	return n == 0 || q.Narrow == nil || !q.tries[n-1].open && q.tries[n-1].ended == Miss || q.Narrow.Spend(now)
+}
+
 // since drops the times before one.
 func since(times []time.Duration, from time.Duration) []time.Duration {
 	n, _ := slices.BinarySearch(times, from)
@@ -771,7 +802,7 @@
 		return
 	}
 	t := &q.tries[o.Attempt]
-	t.open = false
+	t.open, t.ended = false, o.Status
 	t.ran = o.Status != Full && o.Status != ConnectFailed && o.Status != Moot && o.Status != Miss
 	t.to.out--
 	if o.Status == Miss {
@@ -939,11 +970,14 @@
 	if l, aim := passedAfter*r.usualOf(q), q.class.Aim.Seconds(); t.to.passed > t.at && l < passedAim*aim {
 		silent, patience = r.now-t.at, max(lateAt*aim, l) // its connection may be silent, not the server
 	}
-	if silent.Seconds() <= patience || !copies || !r.mayTry(q) {
+	if silent.Seconds() <= patience || !copies || !r.mayTry(q) || !q.mayRepeat() {
 		return
 	}
 	if r.set.SecondCopies {
-		if to := r.choose(q); to != nil && to != t.to {
+		if q.Narrow != nil && !q.Narrow.Copies() {
+			return
+		}
+		if to := r.choose(q); to != nil && to != t.to && q.spend(r.now) {
 			r.send(q, to)
 		}
 	} else if r.set.MayCancel {
