Apply a plan's limits to invocations, in the lab as in the router

internal/admit puts a plan into force: an invocation passes its route's rate and concurrency and then the limit of all routes, may wait in a short queue or lose its place there to one of a higher priority, and is narrowed by a Bound, which stays as it was when the invocation began. Another plan can be adopted in any state; what is out counts on. Pools are kept up as servers come and go, with their fallbacks; one that is empty has nobody, not everybody.

A property test plays asks, ends, leaves and reloads in any order: each invocation gets one verdict, and nothing is left behind.

sim.Limited puts the same code round any policy, and an experiment names such a policy "hoptiller+adaptive".

--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,202 @@
+package admit
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hoptiller"
+	"hoptiller/internal/limit"
+	"hoptiller/internal/plan"
+)
+
+func load(t interface{ Fatal(...any) }, text string) *plan.Plan {
+	platform := &plan.Platform{
+		Settings: hoptiller.Settings{MaxAttempts: 5, OriginKind: 2, RetryAfter: true, MaxRetryAfter: 2 * time.Second, Classes: []hoptiller.Class{
+			{Aim: time.Second, Deadline: 4 * time.Second}, {Aim: time.Second, Deadline: 4 * time.Second, Effect: hoptiller.AtMostOnce}}},
+		Classes: []string{"view", "book"}, Zones: []string{"a", "b"}, Kinds: []string{"x", "y", "origin"},
+	}
+	p, report := plan.Load("f", func(name string) ([]byte, error) {
+		if name != "f" {
+			return nil, os.ErrNotExist
+		}
+		return []byte(text), nil
+	}, platform)
+	if p == nil {
+		t.Fatal(report)
+	}
+	return p
+}
+
+func bound(c *Control, class int, key string) *Bound {
+	return c.Bound(c.Plan().Table().Lookup(class, []byte(key), nil, netip.Addr{}))
+}
+
+func TestRateAndQueue(t *testing.T) {
+	c := New(load(t, "policy p {\n\tconcurrency 1\n\tqueue 1 for 50ms\n\trate 10/s burst 4\n}\nroute r {\n\tpolicy p\n}\n"))
+	b := bound(c, 0, "k")
+	for id, want := range []limit.Verdict{limit.Go, limit.Wait, limit.No, limit.No, limit.No} {
+		turn, _ := c.Ask(0, uint64(id+1), b)
+		if turn.Verdict != want || want == limit.Wait && turn.Until != 50*time.Millisecond || want == limit.No && (turn.After <= 0 || turn.Limit == "") {
+			t.Errorf("%d: %+v", id+1, turn)
+		}
+		if id == 4 && turn.Limit != "rate of route r" {
+			t.Errorf("%+v", turn)
+		}
+	}
+	if others := c.Done(time.Millisecond, 1, limit.Well); len(others) != 1 || others[0].ID != 2 || others[0].Verdict != limit.Go {
+		t.Errorf("%+v", others)
+	}
+	if waited, _, _ := c.Leave(2*time.Millisecond, 2); waited {
+		t.Error("one that is in leaves the queue")
+	}
+}
+
+// What is worth most makes room for itself, at the cost of the lowest; and a place at a route's limit is given back by
+// one that loses its place in the queue of all.
+func TestPriorities(t *testing.T) {
+	c := New(load(t, "limits {\n\tconcurrency 1\n\tqueue 1 for 50ms\n}\npolicy low {\n\tconcurrency 2\n}\npolicy high {\n\tpriority 9\n}\n"+
+		"route view {\n\tclass view\n\tpolicy low\n}\nroute book {\n\tclass book\n\tpolicy high\n}\n"))
+	view, book := bound(c, 0, "k"), bound(c, 1, "k")
+	c.Ask(0, 1, view)
+	if turn, _ := c.Ask(0, 2, view); turn.Verdict != limit.Wait {
+		t.Fatalf("%+v", turn)
+	}
+	if turn, _ := c.Ask(0, 3, view); turn.Verdict != limit.No || turn.Limit != "concurrency of route view" {
+		t.Errorf("%+v", turn)
+	}
+	turn, others := c.Ask(0, 4, book)
+	if turn.Verdict != limit.Wait || len(others) != 1 || others[0].ID != 2 || others[0].Verdict != limit.No || others[0].Limit != sharedName {
+		t.Fatalf("%+v, %+v", turn, others)
+	}
+	if turn, _ := c.Ask(0, 5, view); turn.Limit != sharedName {
+		t.Errorf("the place was not given back: %+v", turn)
+	}
+	if others := c.Done(0, 1, limit.Well); len(others) != 1 || others[0].ID != 4 {
+		t.Errorf("%+v", others)
+	}
+}
+
+// A pool that loses its last providers falls back, and one without a fallback has nobody, not everybody.
+func TestPools(t *testing.T) {
+	c := New(load(t, "pool a {\n\tzone a\n\tat-least 2\n\tfallback y\n}\npool y {\n\tkind y\n\taddress 10.0.0.1:1\n}\nroute r {\n\tpool a\n}\n"))
+	b := bound(c, 0, "k")
+	allowed := func(servers ...Server) (ids []uint32) {
+		c.Servers(servers)
+		for id := uint32(1); id <= 4; id++ {
+			if b.Narrowing().Allows(id) {
+				ids = append(ids, id)
+			}
+		}
+		return ids
+	}
+	one, two := Server{ID: 1, Addr: "10.0.0.9:1", Ready: true}, Server{ID: 2, Addr: "10.0.0.8:1", Ready: true}
+	other := Server{ID: 3, Zone: 1, Kind: 1, Addr: "10.0.0.1:1", Ready: true}
+	if got := allowed(one, two, other); !slices.Equal(got, []uint32{1, 2}) {
+		t.Error(got)
+	}
+	two.Ready = false
+	if got := allowed(one, two, other); !slices.Equal(got, []uint32{3}) {
+		t.Error(got)
+	}
+	other.Addr = "10.0.0.1:2"
+	if got := allowed(one, two, other); got != nil {
+		t.Error(got)
+	}
+	if got := bound(New(load(t, "")), 0, "k").Narrowing(); got != nil {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestNarrowing(t *testing.T) {
+	c := New(load(t, "policy p {\n\tattempts 2\n\trepeat on full timeout\n\ttimeout 30ms\n\tbudget 0% least 0.1/s\n}\nroute r {\n\tclass view\n\tpolicy p\n}\n"))
+	b := bound(c, 0, "k")
+	n := b.Narrowing()
+	if n.Timeout() != 30*time.Millisecond || !n.Repeats(1, hoptiller.Full) || !n.Repeats(1, hoptiller.Cancelled) || n.Repeats(1, hoptiller.Reset) ||
+		n.Repeats(2, hoptiller.Full) || n.Copies() {
+		t.Error("the policy is not kept")
+	}
+	if !n.Spend(0) || n.Spend(0) {
+		t.Error("the budget is not kept")
+	}
+	c.Adopt(load(t, "route r {\n\tclass view\n}\n"))
+	if n.Timeout() != 30*time.Millisecond || !n.Repeats(1, hoptiller.Full) {
+		t.Error("what had begun goes on otherwise after a reload")
+	}
+	if bound(c, 0, "k").Narrowing() != nil {
+		t.Error("what begins after a reload goes on as before")
+	}
+}
+
+// Whatever comes, in whatever state it is when another plan is loaded: each invocation gets one verdict in the end, no
+// more are in than there are places, and nothing is left behind.
+func TestEachHasOneVerdict(t *testing.T) {
+	texts := []string{"",
+		"limits {\n\tconcurrency 3\n\tqueue 2 for 20ms\n}\npolicy p {\n\tconcurrency 2\n\tqueue 2 for 10ms\n}\npolicy q {\n\tpriority 5\n}\nroute v {\n\tclass view\n\tpolicy p\n}\nroute b {\n\tclass book\n\tpolicy q\n}\n",
+		"limits {\n\tconcurrency adaptive 1 2\n}\npolicy p {\n\trate 100/s burst 2\n\tbudget 10%\n}\nroute v {\n\tclass view\n\tpolicy p\n}\n",
+		"policy p {\n\tconcurrency 1\n\tqueue 3 for 10ms\n}\nroute v {\n\tpolicy p\n}\n",
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(load(t, texts[1]))
+		now, next := time.Duration(0), uint64(0)
+		waiting, in := []uint64{}, []uint64{}
+		drop := func(list []uint64, id uint64) []uint64 {
+			i := slices.Index(list, id)
+			if i < 0 {
+				t.Fatalf("a verdict on %d, which has one", id)
+			}
+			return slices.Delete(list, i, i+1)
+		}
+		take := func(turns ...Turn) {
+			for _, x := range turns {
+				if waiting = drop(waiting, x.ID); x.Verdict == limit.Go {
+					in = append(in, x.ID)
+				} else if x.Verdict == limit.Wait {
+					waiting = append(waiting, x.ID)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				next++
+				waiting = append(waiting, next)
+				turn, others := c.Ask(now, next, bound(c, rapid.IntRange(0, 1).Draw(t, "class"), "k"))
+				take(turn)
+				take(others...)
+			},
+			"done": func(t *rapid.T) {
+				if len(in) == 0 {
+					t.Skip()
+				}
+				id := rapid.SampledFrom(in).Draw(t, "which")
+				in = drop(in, id)
+				take(c.Done(now, id, limit.Ended(rapid.IntRange(0, 2).Draw(t, "how")))...)
+			},
+			"leave": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					t.Skip()
+				}
+				id := rapid.SampledFrom(waiting).Draw(t, "which")
+				waited, turn, others := c.Leave(now, id)
+				if !waited || turn.Verdict != limit.No {
+					t.Fatalf("%d did not wait: %+v", id, turn)
+				}
+				take(append([]Turn{turn}, others...)...)
+			},
+			"reload": func(t *rapid.T) { c.Adopt(load(t, rapid.SampledFrom(texts).Draw(t, "plan"))) },
+			"time":   func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond },
+		})
+		for len(in) > 0 {
+			id := in[0]
+			in = in[1:]
+			take(c.Done(now, id, limit.Well)...)
+		}
+		if a, b := c.Counts(); a+b > 0 || len(waiting) > 0 {
+			t.Fatalf("%d in and %d waiting are left behind, %v", a, b, waiting)
+		}
+	})
+}
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -18,6 +18,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"hoptiller/internal/model"
+	"hoptiller/internal/plan"
 	"hoptiller/internal/rival"
 	"hoptiller/internal/sim"
 )
@@ -25,13 +26,16 @@
 // File is an experiment: days, each played by some policies from some seeds.
 type File struct {
 	Title    string         `toml:"title"`
-	Policies []string       `toml:"policies"` // hoptiller, or one of package rival; hoptiller if none is named
+	Policies []string       `toml:"policies"` // hoptiller, or one of package rival, or either with "+" and a name of Operator
 	Seeds    int            `toml:"seeds"`    // played from day.seed on; 1 if not stated
 	Series   bool           `toml:"series"`   // keep what happens second by second
 	Day      model.Day      `toml:"day"`      // what differs from model.Prairie
 	Sweep    map[string]any `toml:"sweep"`    // figures of the day, or several with commas between, and their values
 	Plot     Plot           `toml:"plot"`
 
+	// Operator names operator's files, by their paths beside this one, to be put round a policy.
+	Operator map[string]string `toml:"operator"`
+
 	Engine Engine `toml:"-"` // that plays the days; virtual time if nil
 
 	Name string `toml:"-"` // of the file, without its ending
@@ -81,8 +85,8 @@
 	f.path, f.text = path, text
 	f.Name = strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
 	for _, p := range f.Policies {
-		if Policy(p) == nil {
-			return nil, f.fault("policies", fmt.Sprintf("policy %q is not known: hoptiller, %s are meant", p, strings.Join(rival.Names(), ", ")))
+		if _, err := f.policy(p, &f.Day); err != nil {
+			return nil, f.fault("policies", err.Error())
 		}
 	}
 	if f.Seeds < 0 || f.Seeds > 100000 {
@@ -116,6 +120,34 @@
 	return nil
 }
 
+// policy finds a policy by its name, with the operator's file that may be named with it.
+func (f *File) policy(name string, day *model.Day) (sim.Policy, error) {
+	base, operator, limited := strings.Cut(name, "+")
+	p := Policy(base)
+	if p == nil {
+		return nil, fmt.Errorf("policy %q is not known: hoptiller, %s are meant", base, strings.Join(rival.Names(), ", "))
+	}
+	if !limited {
+		return p, nil
+	}
+	path := f.Operator[operator]
+	if path == "" {
+		return nil, fmt.Errorf("policy %q: operator has no %q", name, operator)
+	}
+	platform := &plan.Platform{Settings: sim.Settings(day, 0)}
+	for _, c := range day.Classes {
+		platform.Classes = append(platform.Classes, c.Name)
+	}
+	for i := range day.Zones {
+		platform.Zones = append(platform.Zones, strconv.Itoa(i))
+	}
+	limits, report := plan.Load(filepath.Join(filepath.Dir(f.path), path), os.ReadFile, platform)
+	if limits == nil {
+		return nil, report.Err()
+	}
+	return sim.Limited(p, limits), nil
+}
+
 func decode(text []byte) (*File, error) {
 	f := &File{Day: model.Prairie()}
 	d := toml.NewDecoder(bytes.NewReader(text))
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -107,7 +107,7 @@
 	}
 	engine := f.Engine
 	if engine == nil {
-		engine = virtual
+		engine = f.virtual
 	}
 	if cores <= 0 {
 		cores = runtime.GOMAXPROCS(0)
@@ -210,8 +210,12 @@
 type Engine func(ctx context.Context, day *model.Day, policy string, series bool) (*tally.Result, error)
 
 // virtual plays in virtual time.
-func virtual(ctx context.Context, day *model.Day, policy string, series bool) (*tally.Result, error) {
-	return sim.Run(ctx, day, Policy(policy), sim.Options{Series: series})
+func (f *File) virtual(ctx context.Context, day *model.Day, policy string, series bool) (*tally.Result, error) {
+	p, err := f.policy(policy, day)
+	if err != nil {
+		return nil, err
+	}
+	return sim.Run(ctx, day, p, sim.Options{Series: series})
 }
 
 // Story plays one run again and tells the course of one request.
@@ -221,9 +225,9 @@
 		return nil, err
 	}
 	day.Seed = seed
-	p := Policy(policy)
-	if p == nil {
-		return nil, fmt.Errorf("policy %q is not known", policy)
+	p, err := f.policy(policy, &day)
+	if err != nil {
+		return nil, err
 	}
 	return sim.Run(ctx, &day, p, sim.Options{Story: &s})
 }
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -223,16 +223,8 @@
 				func(v value) { p.BudgetLeast = c.quantity(v, "least", "rate", 0, 1e6) })
 			p.BudgetSaid = true
 		},
-		"concurrency": func(s *statement) { c.concurrency(s, p) },
-		"queue": func(s *statement) {
-			c.pairs(s, "for", func(v value) { p.Queue = int(c.quantity(v, "queue", "count", 1, 10000)) },
-				func(v value) {
-					p.QueueFor = time.Duration(c.quantity(v, "for", "time", float64(time.Millisecond), float64(time.Minute)))
-				})
-			if p.Queue > 0 && p.QueueFor == 0 {
-				c.find(s.at, "queue", "a queue without a time for which one may wait in it", "queue 20 for 50ms")
-			}
-		},
+		"concurrency": func(s *statement) { c.concurrency(s, &p.Concurrency) },
+		"queue":       func(s *statement) { c.queue(s, &p.Queue, &p.QueueFor) },
 		"rate": func(s *statement) {
 			c.pairs(s, "burst", func(v value) { p.Rate = c.quantity(v, "rate", "rate", 1.0/3600, 1e6) },
 				func(v value) { p.Burst = c.quantity(v, "burst", "count", 1, 1e6) })
@@ -296,9 +288,17 @@
 	return strings.Join(names, " ")
 }
 
-func (c *checker) concurrency(s *statement, p *Policy) {
+func (c *checker) queue(s *statement, most *int, longest *time.Duration) {
+	c.pairs(s, "for", func(v value) { *most = int(c.quantity(v, "queue", "count", 1, 10000)) }, func(v value) {
+		*longest = time.Duration(c.quantity(v, "for", "time", float64(time.Millisecond), float64(time.Minute)))
+	})
+	if *most > 0 && *longest == 0 {
+		c.find(s.at, "queue", "a queue without a time for which one may wait in it", "queue 20 for 50ms")
+	}
+}
+
+func (c *checker) concurrency(s *statement, k *Concurrency) {
 	c.noBlock(s)
-	k := &p.Concurrency
 	switch v := s.values; {
 	case len(v) == 1:
 		k.Most = int(c.quantity(v[0], "concurrency", "count", 1, 1e5))
@@ -404,6 +404,9 @@
 		"open":      func(s *statement) { l.Open = c.count(s, 1, 1e6) },
 		"providers": func(s *statement) { l.Providers = c.count(s, 1, 1e6) },
 		"origin":    func(s *statement) { l.Origin = c.count(s, 1, 1e6) },
+
+		"concurrency": func(s *statement) { c.concurrency(s, &l.Concurrency) },
+		"queue":       func(s *statement) { c.queue(s, &l.Queue, &l.QueueFor) },
 	})
 }
 
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Field is one figure of a thing, as the language writes it.
@@ -147,7 +148,8 @@
 func (p *Plan) things() map[string][]Field {
 	all := map[string][]Field{
 		"limits": {{"clients", amount(p.Limits.Clients)}, {"open", amount(p.Limits.Open)},
-			{"providers", amount(p.Limits.Providers)}, {"origin", amount(p.Limits.Origin)}},
+			{"providers", amount(p.Limits.Providers)}, {"origin", amount(p.Limits.Origin)},
+			{"concurrency", concurrencyText(p.Limits.Concurrency)}, {"queue", queueText(p.Limits.Queue, p.Limits.QueueFor)}},
 		"log": {{"level", p.Log.Level}, {"format", p.Log.Format}, {"rate", show(p.Log.Rate, "rate")}},
 	}
 	for name, l := range p.Listeners {
@@ -236,20 +238,36 @@
 	}
 	const open = "as the module decides"
 	repeat := or(x.RepeatSaid, or(x.Repeat == 0, "never", "on "+outcomeList(x.Repeat)), open)
-	limit := or(x.Concurrency.Adaptive, fmt.Sprintf("adaptive %d %d", x.Concurrency.Least, x.Concurrency.Most), strconv.Itoa(x.Concurrency.Most))
 	return []Field{
 		{"timeout", or(x.Timeout > 0, showTime(x.Timeout), open)},
 		{"attempts", or(x.Attempts > 0, strconv.Itoa(x.Attempts), open)},
 		{"repeat", repeat},
 		{"copies", or(x.Copies > 0, strconv.Itoa(x.Copies), open)},
 		{"budget", or(x.BudgetSaid, show(x.Budget, "part")+" least "+show(x.BudgetLeast, "rate"), open)},
-		{"concurrency", or(x.Concurrency.Most > 0, limit, "no limit")},
-		{"queue", or(x.Queue > 0, fmt.Sprintf("%d for %s", x.Queue, showTime(x.QueueFor)), "none")},
+		{"concurrency", concurrencyText(x.Concurrency)},
+		{"queue", queueText(x.Queue, x.QueueFor)},
 		{"rate", or(x.Rate > 0, show(x.Rate, "rate")+" burst "+strconv.FormatFloat(x.Burst, 'g', -1, 64), "no limit")},
 		{"priority", strconv.Itoa(x.Priority)},
 	}
 }
 
+func concurrencyText(c Concurrency) string {
+	switch {
+	case c.Most == 0:
+		return "no limit"
+	case c.Adaptive:
+		return fmt.Sprintf("adaptive %d %d", c.Least, c.Most)
+	}
+	return strconv.Itoa(c.Most)
+}
+
+func queueText(n int, longest time.Duration) string {
+	if n == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%d for %s", n, showTime(longest))
+}
+
 // Explain tells what an invocation gets, and why: the entry's figures, and of each
 // route that does not fit, or goes behind the one that does, the reason.
 func (p *Plan) Explain(class int, key, tenant string, client netip.Addr) (e *Entry, fields []Field, why []string) {
--- a/internal/plan/load.go
+++ b/internal/plan/load.go
@@ -109,8 +109,8 @@
 	for _, s := range l.statements {
 		statements = append(statements, l.resolve(s))
 	}
-	for _, c := range l.constants {
-		l.constant(c, nil) // those that are used nowhere must make sense too
+	for _, name := range sorted(l.constants) {
+		l.constant(l.constants[name], nil) // those that are used nowhere must make sense too
 	}
 	plan := newPlan(p)
 	c := &checker{loader: l, plan: plan, platform: p}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -124,7 +124,12 @@
 	Open      int // invocations at once beyond the first of each connection
 	Providers int // connections to slot caches
 	Origin    int // connections to the origin
-	pos       places
+
+	// All routes share this one, and what has a low priority makes room first.
+	Concurrency Concurrency
+	Queue       int
+	QueueFor    time.Duration
+	pos         places
 }
 
 // Log says what is logged.
@@ -163,6 +168,9 @@
 // Table is what invocations are looked up in.
 func (p *Plan) Table() *Table { return p.table }
 
+// Platform is what the plan was checked against.
+func (p *Plan) Platform() *Platform { return p.platform }
+
 // places says where a thing is stated, and each of its figures.
 type places map[string]place
 
--- a/internal/plan/rules.go
+++ b/internal/plan/rules.go
@@ -234,6 +234,16 @@
 	if most := 2 * int(p.MemoryMB); most > 0 && l.Open > most {
 		c.find(l.pos.of("open"), "memory", fmt.Sprintf("%d open invocations do not fit %d MB", l.Open, p.MemoryMB), fmt.Sprintf("up to %d", most))
 	}
+	if l.Queue > 0 && l.Concurrency.Most == 0 {
+		c.find(l.pos.of("queue"), "queue", "a queue without a limit to wait for", "concurrency beside it")
+	}
+	for i := range p.Settings.Classes {
+		if aim := p.Settings.Classes[i].Aim; aim > 0 && l.QueueFor >= aim {
+			c.find(l.pos.of("queue"), "queue-time", fmt.Sprintf("one may wait %s in the queue, and an answer to %s is due within %s",
+				showTime(l.QueueFor), p.Classes[i], showTime(aim)), "less than "+showTime(aim))
+			break
+		}
+	}
 	taken := map[string]string{}
 	for _, name := range sorted(c.plan.Listeners) {
 		x := c.plan.Listeners[name]
--- a/internal/plan/table.go
+++ b/internal/plan/table.go
@@ -150,6 +150,26 @@
 	return e
 }
 
+// Entries gives each entry once.
+func (t *Table) Entries() []*Entry {
+	var all []*Entry
+	seen := map[*Entry]bool{}
+	for i := range t.classes {
+		all = append(all, t.classes[i].none)
+		for j := range t.classes[i].levels {
+			for _, targets := range t.classes[i].levels[j].byKey {
+				for _, x := range targets {
+					if !seen[x.entry] {
+						seen[x.entry] = true
+						all = append(all, x.entry)
+					}
+				}
+			}
+		}
+	}
+	return all
+}
+
 // Lookup finds the entry for a class, a key, a tenant and a client's address. It
 // allocates nothing. A class that there is not gets the entry of the first.
 func (t *Table) Lookup(class int, key, tenant []byte, client netip.Addr) *Entry {
--- a/internal/rival/rival.go
+++ b/internal/rival/rival.go
@@ -80,11 +80,12 @@
 
 type request struct {
 	hoptiller.Request
-	class  *hoptiller.Class
-	end    time.Duration
-	missed bool
-	closed bool
-	calls  []call
+	class   *hoptiller.Class
+	end     time.Duration
+	missed  bool
+	repeats int // calls that ended, misses not counted
+	closed  bool
+	calls   []call
 }
 
 // Router is one router with a rival's policy. It is hoptiller.Events.
@@ -256,6 +257,13 @@
 		return
 	}
 	q.missed = q.missed || o.Status == hoptiller.Miss
+	if n := q.Narrow; n != nil && o.Status != hoptiller.Miss { // an operator limits repeats of these as well
+		q.repeats++
+		if !n.Repeats(q.repeats, o.Status) || !n.Spend(now) {
+			r.finish(q)
+			return
+		}
+	}
 	r.next(now, q)
 }
 
