Serve by an operator's file, reload it under load, and give hoptiller commands

bin/hoptiller had no arguments, and nothing could be limited by route.

internal/guard stands between the front and the relay, only where a file is named, and applies package admit: limits, the queue, pools kept up from the directory, and the narrowing that the module is given. cmd/hoptiller is on kong now: serve (also what a bare call does), check, fmt, diff, explain, version, completion. SIGHUP takes the platform's file and the operator's, or, where one is wrong, nothing of either, in one line of the log; listeners and numbers of connections want a restart, and a warning says so. A file that is replaced while it is read is read again. The front takes several listeners.

A scenario on sockets: a limit is met, a file that would let a booking run twice changes nothing, an empty pool refuses, a booking that may have run is not sent again though its policy's time is up, and a wider file holds while a read is out. A test under the race detector reloads five plans under 2,000 invocations that wait, are out or leave: each has one answer.

--- a/cmd/hoplab/sockets.go
+++ b/cmd/hoplab/sockets.go
@@ -180,6 +180,6 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintln(os.Stderr, "listening on", l.Addr())
+	fmt.Fprintf(os.Stderr, "listening addr=%v\n", l.Addr())
 	return speed.Relay(l, c.To)
 }
--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -1,163 +1,97 @@
-// Command hoptiller is a router in front of a fleet of slot caches.
+// Command hoptiller is a router in front of a fleet of slot caches, with the tools
+// for its operator's file.
 package main
 
 import (
-	"context"
+	"errors"
 	"fmt"
-	"log"
-	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
-	"golang.org/x/sync/errgroup"
+	"github.com/alecthomas/kong"
 
-	"hoptiller"
 	"hoptiller/internal/config"
-	"hoptiller/internal/directory"
-	"hoptiller/internal/front"
-	"hoptiller/internal/origin"
-	"hoptiller/internal/provider"
-	"hoptiller/internal/relay"
+	"hoptiller/internal/plan"
 )
 
+// exit codes beside 0 and, for a command line that can't be read, 80.
 const (
-	providerShare = 4                      // calls on a provider connection before another is opened
-	linger        = 700 * time.Millisecond // for which clients still come after SIGTERM
-	spare         = 300 * time.Millisecond // between the last answer and SIGKILL
+	exitBad     = 1 // something can't be read or used
+	exitFinding = 3 // what was looked for was found: a finding, a difference
 )
 
-// keep is how long clients are served after SIGTERM on the connections that they have: SIGKILL comes when the
-// longest deadline, counted as 3 s at the most, and linger are over, and till then all must be answered.
-func keep(classes []hoptiller.Class) time.Duration {
-	var deadline, aim time.Duration
-	for _, c := range classes {
-		deadline, aim = max(deadline, c.Deadline), max(aim, c.Aim)
-	}
-	return max(linger, linger+min(deadline, 3*time.Second)-aim-spare)
+// errFinding ends a command that has reported what it found.
+var errFinding = errors.New("found")
+
+type cli struct {
+	Serve      serveCmd      `cmd:"" default:"withargs" help:"Route requests; this is done where no command is named."`
+	Check      checkCmd      `cmd:"" help:"Check an operator's file; exit code 3 if anything is wrong."`
+	Fmt        fmtCmd        `cmd:"" help:"Write an operator's file in its one form."`
+	Diff       diffCmd       `cmd:"" help:"Tell what two operator's files do differently; exit code 3 if anything."`
+	Explain    explainCmd    `cmd:"" help:"Tell which route, pool and policy a request gets, and why."`
+	Version    versionCmd    `cmd:"" help:"Say what this was built from."`
+	Completion completionCmd `cmd:"" help:"Write a completion script for a shell."`
 }
 
-// shares is what the limits leave to each side of the router.
-type shares struct {
-	clients   int // connections
-	kept      int // and of them, those that may stay idle: clients hold a third of the descriptors at most
-	open      int // invocations beyond the first of each client connection
-	providers int // connections to all slot caches
-	provider  int // connections to one of them; four routers share the 70 that it accepts
-	origins   int // connections to the origin
+// platform are the flags by which the platform's configuration is found.
+type platform struct {
+	Config string `env:"RELAY_CONFIG" placeholder:"FILE" help:"The platform's configuration (JSON)."`
 }
 
-// divide shares out the descriptors and the memory that a router has. Clients get half of the descriptors:
-// those that say nothing must leave room for those that ask. Some are kept for the listener, the
-// directory and the program itself.
-func divide(c *config.Config) shares {
-	sockets, memory := c.Sockets, int(c.MemoryMB)
-	if sockets <= 0 {
-		sockets = 1024
-	}
-	if memory <= 0 {
-		memory = 192
-	}
-	rest := max(sockets-24, 8)
-	s := shares{clients: min(rest/2, 8*memory), kept: sockets / 4, open: 2 * memory, origins: min(64, rest/6)}
-	s.providers = rest - s.clients - s.origins
-	s.provider = min(16, max(4, s.providers/8))
-	return s
+// load reads the configuration. Flags go before the environment, and that before the file.
+func (p *platform) load(over map[string]string) (*config.Config, error) {
+	return config.Load(func(name string) string {
+		if name == "RELAY_CONFIG" {
+			return p.Config
+		}
+		return over[name]
+	})
 }
 
-func main() {
-	log.SetFlags(0)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP) // before all else: until then it ends the program
-	c, err := config.Load(os.Getenv)
-	if err == nil {
-		err = run(c, hup)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "hoptiller:", err)
-		os.Exit(1)
-	}
+// facts are what operator's files are checked against.
+func facts(c *config.Config) *plan.Platform {
+	return &plan.Platform{Settings: c.Settings, Classes: c.Classes, Zones: c.Zones, Kinds: c.Kinds, MemoryMB: c.MemoryMB, Sockets: c.Sockets}
 }
 
-func run(c *config.Config, hup <-chan os.Signal) error {
-	if c.MemoryMB > 0 { // collect garbage harder well before the limit that kills
-		debug.SetMemoryLimit(c.MemoryMB << 20 / 2)
-	}
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return err
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("there is no build information")
 	}
-	log.Printf("listening on %v", listener.Addr())
-	s := divide(c)
-	providers := provider.New(provider.Settings{
-		Share: providerShare, MostConns: s.provider, MostTotal: s.providers, MostCalls: max(1, c.MostCalls),
-		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
-	}, provider.Meta{})
-	origins := provider.New(provider.Settings{
-		Share: 1, MostConns: s.origins, MostCalls: 1,
-		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
-	}, origin.Protocol{})
-	r := relay.New(c.Settings, c.Seed, providers, origins)
-	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
-	dir := directory.NewClient(registry(c), names, r, c.Known)
-	f := &front.Front{Classes: c.Classes, MostConns: s.clients, MostKept: s.kept, MostOpen: s.open, Linger: linger,
-		Keep: keep(c.Settings.Classes), Server: r}
-	for _, class := range c.Settings.Classes {
-		f.Deadlines = append(f.Deadlines, class.Deadline)
+	at, changed := "an unknown revision", ""
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			at = s.Value
+		case "vcs.modified":
+			if s.Value == "true" {
+				changed = ", with changes"
+			}
+		}
 	}
-
-	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer release()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return r.Run(ctx, dir) })
-	g.Go(func() error { return dir.Run(ctx) })
-	g.Go(func() error {
-		reload(ctx, hup, c, dir)
-		return nil
-	})
-	g.Go(func() error {
-		defer cancel() // the clients are served: all else ends
-		return f.Serve(ctx, stop, listener)
-	})
-	err = g.Wait()
-	providers.Close()
-	origins.Close()
+	_, err := fmt.Printf("hoptiller %s, built with %s from %s%s\n", info.Main.Version, info.GoVersion, at, changed)
 	return err
 }
 
-func registry(c *config.Config) *directory.Registry {
-	return &directory.Registry{Addr: c.Discovery, Timeout: 4 * time.Second, Silence: 4500 * time.Millisecond}
-}
-
-// reload reads the configuration again on each SIGHUP. A router under load keeps its clients, providers
-// and all that it has learned; what it takes is where discovery is now. The environment still names the
-// address of the start, so here the file goes before it.
-func reload(ctx context.Context, hup <-chan os.Signal, c *config.Config, dir *directory.Client) {
-	env := func(name string) string {
-		if name == "RELAY_DISCOVERY" {
-			return ""
-		}
-		return os.Getenv(name)
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		}
-		next, err := config.Load(env)
-		if err != nil {
-			log.Printf("reload: %v; the old configuration stays", err)
-			continue
-		}
-		log.Printf("reload: discovery at %s", next.Discovery)
-		if next.Discovery != c.Discovery {
-			c = next
-			dir.Move(registry(c))
-		}
+func main() {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // before all else: until then it ends the program
+	var c cli
+	parser := kong.Must(&c, kong.Name("hoptiller"), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Description("A router in front of a fleet of slot caches. Exit codes: 0 done, 1 something can't be read or used, "+
+			"3 something was found, 80 the command line can't be read."))
+	k, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	k.Bind(hup)
+	switch err := k.Run(); {
+	case errors.Is(err, errFinding):
+		os.Exit(exitFinding)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "hoptiller:", err)
+		os.Exit(exitBad)
 	}
 }
--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"hoptiller/internal/logs"
 	"hoptiller/internal/testprog"
 )
 
@@ -32,7 +33,8 @@
 // "close" is SIGTERM, "send" puts d2 into its configuration, or else TEXT in its place, and is SIGHUP; "wait"
 // reads its log and "expect" its exit code. The end of a connection reads as <closed>.
 // In TEXT, {a*9} is nine a's and {p1 active 5} the list entry of p1, active, started at 5 ms.
-// A first line "# list p1 p2" names the providers that the program knows when it starts.
+// A first line "# list p1 p2" names the providers that the program knows when it starts, or "# operator FILE" the
+// operator's file that it is given, in testdata/operator; "operator send FILE" puts another one in its place, and is SIGHUP.
 
 const patience = 20 * time.Second
 
@@ -69,6 +71,7 @@
 	exit    chan error
 	path    string // of the configuration
 	text    string // and what it says
+	file    string // the operator's
 }
 
 var binary string // of the program, built once
@@ -85,7 +88,7 @@
 	"fall":1500000,"overloadFactor":2.5,"stopSendingWithin":500000}}`
 
 // start starts the program in a world where it knows the named providers.
-func start(t *testing.T, providers []string) *world {
+func start(t *testing.T, providers []string, operator string) *world {
 	w := &world{actors: map[string]*actor{}, exit: make(chan error, 1)}
 	for _, name := range []string{"p1", "p2", "o", "d", "d2"} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -119,6 +122,13 @@
 	w.program = exec.Command(binary)
 	w.program.Env = append(os.Environ(), "RELAY_CONFIG="+w.path, "RELAY_DISCOVERY="+w.actors["d"].addr)
 	stderr, err := w.program.StderrPipe()
+	if operator != "" {
+		w.file = filepath.Join(t.TempDir(), "operator.hop")
+		w.program.Env = append(w.program.Env, "HOPTILLER_FILE="+w.file)
+		if err := w.put(operator); err != nil {
+			t.Fatal(err)
+		}
+	}
 	if err == nil {
 		err = w.program.Start()
 	}
@@ -127,7 +137,7 @@
 	}
 	log := bufio.NewReader(stderr)
 	first, _ := log.ReadString('\n')
-	addr, ok := strings.CutPrefix(strings.TrimSpace(first), "listening on ")
+	addr, ok := logs.Field(first, "addr")
 	if !ok {
 		t.Fatalf("the program begins with %q", first)
 	}
@@ -180,6 +190,12 @@
 }
 
 func (w *world) do(name, verb, text string) error {
+	if name == "operator" {
+		if err := w.put(text); err != nil {
+			return err
+		}
+		return w.program.Process.Signal(syscall.SIGHUP)
+	}
 	a, err := w.actor(name)
 	switch {
 	case err != nil:
@@ -221,6 +237,15 @@
 	}
 }
 
+// put puts a file of testdata in the place of the operator's file.
+func (w *world) put(name string) error {
+	text, err := os.ReadFile(filepath.Join("testdata/operator", name))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(w.file, []byte(w.expand(string(text))), 0o600)
+}
+
 func (w *world) onProgram(verb, text string) error {
 	switch verb {
 	case "close":
@@ -260,11 +285,15 @@
 				t.Fatal(err)
 			}
 			lines := strings.Split(strings.TrimRight(string(text), "\n"), "\n")
+			operator, _ := strings.CutPrefix(lines[0], "# operator ")
+			if operator == lines[0] {
+				operator = ""
+			}
 			list, listed := strings.CutPrefix(lines[0], "# list ")
 			if !listed {
 				list = "p1"
 			}
-			w := start(t, strings.Fields(list))
+			w := start(t, strings.Fields(list), operator)
 			for i, l := range lines {
 				if l == "" || l[0] == '#' {
 					continue
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,7 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"slices"
 	"strconv"
@@ -37,6 +37,12 @@
 	Entries []Entry
 }
 
+// Listener is told of servers, as *relay.Relay is.
+type Listener interface {
+	Told(kind hoptiller.ListKind, servers []relay.Server)
+	Knows(id uint32) bool
+}
+
 // Source is a service that can be asked for the list.
 type Source interface {
 	// List asks for the whole list.
@@ -156,7 +162,7 @@
 // Client asks a Source what the Router wants asked and tells a Relay. It is a
 // relay.Directory.
 type Client struct {
-	relay  *relay.Relay
+	relay  Listener
 	orders chan order
 
 	mu      sync.Mutex // serialises what is told
@@ -178,7 +184,7 @@
 }
 
 // NewClient returns a Client that knows what known says.
-func NewClient(src Source, names *Names, r *relay.Relay, known Update) *Client {
+func NewClient(src Source, names *Names, r Listener, known Update) *Client {
 	c := &Client{src: src, relay: r, names: names, orders: make(chan order, 16)}
 	c.told(hoptiller.ListCached, known, src, nil)
 	return c
@@ -248,7 +254,7 @@
 	if err == nil {
 		c.told(hoptiller.ListFull, u, src, nil)
 	} else if ctx.Err() == nil {
-		log.Printf("directory: list: %v", err)
+		slog.Warn("directory call failed", "call", "list", "err", err)
 		c.failed(nil)
 	}
 }
@@ -264,7 +270,7 @@
 		c.told(kind, u, w.src, w)
 	})
 	if ctx.Err() == nil {
-		log.Printf("directory: watch: %v", err)
+		slog.Warn("directory call failed", "call", "watch", "err", err)
 		c.failed(w)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,8 +6,9 @@
 	"cmp"
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"net"
+	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -41,7 +42,7 @@
 	Serve(ctx context.Context, inv *relay.Invocation) relay.Answer
 }
 
-// Front serves the clients of one listener.
+// Front serves the clients of a router, who may come by several listeners.
 type Front struct {
 	Classes   []string        // names, by number
 	Deadlines []time.Duration // for an invocation that states none, by class
@@ -61,22 +62,22 @@
 
 // Serve accepts clients until stop ends, and Linger longer, and serves those it
 // has until Keep is over; then it finishes what was taken and returns. When ctx ends, it drops everything.
-func (f *Front) Serve(ctx, stop context.Context, l net.Listener) error {
+func (f *Front) Serve(ctx, stop context.Context, listeners ...net.Listener) error {
 	f.conns, f.open, f.left = map[*conn]bool{}, map[string]bool{}, make(chan struct{}, 1)
 	g, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, max(1, f.MostConns))
-	accepted := make(chan struct{})
-	go func() {
-		defer close(accepted)
+	var accepting sync.WaitGroup
+	accept := func(l net.Listener) {
 		for {
 			f.makeRoom(places)
 			nc, err := l.Accept()
 			if errors.Is(err, net.ErrClosed) {
+				<-places
 				return
 			}
 			if err != nil { // out of descriptors, or the client has left again: not the end of the listener
 				<-places
-				log.Printf("accept: %v", err)
+				slog.Warn("accept failed", "err", err)
 				time.Sleep(5 * time.Millisecond)
 				continue
 			}
@@ -88,6 +89,9 @@
 			}
 			c := &conn{Conn: nc, front: f, reader: reader, slots: make(chan slot, readAhead), freed: make(chan struct{}, 1),
 				since: time.Now()}
+			if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+				c.client = a.AddrPort().Addr().Unmap()
+			}
 			f.mu.Lock()
 			f.conns[c] = true
 			f.mu.Unlock()
@@ -105,15 +109,20 @@
 				return nil
 			})
 		}
-	}()
+	}
+	for _, l := range listeners {
+		accepting.Go(func() { accept(l) })
+	}
 	select {
 	case <-ctx.Done():
 	case <-stop.Done():
 	}
 	stopped := time.Now()
 	f.wait(ctx, stopped.Add(f.Linger), false) // clients still come until the front layer has noticed
-	l.Close()
-	<-accepted
+	for _, l := range listeners {
+		l.Close()
+	}
+	accepting.Wait()
 	// Clients use the connections that they have for as long as they can; another router may be down just now.
 	f.wait(ctx, stopped.Add(f.Keep), true)
 	f.endIdle()
@@ -236,6 +245,7 @@
 	slots  chan slot     // answers to come, in the order of the commands
 	freed  chan struct{} // told when one has been written
 	faults int           // commands that made no sense
+	client netip.Addr
 
 	mu    sync.Mutex
 	out   int       // commands taken and not answered
@@ -434,7 +444,7 @@
 
 // invoke starts an invocation.
 func (c *conn) invoke(ctx context.Context, cmd *meta.Command) {
-	inv := &relay.Invocation{Write: cmd.Verb == meta.Set}
+	inv := &relay.Invocation{Write: cmd.Verb == meta.Set, Client: c.client}
 	if fault := c.front.facts(inv, cmd.Facts); fault != "" {
 		c.fault("CLIENT_ERROR " + fault)
 		return
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,216 @@
+package guard
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/plan"
+	"hoptiller/internal/relay"
+)
+
+func load(t testing.TB, text string) *plan.Plan {
+	p, report := plan.Load("f", func(name string) ([]byte, error) {
+		if name != "f" {
+			return nil, os.ErrNotExist
+		}
+		return []byte(text), nil
+	}, &plan.Platform{Classes: []string{"view"}, Zones: []string{"a", "b"},
+		Settings: hoptiller.Settings{MaxAttempts: 5, OriginKind: 2, RetryAfter: true, MaxRetryAfter: time.Second,
+			Classes: []hoptiller.Class{{Aim: time.Minute, Deadline: time.Minute}}}})
+	if p == nil {
+		t.Fatal(report)
+	}
+	return p
+}
+
+// behind is the relay: it says who has come and answers when it is told to.
+type behind struct {
+	come chan *relay.Invocation
+	go_  chan bool
+	out  atomic.Int64
+	most atomic.Int64
+	told []relay.Server
+}
+
+func (b *behind) Serve(ctx context.Context, inv *relay.Invocation) relay.Answer {
+	n := b.out.Add(1)
+	for m := b.most.Load(); n > m && !b.most.CompareAndSwap(m, n); m = b.most.Load() {
+	}
+	defer b.out.Add(-1)
+	b.come <- inv
+	select {
+	case <-b.go_:
+	case <-ctx.Done():
+	}
+	return relay.Answer{Kind: hoptiller.StepServed}
+}
+func (b *behind) Told(_ hoptiller.ListKind, s []relay.Server) { b.told = s }
+func (b *behind) Knows(uint32) bool                           { return true }
+
+func newGuard(t testing.TB, text string) (*Guard, *behind, chan string) {
+	b := &behind{come: make(chan *relay.Invocation, 1000), go_: make(chan bool, 1000)}
+	met := make(chan string, 10000)
+	return New(b, b, load(t, text), func(limit string) { met <- limit }), b, met
+}
+
+const one = "policy p {\n\tconcurrency 1\n\tqueue 1 for %s\n}\nroute r {\n\tpolicy p\n}\n"
+
+// await waits until so many wait in a queue.
+func await(t *testing.T, g *Guard, n int) {
+	for end := time.Now().Add(20 * time.Second); ; {
+		if _, waiting := g.Counts(); waiting == n {
+			return
+		} else if time.Now().After(end) {
+			t.Fatalf("%d wait, not %d", waiting, n)
+		}
+	}
+}
+
+// One is out, the next waits and goes when the first is answered, the third is refused at once.
+func TestQueue(t *testing.T) {
+	g, b, met := newGuard(t, fmt.Sprintf(one, "50s"))
+	answers := make(chan relay.Answer, 2)
+	serve := func(ctx context.Context) {
+		answers <- g.Serve(ctx, &relay.Invocation{Key: []byte("k"), Remaining: time.Minute})
+	}
+	go serve(context.Background())
+	<-b.come
+	go serve(context.Background())
+	await(t, g, 1)
+	if a := g.Serve(context.Background(), &relay.Invocation{}); a.Kind != hoptiller.StepReject || a.RetryAfter <= 0 || <-met != "concurrency of route r" {
+		t.Errorf("%+v", a)
+	}
+	b.go_ <- true
+	if inv := <-b.come; inv.Remaining >= time.Minute || inv.Narrow == nil {
+		t.Errorf("what was waited is not taken off: %+v", inv)
+	}
+	b.go_ <- true
+	for range 2 {
+		if a := <-answers; a.Kind != hoptiller.StepServed {
+			t.Errorf("%+v", a)
+		}
+	}
+	// One whose client leaves, and one whose time in the queue is up, give their places back.
+	go serve(context.Background())
+	<-b.come
+	ctx, cancel := context.WithCancel(context.Background())
+	go serve(ctx)
+	await(t, g, 1)
+	cancel()
+	<-answers
+	g.Adopt(load(t, fmt.Sprintf(one, "2ms")))
+	if a := g.Serve(context.Background(), &relay.Invocation{}); a.Kind != hoptiller.StepReject || <-met != "queue of route r" {
+		t.Errorf("%+v", a)
+	}
+	b.go_ <- true
+	<-answers
+	if in, waiting := g.Counts(); in+waiting > 0 {
+		t.Errorf("%d in and %d waiting are left", in, waiting)
+	}
+}
+
+// A thousand invocations in every state (waiting, out, leaving) while plans come and go: each has one answer, no more
+// are out than the widest plan allows, and nothing is left behind.
+func TestReloadUnderLoad(t *testing.T) {
+	g, b, met := newGuard(t, fmt.Sprintf(one, "1ms"))
+	texts := []string{"", fmt.Sprintf(one, "3ms"), strings.Replace(fmt.Sprintf(one, "1ms"), "concurrency 1", "concurrency adaptive 2 9", 1),
+		"limits {\n\tconcurrency 3\n\tqueue 4 for 2ms\n}\nroute r {\n\tclass view\n}\n", "policy p {\n\trate 100/s burst 9\n}\nroute r {\n\tpolicy p\n}\n"}
+	var plans []*plan.Plan
+	for _, text := range texts {
+		plans = append(plans, load(t, text))
+	}
+	done := make(chan bool)
+	go func() {
+		for i := 0; ; i++ {
+			select {
+			case <-done:
+				return
+			case <-met:
+			case <-b.come:
+				b.go_ <- true
+				if i%10 == 0 {
+					g.Adopt(plans[i/10%len(plans)])
+				}
+			}
+		}
+	}()
+	var all sync.WaitGroup
+	var count atomic.Int64
+	for i := range 40 {
+		all.Go(func() {
+			for j := range 50 {
+				ctx, cancel := context.WithCancel(context.Background())
+				if (i+j)%7 == 0 {
+					cancel()
+				}
+				g.Serve(ctx, &relay.Invocation{Key: []byte("k"), Remaining: time.Minute})
+				cancel()
+				count.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	close(done)
+	if in, waiting := g.Counts(); count.Load() != 2000 || in+waiting > 0 || len(g.waiting) > 0 {
+		t.Errorf("%d answers; %d in, %d waiting are left", count.Load(), in, waiting)
+	}
+}
+
+// Pools follow the directory: by the whole list, by what has changed, and not by a call that failed.
+func TestPools(t *testing.T) {
+	g, b, _ := newGuard(t, "pool a {\n\tzone a\n}\nroute r {\n\tpool a\n}\n")
+	server := func(id uint32, zone int, phase hoptiller.Phase) relay.Server {
+		return relay.Server{Server: hoptiller.Server{ID: id, Zone: zone, Phase: phase}}
+	}
+	allowed := func(id uint32) bool {
+		return g.control.Find(0, nil, nil, (&relay.Invocation{}).Client).Narrowing().Allows(id)
+	}
+	g.Told(hoptiller.ListFull, []relay.Server{server(1, 0, hoptiller.Ready), server(2, 1, hoptiller.Ready)})
+	g.Told(hoptiller.ListFailed, nil)
+	if !allowed(1) || allowed(2) || len(b.told) != 0 {
+		t.Error("the list does not make the pool")
+	}
+	g.Told(hoptiller.ListDelta, []relay.Server{server(1, 0, hoptiller.Draining), server(3, 0, hoptiller.Ready)})
+	if allowed(1) || !allowed(3) {
+		t.Error("what has changed does not change the pool")
+	}
+	if g.Told(hoptiller.ListFull, nil); allowed(3) || !g.Knows(1) {
+		t.Error("who is not in the list is in the pool")
+	}
+}
+
+type nothing struct{}
+
+func (nothing) Serve(context.Context, *relay.Invocation) relay.Answer {
+	return relay.Answer{Kind: hoptiller.StepServed}
+}
+
+// What a guard adds to an invocation: without a route, with a policy that narrows, and with all limits.
+func BenchmarkGuard(b *testing.B) {
+	var many strings.Builder
+	for i := range 1000 {
+		fmt.Fprintf(&many, "route r%d {\n\tkey \"k%d:\"\n\tpolicy p\n}\n", i, i)
+	}
+	for _, c := range []struct{ name, text string }{
+		{"none", ""},
+		{"narrowed", "policy p {\n\tattempts 2\n}\nroute r {\n\tpolicy p\n}\n"},
+		{"limited", "limits {\n\tconcurrency adaptive 4 200\n}\npolicy p {\n\tconcurrency 100\n\trate 1000000/s burst 100000\n\tbudget 10%\n}\nroute r {\n\tpolicy p\n}\n"},
+		{"1000 routes", "policy p {\n\tattempts 2\n}\n" + many.String()},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			g := New(nothing{}, &behind{}, load(b, c.text), func(string) {})
+			inv := &relay.Invocation{Key: []byte("k500:x"), Remaining: time.Minute}
+			b.ReportAllocs()
+			for b.Loop() {
+				g.Serve(context.Background(), inv)
+			}
+		})
+	}
+}
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -385,7 +385,6 @@
 				l.Addr = v.text
 			}
 		},
-		"clients": func(s *statement) { l.Clients = c.count(s, 1, 100000) },
 	})
 	if ok && l.pos["address"] == (place{}) {
 		c.find(s.at, "address", "a listener without an address", `address "127.0.0.1:7001"`)
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -153,7 +153,7 @@
 		"log": {{"level", p.Log.Level}, {"format", p.Log.Format}, {"rate", show(p.Log.Rate, "rate")}},
 	}
 	for name, l := range p.Listeners {
-		all["listener "+name] = []Field{{"address", l.Addr}, {"clients", amount(l.Clients)}}
+		all["listener "+name] = []Field{{"address", l.Addr}}
 	}
 	return all
 }
--- a/internal/plan/load.go
+++ b/internal/plan/load.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// Error says all findings, as String does.
+func (r *Report) Error() string { return strings.TrimSuffix(r.String(), "\n") }
+
 // String says all findings, each with its line of the file and a marker under what it concerns.
 func (r *Report) String() string {
 	var b strings.Builder
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -112,10 +112,9 @@
 
 // Listener is a further address at which clients are served.
 type Listener struct {
-	Name    string
-	Addr    string
-	Clients int // connections at once; 0: as many as the limits leave
-	pos     places
+	Name string
+	Addr string
+	pos  places
 }
 
 // Limits bound the whole program; 0 leaves what the platform's limits give.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,7 +5,8 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -23,6 +24,9 @@
 	Class     int
 	Retry     bool
 	Remaining time.Duration // until the client gives up
+
+	Client netip.Addr          // not valid where it is not known
+	Narrow hoptiller.Narrowing // what an operator forbids it; nil: nothing
 }
 
 // Result is how an invoker call ended.
@@ -132,7 +136,7 @@
 			dir.List()
 		}
 		for _, text := range orders.Logs {
-			log.Print(text)
+			slog.Info("module", "said", text)
 		}
 		if orders.Next > 0 {
 			timer.Reset(max(0, orders.Next-r.now()))
@@ -167,7 +171,7 @@
 
 	step := r.core.Pick(r.now(), hoptiller.Request{
 		ID: id, Class: inv.Class, Key: keyNumber(inv.Key), Write: inv.Write, Retry: inv.Retry,
-		Remaining: inv.Remaining,
+		Remaining: inv.Remaining, Narrow: inv.Narrow,
 	})
 	for {
 		r.closeIdle(step.CloseIdle)
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -16,10 +16,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"hoptiller/internal/load"
+	"hoptiller/internal/logs"
 	"hoptiller/internal/model"
 	"hoptiller/internal/standin"
 )
@@ -189,7 +189,7 @@
 	}
 	r := bufio.NewReader(out)
 	line, _ := r.ReadString('\n')
-	addr, ok := strings.CutPrefix(strings.TrimSpace(line), "listening on ")
+	addr, ok := logs.Field(line, "addr")
 	if !ok {
 		end()
 		return "", nil, errors.New(command[0] + " does not say where it listens: " + line)
