--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -207,12 +208,11 @@
 		(len(p.Addrs) == 0 || slices.Contains(p.Addrs, s.Addr))
 }
 
-// Bound is what holds for an entry of the plan that holds now. For an entry of one
-// that held before it is nil: the entry is to be looked up again.
-func (c *Control) Bound(e *plan.Entry) *Bound {
+// Find is what the plan that holds now says of an invocation.
+func (c *Control) Find(class int, key, tenant []byte, client netip.Addr) *Bound {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.bounds[e]
+	return c.bounds[c.plan.Table().Lookup(class, key, tenant, client)]
 }
 
 // Narrowing is what the module is given for an invocation; nil if nothing is narrowed.
@@ -261,6 +261,12 @@
 // Copies tells whether two calls may be out at once.
 func (b *Bound) Copies() bool { return b.entry.Policy.Copies != 1 }
 
+// Late tells whether an answer after a time earns less than its whole worth.
+func (b *Bound) Late(took time.Duration) bool {
+	classes := b.control.Plan().Platform().Settings.Classes
+	return b.entry.Class < len(classes) && classes[b.entry.Class].Aim > 0 && took > classes[b.entry.Class].Aim
+}
+
 // Ask asks for an invocation to be let in. Numbers are the caller's, from 1, each
 // used once. Others is what that means for invocations that wait.
 func (c *Control) Ask(now time.Duration, id uint64, b *Bound) (t Turn, others []Turn) {
