Cut the origin's little-used window for late answers alone

Connections that are refused, or go silent under a call, counted as a late origin and cut its window also where little of it was in use, though they may be the connection's own fault. Now only an answer that came late does that.

--- a/router.go
+++ b/router.go
@@ -468,7 +468,9 @@
 		return
 	}
 	// What is late at a cache that has little of this instance's is for others to mend; an origin is all instances'.
-	if t.at < s.cutAt || used < s.window/2 && !s.origin && !math.IsInf(s.window, 1) {
+	// Only an answer shows that: what is lost on the way may be the connection's fault.
+	shared := s.origin && o.Status == OK
+	if t.at < s.cutAt || used < s.window/2 && !shared && !math.IsInf(s.window, 1) {
 		return
 	}
 	s.cutAt = r.now
