--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"strconv"
@@ -274,6 +275,10 @@
 	if s.Phase == hoptiller.Gone && known { // an entry for what is gone may lack the rest
 		s.Addr, s.Started, s.Origin = old.Addr, old.Started, old.Origin
 	}
+	if !known || old.Phase != s.Phase {
+		phase := [...]string{hoptiller.Gone: "gone", hoptiller.Draining: "draining", hoptiller.Ready: "ready"}[s.Phase]
+		slog.Info("server told", "server", s.Name, "id", fmt.Sprintf("%08x", s.ID), "phase", phase)
+	}
 	r.servers[s.ID] = s
 	r.caller(s).Update(s, known && (old.Addr != s.Addr || old.Started != s.Started))
 }
