--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"unicode/utf8"
 
 	"github.com/alecthomas/participle/v2"
@@ -135,21 +136,24 @@
 	{Name: "Bad", Pattern: `(?s:.)`},
 })
 
+// The kinds of word, by their numbers.
 var (
-	symbols  = tokens.Symbols()
-	newline  = symbols["Newline"]
-	space    = symbols["Space"]
-	comment  = symbols["Comment"]
-	text     = symbols["String"]
-	opening  = symbols["Open"]
-	closing  = symbols["Close"]
-	bad      = symbols["Bad"]
-	grammar  = participle.MustBuild[chunk](participle.Lexer(tokens), participle.Elide("Space"))
-	sentence = grammar.String()
+	symbols = tokens.Symbols()
+	newline = symbols["Newline"]
+	space   = symbols["Space"]
+	text    = symbols["String"]
+	opening = symbols["Open"]
+	closing = symbols["Close"]
+	bad     = symbols["Bad"]
 )
 
+// grammar is built when the first file is read: a router without one should not hold it.
+var grammar = sync.OnceValue(func() *participle.Parser[chunk] {
+	return participle.MustBuild[chunk](participle.Lexer(tokens), participle.Elide("Space"))
+})
+
 // Grammar is the grammar that the parser is built from, in EBNF.
-func Grammar() string { return sentence }
+func Grammar() string { return grammar().String() }
 
 // chunk is what stands between two ends of lines outside all blocks. Each is parsed by itself, so that an error
 // in one does not hide those in the others.
@@ -280,7 +284,7 @@
 	peeking, err := lexer.Upgrade(&replay{tokens: part, end: end}, space)
 	if err == nil {
 		var c *chunk
-		if c, err = grammar.ParseFromLexer(peeking); err == nil {
+		if c, err = grammar().ParseFromLexer(peeking); err == nil {
 			p.file.Lines = append(p.file.Lines, c.Lines...)
 			return
 		}
