--- a/router.go
+++ b/router.go
@@ -359,7 +359,10 @@
 	var tried *server
 	full, pass := 0, r.homes(q)
 	for s := range r.ranking(q) {
-		if q.Narrow != nil && !q.Narrow.Allows(s.ID) || !r.coldRoom(q, s, full+len(q.tries) == 0) || !r.mayResend(q, s) {
+		if q.Narrow != nil && !q.Narrow.Allows(s.ID) {
+			continue
+		}
+		if !r.coldRoom(q, s, full+len(q.tries) == 0) || !r.mayResend(q, s) {
 			continue
 		}
 		if pass--; pass >= 0 || q.tried(s) {
@@ -467,7 +470,7 @@
 		}
 		return
 	}
-	// What is late at a cache that has little of this instance's is for others to mend; an origin is all instances'.
+	// What is late at a cache that has little of this instance's is for others to mend; an origin is shared.
 	// Only an answer shows that: what is lost on the way may be the connection's fault.
 	shared := s.origin && o.Status == OK
 	if t.at < s.cutAt || used < s.window/2 && !shared && !math.IsInf(s.window, 1) {
@@ -573,7 +576,8 @@
 func (r *Router) dispatch(q *request) {
 	feeds := len(q.tries) > 0 && !q.missed && r.pressure > 1 // another attempt feeds an overload
 	short := (q.end - r.now).Seconds() < r.usualOf(q)
-	if feeds || !r.mayTry(q) || short || len(q.tries) >= r.set.MaxAttempts || !q.mayRepeat() || !q.spend(r.now) {
+	used := len(q.tries) >= r.set.MaxAttempts
+	if feeds || !r.mayTry(q) || short || used || !q.mayRepeat() || !q.spend(r.now) {
 		r.finish(q, true) // no useful answer can come any more
 		return
 	}
@@ -590,9 +594,9 @@
 	}
 }
 
-// toOrigin sends to the origin what it bears. A part of the reads would not do: a small one starves itself of the
-// answers from which to learn that there is room again, and any part of a flood is a flood. So its window bounds
-// what is out there, from the start: until a first sign of a queue came back it would be too late.
+// toOrigin sends to the origin what it bears. A part of the reads would not do: a small one starves itself of
+// the answers from which to learn that there is room again, and any part of a flood is a flood. So its window
+// bounds what is out there, from the start: until a first sign of a queue came back it would be too late.
 func (r *Router) toOrigin(q *request) {
 	var s *server
 	for _, o := range r.origins {
@@ -729,8 +733,8 @@
 	return float64(len(r.further)+1) <= room
 }
 
-// mayRepeat tells whether the operator lets a request be called again after what its last attempt came to, or, while
-// that is out, be taken from it. What follows a miss is no repeat.
+// mayRepeat tells whether the operator lets a request be called again after what its last attempt came to,
+// or, while that is out, be taken from it. What follows a miss is no repeat.
 func (q *request) mayRepeat() bool {
 	n := len(q.tries)
 	if n == 0 || q.Narrow == nil || !q.tries[n-1].open && q.tries[n-1].ended == Miss {
@@ -751,7 +755,10 @@
 // spend takes a repeat out of the operator's budget, if it has one.
 func (q *request) spend(now time.Duration) bool {
 	n := len(q.tries)
-	return n == 0 || q.Narrow == nil || !q.tries[n-1].open && q.tries[n-1].ended == Miss || q.Narrow.Spend(now)
+	if n == 0 || q.Narrow == nil || !q.tries[n-1].open && q.tries[n-1].ended == Miss {
+		return true
+	}
+	return q.Narrow.Spend(now)
 }
 
 // since drops the times before one.
