--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -38,19 +38,14 @@
 // outcomeNames are the names of the outcomes after which a call may be repeated. What a miss leads to
 // is no repeat, and what was given up by the router itself is the module's affair.
 var outcomeNames = []struct {
-	name    string
-	status  hoptiller.Status
-	may     bool // the call may have run
-	meaning string
+	name   string
+	status hoptiller.Status
 }{
-	{"full", hoptiller.Full, false, "turned away unseen"},
-	{"unreachable", hoptiller.ConnectFailed, false, "no connection came up"},
-	{"error", hoptiller.ServerError, true, "the server failed"},
-	{"timeout", hoptiller.Timeout, true, "no answer in time"},
-	{"reset", hoptiller.Reset, true, "the connection broke"},
+	{"full", hoptiller.Full}, {"unreachable", hoptiller.ConnectFailed}, {"error", hoptiller.ServerError},
+	{"timeout", hoptiller.Timeout}, {"reset", hoptiller.Reset},
 }
 
-// AllOutcomes and NeverRan are the sets that `repeat on` knows by name.
+// AllOutcomes are all that a file can name. After those in NeverRan a call is sure not to have run.
 const (
 	AllOutcomes = Outcomes(1<<hoptiller.Full | 1<<hoptiller.ConnectFailed | 1<<hoptiller.ServerError |
 		1<<hoptiller.Timeout | 1<<hoptiller.Reset)
