Read and write quantities in one place, package unit, for files of both kinds

internal/plan had a reader and a writer of numbers with units of its own, beside internal/unit's for the lab's times. unit has times, sizes, parts, rates and counts now, with errors that carry what would be accepted; the lab's Duration is one of them. A time in an operator's file is rounded to ns where it was cut off before.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -35,8 +35,8 @@
 	for text, want := range map[string]string{
 		"titel = \"x\"":                               `x.toml:1:1: there is no "titel"`,
 		"[day]\nlength = \"5\"":                       `x.toml:2:10: "5" has no unit of time`,
-		"[day]\nlength = \"5 MB\"":                    `x.toml:2:10: "5 MB" has no unit of time`,
-		"[day]\nlength = \"1s 500\"":                  `x.toml:2:10: "1s 500" has no unit of time`,
+		"[day]\nlength = \"5 MB\"":                    `x.toml:2:10: "5 MB" is a size, and a time is meant`,
+		"[day]\nlength = \"1s 500\"":                  `x.toml:2:10: "1s 500": "s 500" is no unit of time`,
 		"[day]\nrouters = 3\n[day.fleet]\ncaches = 0": "x.toml:4: fleet.caches is 0: 1 to 20000 is possible",
 		"[day]\nfleet.caches = 0":                     "x.toml:2: fleet.caches is 0: 1 to 20000 is possible",
 		"[[day.fault]]\nkind = \"fire\"":              `x.toml:2: fault 1: kind is "fire": one of add,`,
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"hoptiller/internal/unit"
 )
 
 // checker makes a plan of statements.
@@ -158,11 +160,11 @@
 }
 
 func (c *checker) count(s *statement, least, most int) int {
-	return int(c.number(s, "count", float64(least), float64(most)))
+	return int(c.number(s, unit.Count, float64(least), float64(most)))
 }
 
 func (c *checker) time(s *statement, least, most time.Duration) time.Duration {
-	return time.Duration(c.number(s, "time", float64(least), float64(most)))
+	return time.Duration(c.number(s, unit.Time, float64(least), float64(most)))
 }
 
 func (c *checker) pool(s *statement) {
@@ -173,7 +175,7 @@
 		"kind": func(s *statement) { p.Kinds = c.indices(s, c.platform.Kinds, "kind") },
 		"cell": func(s *statement) {
 			for _, v := range c.list(s) {
-				p.Cells = append(p.Cells, int(c.quantity(v, "cell", "count", 0, 1e6)))
+				p.Cells = append(p.Cells, int(c.quantity(v, "cell", unit.Count, 0, 1e6)))
 			}
 			slices.Sort(p.Cells)
 		},
@@ -219,15 +221,15 @@
 		"repeat":   func(s *statement) { c.repeat(s, p) },
 		"copies":   func(s *statement) { p.Copies = c.count(s, 1, 2) },
 		"budget": func(s *statement) {
-			c.pairs(s, "least", func(v value) { p.Budget = c.quantity(v, "budget", "part", 0, 1) },
-				func(v value) { p.BudgetLeast = c.quantity(v, "least", "rate", 0, 1e6) })
+			c.pairs(s, "least", func(v value) { p.Budget = c.quantity(v, "budget", unit.Part, 0, 1) },
+				func(v value) { p.BudgetLeast = c.quantity(v, "least", unit.Rate, 0, 1e6) })
 			p.BudgetSaid = true
 		},
 		"concurrency": func(s *statement) { c.concurrency(s, &p.Concurrency) },
 		"queue":       func(s *statement) { c.queue(s, &p.Queue, &p.QueueFor) },
 		"rate": func(s *statement) {
-			c.pairs(s, "burst", func(v value) { p.Rate = c.quantity(v, "rate", "rate", 1.0/3600, 1e6) },
-				func(v value) { p.Burst = c.quantity(v, "burst", "count", 1, 1e6) })
+			c.pairs(s, "burst", func(v value) { p.Rate = c.quantity(v, "rate", unit.Rate, 1.0/3600, 1e6) },
+				func(v value) { p.Burst = c.quantity(v, "burst", unit.Count, 1, 1e6) })
 			if p.Burst == 0 {
 				p.Burst = max(1, p.Rate/10)
 			}
@@ -289,8 +291,8 @@
 }
 
 func (c *checker) queue(s *statement, most *int, longest *time.Duration) {
-	c.pairs(s, "for", func(v value) { *most = int(c.quantity(v, "queue", "count", 1, 10000)) }, func(v value) {
-		*longest = time.Duration(c.quantity(v, "for", "time", float64(time.Millisecond), float64(time.Minute)))
+	c.pairs(s, "for", func(v value) { *most = int(c.quantity(v, "queue", unit.Count, 1, 10000)) }, func(v value) {
+		*longest = time.Duration(c.quantity(v, "for", unit.Time, float64(time.Millisecond), float64(time.Minute)))
 	})
 	if *most > 0 && *longest == 0 {
 		c.find(s.at, "queue", "a queue without a time for which one may wait in it", "queue 20 for 50ms")
@@ -301,12 +303,12 @@
 	c.noBlock(s)
 	switch v := s.values; {
 	case len(v) == 1:
-		k.Most = int(c.quantity(v[0], "concurrency", "count", 1, 1e5))
+		k.Most = int(c.quantity(v[0], "concurrency", unit.Count, 1, 1e5))
 		k.Least = k.Most
 	case len(v) == 3 && v[0].text == "adaptive":
 		k.Adaptive = true
-		k.Least = int(c.quantity(v[1], "concurrency", "count", 1, 1e5))
-		k.Most = int(c.quantity(v[2], "concurrency", "count", 1, 1e5))
+		k.Least = int(c.quantity(v[1], "concurrency", unit.Count, 1, 1e5))
+		k.Most = int(c.quantity(v[2], "concurrency", unit.Count, 1, 1e5))
 		if k.Most < k.Least {
 			c.find(v[2].at, "range", fmt.Sprintf("the most is %d and the least %d", k.Most, k.Least), "adaptive LEAST MOST")
 		}
@@ -425,6 +427,6 @@
 	c.block(s, l.pos, map[string]func(*statement){
 		"level":  word(&l.Level, "debug", "info", "warn", "error"),
 		"format": word(&l.Format, "text", "json"),
-		"rate":   func(s *statement) { l.Rate = c.number(s, "rate", 0.01, 1000) },
+		"rate":   func(s *statement) { l.Rate = c.number(s, unit.Rate, 0.01, 1000) },
 	})
 }
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"hoptiller/internal/unit"
 )
 
 // Field is one figure of a thing, as the language writes it.
@@ -150,7 +152,7 @@
 		"limits": {{"clients", amount(p.Limits.Clients)}, {"open", amount(p.Limits.Open)},
 			{"providers", amount(p.Limits.Providers)}, {"origin", amount(p.Limits.Origin)},
 			{"concurrency", concurrencyText(p.Limits.Concurrency)}, {"queue", queueText(p.Limits.Queue, p.Limits.QueueFor)}},
-		"log": {{"level", p.Log.Level}, {"format", p.Log.Format}, {"rate", show(p.Log.Rate, "rate")}},
+		"log": {{"level", p.Log.Level}, {"format", p.Log.Format}, {"rate", unit.Format(p.Log.Rate, unit.Rate)}},
 	}
 	for name, l := range p.Listeners {
 		all["listener "+name] = []Field{{"address", l.Addr}}
@@ -243,10 +245,10 @@
 		{"attempts", or(x.Attempts > 0, strconv.Itoa(x.Attempts), open)},
 		{"repeat", repeat},
 		{"copies", or(x.Copies > 0, strconv.Itoa(x.Copies), open)},
-		{"budget", or(x.BudgetSaid, show(x.Budget, "part")+" least "+show(x.BudgetLeast, "rate"), open)},
+		{"budget", or(x.BudgetSaid, unit.Format(x.Budget, unit.Part)+" least "+unit.Format(x.BudgetLeast, unit.Rate), open)},
 		{"concurrency", concurrencyText(x.Concurrency)},
 		{"queue", queueText(x.Queue, x.QueueFor)},
-		{"rate", or(x.Rate > 0, show(x.Rate, "rate")+" burst "+strconv.FormatFloat(x.Burst, 'g', -1, 64), "no limit")},
+		{"rate", or(x.Rate > 0, unit.Format(x.Rate, unit.Rate)+" burst "+strconv.FormatFloat(x.Burst, 'g', -1, 64), "no limit")},
 		{"priority", strconv.Itoa(x.Priority)},
 	}
 }
--- a/internal/unit/unit.go
+++ b/internal/unit/unit.go
@@ -3,8 +3,7 @@
 package unit
 
 import (
-	"fmt"
-	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,33 +20,13 @@
 // Seconds is the value in seconds.
 func (d Duration) Seconds() float64 { return time.Duration(d).Seconds() }
 
-var times = []struct {
-	name string
-	unit time.Duration
-}{
-	{"us", time.Microsecond}, {"ms", time.Millisecond}, {"s", time.Second}, {"m", time.Minute}, {"h", time.Hour},
-}
-
 // ParseDuration reads a Duration of 0 or more, up to 10,000 hours.
 func ParseDuration(text string) (Duration, error) {
-	number, name := split(text)
-	x, err := strconv.ParseFloat(number, 64)
-	if err != nil {
-		return 0, fmt.Errorf("%q is no time: one number and one of us, ms, s, m, h is meant, as in \"250 ms\"", text)
-	}
-	for _, t := range times {
-		if t.name != name {
-			continue
-		}
-		if d := x * float64(t.unit); d >= 0 && d <= float64(10000*time.Hour) {
-			return Duration(math.Round(d)), nil
-		}
-		return 0, fmt.Errorf("%q is out of range: 0 to 10000 h is meant", text)
-	}
-	if name == "" && x == 0 {
+	if text == "0" {
 		return 0, nil
 	}
-	return 0, fmt.Errorf("%q has no unit of time: one of us, ms, s, m, h is meant, as in \"250 ms\"", text)
+	x, err := Parse(text, Time)
+	return Duration(x), err
 }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
@@ -61,10 +40,10 @@
 
 // String writes the value in the largest unit in which it has at most three decimals.
 func (d Duration) String() string {
-	for i := len(times) - 1; i >= 0; i-- {
-		milli := times[i].unit / 1000
-		if time.Duration(d) >= times[i].unit && (milli == 0 || time.Duration(d)%milli == 0) {
-			return strconv.FormatFloat(float64(d)/float64(times[i].unit), 'f', -1, 64) + " " + times[i].name
+	for _, u := range slices.Backward(units[Time]) {
+		one := time.Duration(u.of)
+		if milli := one / 1000; time.Duration(d) >= one && (milli == 0 || time.Duration(d)%milli == 0) {
+			return strconv.FormatFloat(float64(d)/u.of, 'f', -1, 64) + " " + u.name
 		}
 	}
 	if d == 0 {
