Pass invocations without limits by the guard's locks

Each invocation took three locks in the guard, also where nothing limits it. What holds now is one value that is never changed, so a look-up needs no lock, and one for which there is no limit goes straight to the relay.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -39,16 +39,22 @@
 
 // Control holds the limits of one router. It may be used by many goroutines.
 type Control struct {
+	now atomic.Pointer[inForce] // read without the lock, written with it
+
 	mu      sync.Mutex
-	plan    *plan.Plan
-	bounds  map[*plan.Entry]*Bound
 	rooms   map[string]*room
 	pools   map[string]*pool
-	shared  *limit.Gate
 	tickets map[uint64]*ticket
 	servers map[uint32]Server
 }
 
+// inForce is what holds now. It is never changed, so that no table of one plan meets the limits of another.
+type inForce struct {
+	plan   *plan.Plan
+	bounds map[*plan.Entry]*Bound
+	shared *limit.Gate // nil where there is no limit of all routes
+}
+
 // room is the state of one route's limits.
 type room struct {
 	name   string
@@ -67,7 +73,8 @@
 type Bound struct {
 	entry   *plan.Entry
 	control *Control
-	room    *room
+	room    *room       // nil where the route has no limits
+	shared  *limit.Gate // nil where there is no limit of all routes
 	pool    *pool
 	narrows bool
 }
@@ -76,10 +83,9 @@
 
 // ticket is one invocation that waits or is in.
 type ticket struct {
-	bound  *Bound
-	shared *limit.Gate // that it has asked, or will
-	stage  stage
-	since  time.Duration // when it came in
+	bound *Bound
+	stage stage
+	since time.Duration // when it came in
 }
 
 type stage uint8
@@ -98,11 +104,7 @@
 }
 
 // Plan is the plan that holds now.
-func (c *Control) Plan() *plan.Plan {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.plan
-}
+func (c *Control) Plan() *plan.Plan { return c.now.Load().plan }
 
 // Adopt puts another plan in the place of the one that holds. Invocations that have
 // begun end as they began; what is out counts on, and what a route's limits have
@@ -110,25 +112,27 @@
 func (c *Control) Adopt(p *plan.Plan) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.plan = p
+	next := &inForce{plan: p, bounds: map[*plan.Entry]*Bound{}}
 	c.pools = map[string]*pool{}
 	for name := range p.Pools {
 		c.pools[name] = &pool{}
 	}
-	c.fill()
+	c.fill(p)
+	if l := &p.Limits; l.Concurrency.Most > 0 {
+		if old := c.now.Load(); old != nil && old.shared != nil {
+			next.shared = old.shared
+		} else {
+			next.shared = &limit.Gate{}
+		}
+		next.shared.Adopt(concurrency(l.Concurrency), l.Queue, l.QueueFor)
+	}
 	was := c.rooms
-	c.rooms, c.bounds = map[string]*room{}, map[*plan.Entry]*Bound{}
+	c.rooms = map[string]*room{}
 	for _, e := range p.Table().Entries() {
-		c.bounds[e] = c.bind(e, was)
-	}
-	if l := &p.Limits; l.Concurrency.Most == 0 {
-		c.shared = nil
-	} else {
-		if c.shared == nil {
-			c.shared = &limit.Gate{}
-		}
-		c.shared.Adopt(concurrency(l.Concurrency), l.Queue, l.QueueFor)
+		next.bounds[e] = c.bind(e, was)
+		next.bounds[e].shared = next.shared
 	}
+	c.now.Store(next)
 }
 
 func concurrency(c plan.Concurrency) limit.Concurrency {
@@ -146,7 +150,7 @@
 	if e.Pool != nil {
 		b.pool = c.pools[e.Pool.Name]
 	}
-	if p == nil {
+	if p == nil || p.Rate == 0 && p.Concurrency.Most == 0 && !p.BudgetSaid {
 		return b
 	}
 	if b.room = c.rooms[e.Route.Name]; b.room == nil {
@@ -157,7 +161,7 @@
 		b.room.bucket.Rate, b.room.bucket.Burst = p.Rate, p.Burst
 		b.room.budget.Part, b.room.budget.Least = p.Budget, p.BudgetLeast
 		k := concurrency(p.Concurrency)
-		if k.Most == 0 { // nothing is bounded, but what is out is counted: a limit may come with the next plan
+		if k.Most == 0 { // nothing is bounded, but what is out is counted: it may be with the next plan
 			k = limit.Concurrency{Least: unbounded, Most: unbounded}
 		}
 		b.room.gate.Adopt(k, p.Queue, p.QueueFor)
@@ -175,13 +179,13 @@
 	for _, s := range all {
 		c.servers[s.ID] = s
 	}
-	c.fill()
+	c.fill(c.Plan())
 }
 
 // fill finds the members of each pool; c.mu is held.
-func (c *Control) fill() {
+func (c *Control) fill(of *plan.Plan) {
 	own := map[string]map[uint32]bool{}
-	for name, p := range c.plan.Pools {
+	for name, p := range of.Pools {
 		own[name] = map[uint32]bool{}
 		for id, s := range c.servers {
 			if s.Ready && fits(p, &s) {
@@ -189,10 +193,10 @@
 			}
 		}
 	}
-	for name := range c.plan.Pools {
-		members, at := own[name], c.plan.Pools[name]
+	for name := range of.Pools {
+		members, at := own[name], of.Pools[name]
 		for len(members) < at.AtLeast && at.Fallback != "" { // the checker has seen to it that this ends
-			at = c.plan.Pools[at.Fallback]
+			at = of.Pools[at.Fallback]
 			members = own[at.Name]
 		}
 		if len(members) < at.AtLeast {
@@ -210,11 +214,13 @@
 
 // Find is what the plan that holds now says of an invocation.
 func (c *Control) Find(class int, key, tenant []byte, client netip.Addr) *Bound {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.bounds[c.plan.Table().Lookup(class, key, tenant, client)]
+	now := c.now.Load()
+	return now.bounds[now.plan.Table().Lookup(class, key, tenant, client)]
 }
 
+// Free tells that there is no limit to pass: Ask would say Go, and Done need not be told.
+func (b *Bound) Free() bool { return b.room == nil && b.shared == nil }
+
 // Narrowing is what the module is given for an invocation; nil if nothing is narrowed.
 func (b *Bound) Narrowing() hoptiller.Narrowing {
 	if !b.narrows {
@@ -275,10 +281,10 @@
 	if b.room != nil {
 		b.room.budget.Taken(now)
 	}
-	if c.shared == nil && b.room == nil {
+	if b.Free() {
 		return Turn{ID: id, Verdict: limit.Go}, nil
 	}
-	k := &ticket{bound: b, shared: c.shared, since: now}
+	k := &ticket{bound: b, since: now}
 	if b.room != nil {
 		if b.entry.Policy.Rate > 0 {
 			if ok, wait := b.room.bucket.Take(now); !ok {
@@ -303,22 +309,22 @@
 // share asks the limit of all routes for one that has passed its own.
 func (c *Control) share(now time.Duration, id uint64, k *ticket, others []Turn) (Turn, []Turn) {
 	c.tickets[id] = k
-	if k.shared == nil {
+	if k.bound.shared == nil {
 		k.stage, k.since = inside, now
 		return Turn{ID: id, Verdict: limit.Go}, others
 	}
-	v, shed := k.shared.Ask(now, id, k.bound.entry.Policy.Priority)
+	v, shed := k.bound.shared.Ask(now, id, k.bound.entry.Policy.Priority)
 	if shed != 0 {
-		others = c.shed(shed, k.shared, sharedName, others)
+		others = c.shed(shed, k.bound.shared, sharedName, others)
 		others = c.leaveRoute(now, shed, others)
 	}
 	switch v {
 	case limit.No:
 		others = c.leaveRoute(now, id, others)
-		return c.no(id, k.shared.After(), sharedName), others
+		return c.no(id, k.bound.shared.After(), sharedName), others
 	case limit.Wait:
 		k.stage = atShared
-		return Turn{ID: id, Verdict: limit.Wait, Until: now + k.shared.QueueFor}, others
+		return Turn{ID: id, Verdict: limit.Wait, Until: now + k.bound.shared.QueueFor}, others
 	}
 	k.stage, k.since = inside, now
 	return Turn{ID: id, Verdict: limit.Go}, others
@@ -359,7 +365,7 @@
 
 // no is a refusal. Those refused together are told different times, so that they do not come together again.
 func (c *Control) no(id uint64, after time.Duration, name string) Turn {
-	set := &c.plan.Platform().Settings
+	set := &c.Plan().Platform().Settings
 	if !set.RetryAfter {
 		return Turn{ID: id, Verdict: limit.No, Limit: name}
 	}
@@ -382,9 +388,9 @@
 		delete(c.tickets, id)
 		return true, c.no(id, k.bound.room.gate.After(), "queue of route "+k.bound.room.name), nil
 	default:
-		k.shared.Leave(id)
+		k.bound.shared.Leave(id)
 		others = c.leaveRoute(now, id, others)
-		return true, c.no(id, k.shared.After(), "queue of all routes"), others
+		return true, c.no(id, k.bound.shared.After(), "queue of all routes"), others
 	}
 }
 
@@ -398,8 +404,8 @@
 	}
 	delete(c.tickets, id)
 	p := k.bound.entry.Policy.Priority
-	if k.shared != nil {
-		for _, next := range k.shared.Done(now, p, now-k.since, how) {
+	if k.bound.shared != nil {
+		for _, next := range k.bound.shared.Done(now, p, now-k.since, how) {
 			if w := c.tickets[next]; w != nil {
 				w.stage, w.since = inside, now
 				others = append(others, Turn{ID: next, Verdict: limit.Go})
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -65,6 +65,9 @@
 func (g *Guard) Serve(ctx context.Context, inv *relay.Invocation) relay.Answer {
 	tenant, _ := meta.Fact(inv.Facts, "customer")
 	b := g.control.Find(inv.Class, inv.Key, tenant, inv.Client)
+	if inv.Narrow = b.Narrowing(); b.Free() {
+		return g.server.Serve(ctx, inv)
+	}
 	id := g.last.Add(1)
 	asked := time.Now()
 	g.mu.Lock() // who may be named must be known to be waiting
@@ -89,7 +92,6 @@
 		return relay.Answer{Kind: hoptiller.StepReject, RetryAfter: turn.After}
 	}
 	inv.Remaining -= time.Since(asked)
-	inv.Narrow = b.Narrowing()
 	answer := g.server.Serve(ctx, inv)
 	how := limit.Well
 	switch {
