Test that a file written in place is read again

The test that replaced a file did so by renaming, which never shows a reader half of a file: it could not fail. A file whose size changes between the two looks is now read again, twice, and then given up.

--- a/cmd/hoptiller/operator.go
+++ b/cmd/hoptiller/operator.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -15,36 +16,42 @@
 	"hoptiller/internal/plan"
 )
 
-// readWhole reads a file that may be replaced meanwhile: what it gives was all there at one time.
+// readWhole reads a file that may be written meanwhile: what it gives was all there at one time.
 func readWhole(name string) ([]byte, error) {
+	return readSteady(func() (fs.File, error) { return os.Open(name) })
+}
+
+// readSteady reads until a file was the same before and after.
+func readSteady(open func() (fs.File, error)) ([]byte, error) {
 	for range 3 {
-		f, err := os.Open(name)
-		if err != nil {
-			return nil, errors.Unwrap(err) // the finding says which file
-		}
-		before, err := f.Stat()
-		if err != nil {
-			f.Close()
-			return nil, err
-		}
-		if !before.Mode().IsRegular() {
-			f.Close()
-			return nil, errors.New("no regular file")
-		}
-		text, err := io.ReadAll(io.LimitReader(f, opfile.MostBytes+1))
-		if err != nil {
-			f.Close()
-			return nil, err
-		}
-		after, err := f.Stat()
-		f.Close()
-		if err == nil && after.ModTime().Equal(before.ModTime()) && after.Size() == before.Size() {
-			return text, nil
+		text, steady, err := readOnce(open)
+		if err != nil || steady {
+			return text, err
 		}
 	}
 	return nil, errors.New("it is being written")
 }
 
+func readOnce(open func() (fs.File, error)) (text []byte, steady bool, err error) {
+	f, err := open()
+	if err != nil {
+		return nil, false, errors.Unwrap(err) // the finding says which file
+	}
+	defer f.Close()
+	before, err := f.Stat()
+	if err != nil {
+		return nil, false, err
+	}
+	if !before.Mode().IsRegular() {
+		return nil, false, errors.New("no regular file")
+	}
+	if text, err = io.ReadAll(io.LimitReader(f, opfile.MostBytes+1)); err != nil {
+		return nil, false, err
+	}
+	after, err := f.Stat()
+	return text, err == nil && after.ModTime().Equal(before.ModTime()) && after.Size() == before.Size(), nil
+}
+
 // loadPlan checks a file for a command; what is wrong goes to standard error.
 func (p *platform) loadPlan(name string) (*plan.Plan, error) {
 	c, err := p.load(nil)
--- a/cmd/hoptiller/operator_test.go
+++ b/cmd/hoptiller/operator_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/fstest"
 )
 
 // Each command by its exit code and its words.
@@ -124,3 +126,33 @@
 		}
 	}
 }
+
+// growing is a file that another one writes to, so many times while it is read.
+type growing struct {
+	fs.File
+	writes *int
+	stats  int
+}
+
+func (g *growing) Stat() (fs.FileInfo, error) {
+	if g.stats++; g.stats == 2 && *g.writes > 0 {
+		*g.writes--
+		return fs.Stat(fstest.MapFS{"x": {Data: make([]byte, 99)}}, "x")
+	}
+	return g.File.Stat()
+}
+
+// A file that is written in place while it is read is read again, and given up if that goes on.
+func TestReadSteady(t *testing.T) {
+	dir := fstest.MapFS{"x": {Data: []byte("a b\n"), Mode: 0o600}}
+	for writes, want := range map[int]string{0: "a b\n", 2: "a b\n", 3: ""} {
+		left := writes
+		text, err := readSteady(func() (fs.File, error) {
+			f, err := dir.Open("x")
+			return &growing{File: f, writes: &left}, err
+		})
+		if string(text) != want || (err == nil) != (want != "") {
+			t.Errorf("written %d times: %q, %v", writes, text, err)
+		}
+	}
+}
