Give both programs' command lines one package for reading and ending

hoplab and hoptiller had the same main: kong's parser, the exit codes, and the error that means that something was found. internal/command has them once.

--- a/cmd/hoplab/lab.go
+++ b/cmd/hoplab/lab.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"hoptiller/internal/command"
 	"hoptiller/internal/draw"
 	"hoptiller/internal/experiment"
 	"hoptiller/internal/model"
@@ -208,7 +209,7 @@
 	for _, r := range rows {
 		if r.Figure == "score" && r.Difference.Mean+r.Difference.Half < -c.Fall {
 			fmt.Printf("%s has fallen at %s\n", r.Policy, r.Point)
-			err = errFinding
+			err = command.ErrFinding
 		}
 	}
 	return err
@@ -306,7 +307,7 @@
 		return err
 	}
 	if len(counts) > 0 {
-		return errFinding
+		return command.ErrFinding
 	}
 	return nil
 }
--- a/cmd/hoplab/main.go
+++ b/cmd/hoplab/main.go
@@ -4,24 +4,15 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
-)
 
-// exit codes beside 0.
-const (
-	exitBad     = 1 // bad input, or something could not be done
-	exitFinding = 3 // what was looked for was found: a broken rule, a figure that fell
+	"hoptiller/internal/command"
 )
 
-// errFinding ends a command that has reported what it found.
-var errFinding = errors.New("found")
-
 type cli struct {
 	Demo    demoCmd    `cmd:"" help:"A fleet, its routers and load in one, on loopback sockets, with a live summary."`
 	Fleet   fleetCmd   `cmd:"" help:"The stand-ins alone: slot caches, origin and directory for routers that you start."`
@@ -40,19 +31,9 @@
 
 func main() {
 	var c cli
-	parser := kong.Must(&c, kong.Name("hoplab"), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
-		kong.Description("Tries hoptiller and its rivals on days that it makes up. "+
-			"Exit codes: 0 done, 1 bad input or failed, 3 a broken rule or a loss was found."))
-	k, err := parser.Parse(os.Args[1:])
-	parser.FatalIfErrorf(err)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	k.BindTo(ctx, (*context.Context)(nil))
-	switch err := k.Run(); {
-	case errors.Is(err, errFinding):
-		os.Exit(exitFinding)
-	case err != nil:
-		fmt.Fprintln(os.Stderr, "hoplab:", err)
-		os.Exit(exitBad)
-	}
+	command.Main("hoplab", "Tries hoptiller and its rivals on days that it makes up. "+
+		"Exit codes: 0 done, 1 bad input or failed, 3 a broken rule or a loss was found.", &c,
+		func(k *kong.Context) { k.BindTo(ctx, (*context.Context)(nil)) })
 }
--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -12,19 +12,11 @@
 
 	"github.com/alecthomas/kong"
 
+	"hoptiller/internal/command"
 	"hoptiller/internal/config"
 	"hoptiller/internal/plan"
 )
 
-// exit codes beside 0 and, for a command line that can't be read, 80.
-const (
-	exitBad     = 1 // something can't be read or used
-	exitFinding = 3 // what was looked for was found: a finding, a difference
-)
-
-// errFinding ends a command that has reported what it found.
-var errFinding = errors.New("found")
-
 type cli struct {
 	Serve      serveCmd      `cmd:"" default:"withargs" help:"Route requests; this is done where no command is named."`
 	Check      checkCmd      `cmd:"" help:"Check an operator's file; exit code 3 if anything is wrong."`
@@ -81,17 +73,6 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // before all else: until then it ends the program
 	var c cli
-	parser := kong.Must(&c, kong.Name("hoptiller"), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
-		kong.Description("A router in front of a fleet of slot caches. Exit codes: 0 done, 1 something can't be read or used, "+
-			"3 something was found, 80 the command line can't be read."))
-	k, err := parser.Parse(os.Args[1:])
-	parser.FatalIfErrorf(err)
-	k.Bind(hup)
-	switch err := k.Run(); {
-	case errors.Is(err, errFinding):
-		os.Exit(exitFinding)
-	case err != nil:
-		fmt.Fprintln(os.Stderr, "hoptiller:", err)
-		os.Exit(exitBad)
-	}
+	command.Main("hoptiller", "A router in front of a fleet of slot caches. Exit codes: 0 done, 1 something can't be read or used, "+
+		"3 something was found, 80 the command line can't be read.", &c, func(k *kong.Context) { k.Bind(hup) })
 }
--- a/cmd/hoptiller/operator.go
+++ b/cmd/hoptiller/operator.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 
+	"hoptiller/internal/command"
 	"hoptiller/internal/opfile"
 	"hoptiller/internal/plan"
 )
@@ -61,7 +62,7 @@
 	loaded, report := plan.Load(name, readWhole, facts(c))
 	if loaded == nil {
 		fmt.Fprint(os.Stderr, report)
-		return nil, errFinding
+		return nil, command.ErrFinding
 	}
 	return loaded, nil
 }
@@ -75,7 +76,7 @@
 	var all error
 	for _, name := range c.Files {
 		p, err := c.loadPlan(name)
-		if err != nil && !errors.Is(err, errFinding) {
+		if err != nil && !errors.Is(err, command.ErrFinding) {
 			return err
 		}
 		if err != nil {
@@ -105,7 +106,7 @@
 			for _, x := range findings {
 				fmt.Fprintln(os.Stderr, x)
 			}
-			found = errFinding // and the file is left as it is
+			found = command.ErrFinding // and the file is left as it is
 			continue
 		}
 		out := f.Format()
@@ -113,7 +114,7 @@
 		case c.Diff:
 			if lines := changed(string(text), string(out)); len(lines) > 0 {
 				fmt.Printf("%s:\n%s\n", name, strings.Join(lines, "\n"))
-				found = errFinding
+				found = command.ErrFinding
 			}
 		case !c.Write:
 			os.Stdout.Write(out)
@@ -185,7 +186,7 @@
 		fmt.Print(change)
 	}
 	if len(changes) > 0 {
-		return errFinding
+		return command.ErrFinding
 	}
 	return nil
 }
