--- /dev/null
+++ b/cmd/hoptiller/calls.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"encoding/json"
+	"sync"
+
+	"hoptiller"
+	"hoptiller/internal/admin"
+	"hoptiller/internal/directory"
+	"hoptiller/internal/figures"
+	"hoptiller/internal/front"
+	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/relay"
+)
+
+// calls are what operators can ask of this process.
+func calls(life *lifecycle.State, f *front.Front, counts *figures.Counts, r *relay.Relay) map[string]admin.Call {
+	told := func(e lifecycle.Event) func() (bool, []byte) {
+		return func() (bool, []byte) {
+			yes := life.Tell(e)
+			return yes, state(life)
+		}
+	}
+	return map[string]admin.Call{
+		"/v1/readyz": {Method: "GET", Do: func() (bool, []byte) { return f.Ready(), state(life) }},
+		"/v1/metrics": {Method: "GET", Do: func() (bool, []byte) {
+			s := counts.Snapshot()
+			s.Members, s.Unavailable = r.Members()
+			body, err := json.Marshal(s)
+			return err == nil, append(body, '\n')
+		}},
+		"/v1/router/drain":    {Method: "POST", Do: told(lifecycle.Drain)},
+		"/v1/router/activate": {Method: "POST", Do: told(lifecycle.Activate)},
+	}
+}
+
+func state(life *lifecycle.State) []byte {
+	return []byte(`{"phase":"` + life.Phase().String() + "\"}\n")
+}
+
+// freshList tells when the directory has spoken for the first time.
+type freshList struct {
+	directory.Listener
+	once sync.Once
+	told chan struct{}
+}
+
+// Told passes on what the directory says.
+func (l *freshList) Told(kind hoptiller.ListKind, servers []relay.Server) {
+	l.Listener.Told(kind, servers)
+	if kind == hoptiller.ListFull || kind == hoptiller.ListDelta {
+		l.once.Do(func() { close(l.told) })
+	}
+}
--- /dev/null
+++ b/cmd/hoptiller/listen.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"strconv"
+	"syscall"
+
+	"hoptiller/internal/config"
+	"hoptiller/internal/plan"
+)
+
+// listen opens the platform's listener and those of the operator's file.
+func listen(c *config.Config, p *plan.Plan) (all []net.Listener, err error) {
+	open := func(name string, l net.Listener, err error) error {
+		if err != nil {
+			return err
+		}
+		slog.Info("listening", "addr", l.Addr(), "name", name)
+		all = append(all, l)
+		return nil
+	}
+	main, err := inherited(c.SocketFD)
+	if c.SocketFD == "" {
+		main, err = net.Listen("tcp", c.Listen)
+	}
+	if err := open("main", main, err); err != nil {
+		return nil, err
+	}
+	for _, l := range p.Listeners {
+		more, err := net.Listen("tcp", l.Addr)
+		if err := open(l.Name, more, err); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// inherited gives the listener that the platform holds and this process was started with.
+func inherited(number string) (net.Listener, error) {
+	if number == "" {
+		return nil, nil
+	}
+	bad := func(why string) error { return fmt.Errorf("RELAY_SOCKET_FD %q %s", number, why) }
+	fd, err := strconv.ParseUint(number, 10, 16)
+	if err != nil {
+		return nil, bad("is no number of a descriptor")
+	}
+	if on, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil || on == 0 {
+		return nil, bad("is no listening socket")
+	}
+	f := os.NewFile(uintptr(fd), "RELAY_SOCKET_FD")
+	defer f.Close() // the listener has its own
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, bad("can't be listened on: " + err.Error())
+	}
+	if _, ok := l.(*net.TCPListener); !ok {
+		l.Close()
+		return nil, bad("is no TCP socket")
+	}
+	return l, nil
+}
+
+// listenAdmin opens the listener for operators, where there is an address for it.
+func listenAdmin(c *config.Config) (net.Listener, error) {
+	if c.Admin == "" {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", c.Admin)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) {
+			err = op.Err
+		}
+		return nil, fmt.Errorf("admin (RELAY_ADMIN) %q can't be listened on: %w", c.Admin, err)
+	}
+	slog.Info("listening for operators", "addr", l.Addr())
+	return l, nil
+}
--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -28,7 +28,7 @@
 //	wait TEXT     reads on until a line is TEXT
 //	close         ends the connection
 //
-// Actors are clients (c1, c2 ...), each with one connection of its own; the providers p1 and p2, the origin
+// Actors are clients (c1, c2 ...) and operators' calls (a1, a2 ...), each with one connection of its own; the providers p1 and p2, the origin
 // o and the directories d and d2, which speak on the connection of the line last read; and the program. To it
 // "close" is SIGTERM, "send" puts d2 into its configuration, or else TEXT in its place, and is SIGHUP; "wait"
 // reads its log and "expect" its exit code. The end of a connection reads as <closed>.
@@ -72,6 +72,7 @@
 	path    string // of the configuration
 	text    string // and what it says
 	file    string // the operator's
+	admin   string // the operators' address
 }
 
 var binary string // of the program, built once
@@ -113,7 +114,7 @@
 		known += "," + w.expand("{"+p+" active 0}")
 	}
 	w.path = filepath.Join(t.TempDir(), "config.json")
-	w.text = fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5f","limits":{"memory_mb":192,
+	w.text = fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","admin":"127.0.0.1:0","discovery":%q,"seed":"5f","limits":{"memory_mb":192,
 		"sockets":1024},"known":{"version":1,"full":true,"servers":[%s]},"settings":%s}`,
 		w.actors["d"].addr, known, settings)
 	if err := os.WriteFile(w.path, []byte(w.text), 0o600); err != nil {
@@ -136,12 +137,16 @@
 		t.Fatal(err)
 	}
 	log := bufio.NewReader(stderr)
-	first, _ := log.ReadString('\n')
-	addr, ok := logs.Field(first, "addr")
-	if !ok {
-		t.Fatalf("the program begins with %q", first)
+	var addrs [2]string // the clients' and the operators'
+	for i := range addrs {
+		text, _ := log.ReadString('\n')
+		var ok bool
+		if addrs[i], ok = logs.Field(text, "addr"); !ok {
+			t.Fatalf("the program begins with %q", text)
+		}
 	}
-	a := &actor{addr: addr, lines: make(chan line, 1000)}
+	a := &actor{addr: addrs[0], lines: make(chan line, 1000)}
+	w.admin = addrs[1]
 	go func() {
 		for text, err := log.ReadString('\n'); err == nil; text, err = log.ReadString('\n') {
 			a.lines <- line{text: strings.TrimRight(text, "\n")}
@@ -170,16 +175,22 @@
 	})
 }
 
-// actor finds an actor; a client connects when it is first named.
+// actor finds an actor; a client or an operator connects when it is first named.
 func (w *world) actor(name string) (*actor, error) {
 	a := w.actors[name]
-	if a != nil || name[0] != 'c' {
-		if a == nil {
-			return nil, errors.New("no such actor")
-		}
+	if a != nil {
 		return a, nil
 	}
-	conn, err := net.Dial("tcp", w.actors["program"].addr)
+	var addr string
+	switch name[0] {
+	case 'c':
+		addr = w.actors["program"].addr
+	case 'a':
+		addr = w.admin
+	default:
+		return nil, errors.New("no such actor")
+	}
+	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -220,12 +231,15 @@
 
 func (a *actor) expect(want string, skip bool) error {
 	pattern := regexp.MustCompile("^" + strings.ReplaceAll(regexp.QuoteMeta(want), `\*`, ".*") + "$")
-	late := time.After(patience)
+	late, last := time.After(patience), ""
 	for {
 		select {
 		case <-late:
-			return errors.New("nothing came")
+			return fmt.Errorf("nothing came after %.300q", last)
 		case l := <-a.lines:
+			if l.text != "<closed>" {
+				last = l.text
+			}
 			switch {
 			case pattern.MatchString(l.text):
 				a.conn = l.conn
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -15,10 +14,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"hoptiller"
+	"hoptiller/internal/admin"
 	"hoptiller/internal/config"
 	"hoptiller/internal/directory"
+	"hoptiller/internal/figures"
 	"hoptiller/internal/front"
 	"hoptiller/internal/guard"
+	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/logs"
 	"hoptiller/internal/origin"
 	"hoptiller/internal/plan"
@@ -27,9 +29,13 @@
 )
 
 const (
-	providerShare = 4                      // calls on a provider connection before another is opened
-	linger        = 700 * time.Millisecond // for which clients still come after SIGTERM
-	spare         = 300 * time.Millisecond // between the last answer and SIGKILL
+	providerShare = 4                       // calls on a provider connection before another is opened
+	linger        = 700 * time.Millisecond  // for which clients still come after SIGTERM
+	spare         = 300 * time.Millisecond  // between the last answer and SIGKILL
+	replaceTime   = 300 * time.Millisecond  // for which clients are served after SIGTERM where another process accepts them
+	closeTime     = 500 * time.Millisecond  // after that, for the rest of a command
+	restTime      = 2100 * time.Millisecond // the same where there is time for a whole command
+	freshTime     = 2 * time.Second         // that a new process waits for a fresh list before it takes clients from the old one
 )
 
 type serveCmd struct {
@@ -37,6 +43,8 @@
 	Name      string `env:"RELAY_NAME" help:"Name of this router."`
 	Listen    string `env:"RELAY_LISTEN" placeholder:"ADDR" help:"Address for clients."`
 	Discovery string `env:"RELAY_DISCOVERY" placeholder:"ADDR" help:"Address of the directory."`
+	Admin     string `env:"RELAY_ADMIN" placeholder:"ADDR" help:"Address for operators' calls."`
+	SocketFD  string `env:"RELAY_SOCKET_FD" name:"socket-fd" placeholder:"NUMBER" help:"Descriptor of the clients' listening socket, where another process holds it."`
 	File      string `env:"HOPTILLER_FILE" placeholder:"FILE" help:"The operator's file."`
 	LogLevel  string `env:"HOPTILLER_LOG_LEVEL" help:"debug, info, warn or error; goes before the operator's file."`
 	LogFormat string `env:"HOPTILLER_LOG_FORMAT" help:"text or json; goes before the operator's file."`
@@ -44,7 +52,8 @@
 
 // load reads all that the router is told. Whatever is wrong, nothing of it is used.
 func (s *serveCmd) load(discovery string) (*config.Config, *plan.Plan, error) {
-	c, err := s.platform.load(map[string]string{"RELAY_NAME": s.Name, "RELAY_LISTEN": s.Listen, "RELAY_DISCOVERY": discovery})
+	c, err := s.platform.load(map[string]string{"RELAY_NAME": s.Name, "RELAY_LISTEN": s.Listen, "RELAY_DISCOVERY": discovery,
+		"RELAY_ADMIN": s.Admin, "RELAY_SOCKET_FD": s.SocketFD})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -80,42 +89,6 @@
 	return max(linger, linger+min(deadline, 3*time.Second)-aim-spare)
 }
 
-// shares is what the limits leave to each side of the router.
-type shares struct {
-	clients   int // connections
-	kept      int // and of them, those that may stay idle: clients hold a third of the descriptors at most
-	open      int // invocations beyond the first of each client connection
-	providers int // connections to all slot caches
-	provider  int // connections to one of them; four routers share the 70 that it accepts
-	origins   int // connections to the origin
-}
-
-// divide shares out the descriptors and the memory that a router has. Clients get half of the descriptors:
-// those that say nothing must leave room for those that ask. Some are kept for the listener, the
-// directory and the program itself. What the operator states goes before that.
-func divide(c *config.Config, stated *plan.Limits) shares {
-	sockets, memory := c.Sockets, int(c.MemoryMB)
-	if sockets <= 0 {
-		sockets = 1024
-	}
-	if memory <= 0 {
-		memory = 192
-	}
-	rest := max(sockets-24, 8)
-	s := shares{clients: min(rest/2, 8*memory), kept: sockets / 4, open: 2 * memory, origins: min(64, rest/6)}
-	for from, to := range map[*int]*int{&stated.Clients: &s.clients, &stated.Open: &s.open, &stated.Origin: &s.origins} {
-		if *from > 0 {
-			*to = *from
-		}
-	}
-	s.providers = max(1, rest-s.clients-s.origins)
-	if stated.Providers > 0 {
-		s.providers = stated.Providers
-	}
-	s.provider = min(16, max(4, s.providers/8))
-	return s
-}
-
 // Run serves until SIGTERM.
 func (s *serveCmd) Run(hup chan os.Signal) error {
 	c, p, err := s.load(s.Discovery)
@@ -140,10 +113,16 @@
 	if err != nil {
 		return err
 	}
+	operators, err := listenAdmin(c)
+	if err != nil {
+		return err
+	}
+	counts, life := figures.New(c.Classes), lifecycle.New()
 	shares := divide(c, &p.Limits)
 	providers := provider.New(provider.Settings{
 		Share: providerShare, MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
+		Called: counts.Called,
 	}, provider.Meta{})
 	origins := provider.New(provider.Settings{
 		Share: 1, MostConns: shares.origins, MostCalls: 1,
@@ -158,15 +137,23 @@
 		server, listener = g, g
 	}
 	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
-	dir := directory.NewClient(registry(c), names, listener, c.Known)
+	fresh := &freshList{Listener: listener, told: make(chan struct{})}
+	dir := directory.NewClient(registry(c), names, fresh, c.Known)
 	f := &front.Front{Classes: c.Classes, MostConns: shares.clients, MostKept: shares.kept, MostOpen: shares.open, Linger: linger,
-		Keep: keep(c.Settings.Classes), Server: server}
+		Keep: keep(c.Settings.Classes), Rest: closeTime, Life: life, Counts: counts, Server: server}
+	if c.SocketFD != "" { // another process accepts from the same socket
+		f.Linger, f.Keep, f.Rest = 0, replaceTime, restTime
+	}
 	for _, class := range c.Settings.Classes {
 		f.Deadlines = append(f.Deadlines, class.Deadline)
 	}
 
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer release()
+	defer context.AfterFunc(stop, func() {
+		life.Tell(lifecycle.Stop)
+		slog.Info("stopping")
+	})()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
@@ -178,37 +165,26 @@
 		return nil
 	})
 	group.Go(func() error {
-		defer cancel() // the clients are served: all else ends
-		return f.Serve(ctx, stop, listeners...)
+		defer cancel()        // the clients are served: all else ends
+		if c.SocketFD != "" { // whom this takes from the other process must not meet a drained cache
+			select {
+			case <-fresh.told:
+			case <-stop.Done():
+			case <-time.After(freshTime):
+			}
+		}
+		return f.Serve(ctx, listeners...)
 	})
+	if operators != nil {
+		a := &admin.Server{Calls: calls(life, f, counts, r)}
+		group.Go(func() error { return a.Serve(ctx, operators) })
+	}
 	err = group.Wait()
 	providers.Close()
 	origins.Close()
 	return err
 }
 
-// listen opens the platform's listener and those of the operator's file.
-func listen(c *config.Config, p *plan.Plan) (all []net.Listener, err error) {
-	open := func(name, addr string) error {
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			return err
-		}
-		slog.Info("listening", "addr", l.Addr(), "name", name)
-		all = append(all, l)
-		return nil
-	}
-	if err := open("main", c.Listen); err != nil {
-		return nil, err
-	}
-	for _, l := range p.Listeners {
-		if err := open(l.Name, l.Addr); err != nil {
-			return nil, err
-		}
-	}
-	return all, nil
-}
-
 func registry(c *config.Config) *directory.Registry {
 	return &directory.Registry{Addr: c.Discovery, Timeout: 4 * time.Second, Silence: 4500 * time.Millisecond}
 }
--- a/facade.go
+++ b/facade.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -60,8 +61,13 @@
 	timers []timer // by due time
 	idle   []uint32
 	orders Orders
+
+	counted         time.Duration
+	listed, avoided atomic.Int64 // caches, as of then
 }
 
+const countEvery = 100 * time.Millisecond // so often Members is brought up to date, and at each word of the directory
+
 // open is an invocation that still has a step to come.
 type open struct {
 	step  Step
@@ -150,6 +156,18 @@
 	now = f.enter(now)
 	defer f.mu.Unlock()
 	f.router.List(now, kind, servers)
+	f.count()
+}
+
+// Members tells how many slot caches are listed, and how many of them the Router avoids. It takes no lock.
+func (f *Facade) Members() (listed, avoided int) { return int(f.listed.Load()), int(f.avoided.Load()) }
+
+// count brings up to date what Members tells; f.mu is held.
+func (f *Facade) count() {
+	f.counted = f.now
+	listed, avoided := f.router.Members()
+	f.listed.Store(int64(listed))
+	f.avoided.Store(int64(avoided))
 }
 
 // Knows tells whether a server is listed, or calls to it are out.
@@ -168,6 +186,9 @@
 		f.timers = slices.Delete(f.timers, 0, 1)
 		f.router.Timer(now, first.token)
 	}
+	if now-f.counted >= countEvery {
+		f.count()
+	}
 	f.orders.CloseIdle = append(f.orders.CloseIdle, f.takeIdle()...)
 	orders := f.orders
 	if f.orders = (Orders{}); len(f.timers) > 0 {
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,174 @@
+// Package admin is where operators call: HTTP/1.1 on an address of its own, one call to a connection. It has
+// nothing in common with the clients' side, neither limits nor locks, so that it answers however busy that is.
+//
+// It decides nothing: what a call does is told it by path.
+package admin
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hoptiller/internal/http1"
+)
+
+const (
+	places    = 32                     // connections at once; as many descriptors are set aside for them
+	headTime  = 2 * time.Second        // for a caller to say what it wants; callers wait for half of that
+	writeTime = time.Second            // for it to take the answer
+	closeTime = 200 * time.Millisecond // for it to close its side
+	mostRest  = 256 << 10              // bytes that it may send without need
+)
+
+// Descriptors is how many descriptors the listener and its callers may hold.
+const Descriptors = places + 2
+
+// Call is what one path does.
+type Call struct {
+	Method string
+	// Do carries the call out. Where it is not yes, the body says why.
+	Do func() (yes bool, body []byte)
+}
+
+// Server answers operators' calls, by path.
+type Server struct {
+	Calls map[string]Call
+
+	mu      sync.Mutex
+	callers []*caller // those that have not asked yet, the oldest first
+}
+
+// caller is one connection.
+type caller struct{ net.Conn }
+
+// Serve answers calls until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	var g errgroup.Group
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	free := make(chan struct{}, places)
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			s.drop(places)
+			return g.Wait()
+		}
+		if err != nil { // out of descriptors, or the caller has left again: not the end of the listener
+			slog.Warn("admin accept failed", "err", err)
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		select {
+		case free <- struct{}{}:
+		default: // whoever has waited longest without asking for anything makes room
+			s.drop(1)
+			free <- struct{}{}
+		}
+		c := &caller{nc}
+		s.mu.Lock()
+		s.callers = append(s.callers, c)
+		s.mu.Unlock()
+		g.Go(func() error {
+			defer func() { <-free }()
+			defer c.Close()
+			s.answer(c)
+			return nil
+		})
+	}
+}
+
+// drop ends the connections of those that have waited longest without asking for anything.
+func (s *Server) drop(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n = min(n, len(s.callers))
+	for _, c := range s.callers[:n] {
+		c.Close()
+	}
+	s.callers = append([]*caller(nil), s.callers[n:]...)
+}
+
+// asked takes a caller off those that have not asked yet.
+func (s *Server) asked(c *caller) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, o := range s.callers {
+		if o == c {
+			s.callers = append(s.callers[:i], s.callers[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *Server) answer(c *caller) {
+	c.SetReadDeadline(time.Now().Add(headTime))
+	var (
+		head = make([]byte, 0, 512)
+		n    int
+		q    http1.Request
+		err  error
+	)
+	for n == 0 && err == nil {
+		if len(head) == cap(head) {
+			head = append(head, 0)[:len(head)]
+		}
+		var got int
+		var failed error
+		got, failed = c.Read(head[len(head):cap(head)])
+		head = head[:len(head)+got]
+		if got > 0 {
+			q, n, err = http1.ParseRequest(head)
+		}
+		if failed != nil && n == 0 && err == nil {
+			s.asked(c)
+			return
+		}
+	}
+	s.asked(c)
+	c.SetWriteDeadline(time.Now().Add(writeTime))
+	if _, err := c.Write(s.reply(q, err)); err != nil {
+		return
+	}
+	// To close with something unread resets the connection, and the answer may be lost with it.
+	c.Conn.(*net.TCPConn).CloseWrite()
+	c.SetReadDeadline(time.Now().Add(closeTime))
+	for rest := 0; rest < mostRest; {
+		n, err := c.Read(head[:cap(head)])
+		if rest += n; err != nil {
+			return
+		}
+	}
+}
+
+// reply makes the answer to a call.
+func (s *Server) reply(q http1.Request, err error) []byte {
+	switch {
+	case errors.Is(err, http1.ErrLarge):
+		return text(431, "Request Header Fields Too Large", "the head is too long")
+	case err != nil:
+		return text(400, "Bad Request", "the head can't be read")
+	}
+	call, ok := s.Calls[string(q.Path)]
+	if !ok {
+		return text(404, "Not Found", "no such call")
+	}
+	if string(q.Method) != call.Method {
+		return text(405, "Method Not Allowed", "to be called with "+call.Method, http1.Header{Name: "Allow", Value: call.Method})
+	}
+	yes, body := call.Do()
+	if !yes {
+		return text(503, "Service Unavailable", string(body))
+	}
+	return http1.AppendAnswer(nil, 200, "OK", body, http1.Header{Name: "Content-Type", Value: "application/json"})
+}
+
+func text(status int, reason, body string, headers ...http1.Header) []byte {
+	headers = append(headers, http1.Header{Name: "Content-Type", Value: "text/plain; charset=utf-8"})
+	return http1.AppendAnswer(nil, status, reason, []byte(strings.TrimSpace(body)+"\n"), headers...)
+}
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,109 @@
+package admin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"hoptiller/internal/http1"
+)
+
+func start(t *testing.T, s *Server) (dial func() net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		end()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return func() net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+}
+
+func ask(t *testing.T, conn net.Conn, text string) (status int, allow, body string) {
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("%.30q: %v", text, err)
+	}
+	b, err := io.ReadAll(r.Body)
+	if err != nil || !r.Close {
+		t.Errorf("%.30q: %v, close %v", text, err, r.Close)
+	}
+	return r.StatusCode, r.Header.Get("Allow"), string(b)
+}
+
+var yes = true
+
+var server = Server{Calls: map[string]Call{
+	"/state": {Method: "GET", Do: func() (bool, []byte) { return yes, []byte("as it is") }},
+}}
+
+// Each call has its answer, and so has each that is none; bytes behind the head harm neither.
+func TestAnswers(t *testing.T) {
+	dial := start(t, &server)
+	for _, c := range []struct {
+		text   string
+		status int
+	}{
+		{"GET /state HTTP/1.1\r\nHost: x\r\n\r\n", 200},
+		{"GET /state?now HTTP/1.1\r\nContent-Length: 90000\r\n\r\n" + strings.Repeat("x", 90000), 200},
+		{"GET /other HTTP/1.1\r\n\r\n", 404},
+		{"POST /state HTTP/1.1\r\n\r\n", 405},
+		{"mg k v O1\r\n", 400},
+		{"GET /state HTTP/1.1\r\nno colon\r\n\r\n", 400},
+		{"GET /" + strings.Repeat("x", 2*http1.MaxHead), 431},
+		{"GET /state HTTP/1.1\r\n" + strings.Repeat("a: b\r\n", http1.MaxHead/3), 431},
+	} {
+		status, allow, body := ask(t, dial(), c.text)
+		if status != c.status || (allow == "GET") != (status == 405) || body == "" {
+			t.Errorf("%.30q: %d, allow %q, %q", c.text, status, allow, body)
+		}
+	}
+	yes = false
+	defer func() { yes = true }()
+	if status, _, body := ask(t, dial(), "GET /state HTTP/1.1\r\n\r\n"); status != 503 || body != "as it is\n" {
+		t.Errorf("no is answered %d %q", status, body)
+	}
+}
+
+// Callers that connect and finish nothing, more than there are places, hold off nobody; those that came first go.
+func TestStalledCallersMakeRoom(t *testing.T) {
+	dial := start(t, &server)
+	first := dial()
+	for range 3 * places {
+		fmt.Fprint(dial(), "GET /sta")
+	}
+	if status, _, _ := ask(t, dial(), "GET /state HTTP/1.1\r\n\r\n"); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	if _, err := first.Read(make([]byte, 1)); err == nil {
+		t.Error("the one that waited longest is still there")
+	}
+}
+
+// One that says nothing is ended, though there is room.
+func TestStalledCallerEnds(t *testing.T) {
+	if _, err := io.ReadAll(start(t, &server)()); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,6 +20,8 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Admin     string // where operators call; empty: nowhere
+	SocketFD  string // the descriptor on which clients' connections come, if the platform holds it
 	Seed      uint64
 	MemoryMB  int64 // 0: no limit stated
 	Sockets   int   // 0: no limit stated
@@ -48,7 +50,8 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	for name, field := range map[string]*string{
-		"RELAY_NAME": &c.Name, "RELAY_LISTEN": &c.Listen, "RELAY_DISCOVERY": &c.Discovery,
+		"RELAY_NAME": &c.Name, "RELAY_LISTEN": &c.Listen, "RELAY_DISCOVERY": &c.Discovery, "RELAY_ADMIN": &c.Admin,
+		"RELAY_SOCKET_FD": &c.SocketFD,
 	} {
 		if v := env(name); v != "" {
 			*field = v
@@ -74,8 +77,8 @@
 	}
 	c := &Config{
 		Name: root.Get("name").String(), Listen: root.Get("listen").String(),
-		Discovery: root.Get("discovery").String(),
-		MemoryMB:  root.Get("limits.memory_mb").Int(), Sockets: int(root.Get("limits.sockets").Int()),
+		Discovery: root.Get("discovery").String(), Admin: root.Get("admin").String(),
+		MemoryMB: root.Get("limits.memory_mb").Int(), Sockets: int(root.Get("limits.sockets").Int()),
 		Classes: texts(set.Get("classes.#.name")), Zones: texts(set.Get("failureDomains")),
 		Kinds:     texts(set.Get("kinds")),
 		ConnIdle:  time.Duration(set.Get("bounds.connIdle").Int()) * time.Microsecond,
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,200 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"hoptiller/internal/buffer"
+)
+
+const (
+	firstTime    = 2500 * time.Millisecond // for a new client to ask something
+	commandTime  = 2500 * time.Millisecond // for the rest of a command that has begun
+	idleTime     = 2500 * time.Millisecond // without an open command; the client asks again on a new connection
+	headTime     = 2100 * time.Millisecond // that a client may need for a command
+	noticeTime   = 800 * time.Millisecond  // for clients to notice that the router is drained
+	closeTimeout = 500 * time.Millisecond  // for a client to close its side
+	mostUnread   = 256 << 10               // bytes of a client that was told off, skipped while it closes
+)
+
+// conn is one client connection.
+type conn struct {
+	net.Conn
+	front  *Front
+	reader *buffer.Reader
+	slots  chan slot     // answers to come, in the order of the commands
+	freed  chan struct{} // told when one has been written
+	faults int           // commands that made no sense
+	client netip.Addr
+
+	mu    sync.Mutex
+	out   int       // commands taken and not answered
+	asked bool      // a whole command has come
+	part  bool      // a command has come in part
+	since time.Time // when the part came, or else since when nothing is out
+	end   bool      // once nothing is out
+
+	restBy time.Time // when end is set: until when the rest of a command may come
+}
+
+// idle tells how long a connection has been without a command; one that never had a whole one counts as
+// idle for longer than any other, and one whose first may be on its way not at all. ending tells that it
+// goes anyway, used that it has had a whole command and no part of another.
+func (c *conn) idle(now time.Time) (idle time.Duration, ending, used bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	used = c.asked && !c.part
+	switch idle = now.Sub(c.since); {
+	case c.out > 0 || !used && idle <= settled:
+		return 0, c.out == 0 && c.end, used
+	case !used:
+		idle += time.Hour
+	}
+	return idle, c.end, used
+}
+
+// endIfIdle ends a connection if nothing is out on it; the rest of a command that has begun may take a while.
+func (c *conn) endIfIdle(rest time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.out == 0 && !c.end {
+		c.end, c.restBy = true, time.Now().Add(rest)
+		c.arm()
+	}
+}
+
+// arm sets how long the next read may take: a client that says nothing, or never the rest of a command,
+// must hold neither a place nor, after SIGTERM, the program. c.mu is held.
+func (c *conn) arm() {
+	var by time.Time
+	switch {
+	case c.part:
+		by = c.since.Add(commandTime)
+	case c.out > 0:
+	case c.end && c.asked:
+		by = time.Unix(1, 0)
+	case c.asked:
+		by = c.since.Add(idleTime)
+	default:
+		by = c.since.Add(firstTime)
+	}
+	if c.end && !c.restBy.IsZero() && by.After(c.restBy) {
+		by = c.restBy
+	}
+	c.SetReadDeadline(by)
+}
+
+func (c *conn) serve(ctx context.Context) {
+	defer c.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.writeAnswers(cancel)
+	}()
+	own, unread := c.readCommands(ctx)
+	if !own {
+		cancel() // the client has left: nothing that it asked for is wanted any more
+	}
+	close(c.slots)
+	<-done
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && unread && ctx.Err() == nil {
+		// To close with something unread resets the connection, and the last answer may be lost with it.
+		// Where nothing is, the place is needed: a client that says nothing does not close its side either.
+		tcp.CloseWrite()
+		c.SetReadDeadline(time.Now().Add(closeTimeout))
+		for skipped := 0; skipped < mostUnread; {
+			if c.reader.Next(func(b []byte) int { skipped += len(b); return len(b) }) != nil {
+				break
+			}
+		}
+	}
+}
+
+// readCommands reads until the connection ends. It tells whether it ended it itself, so that the answers
+// to what came before are still to be written, and whether there may be more that is not read.
+func (c *conn) readCommands(ctx context.Context) (own, unread bool) {
+	c.mu.Lock()
+	c.arm()
+	c.mu.Unlock()
+	for next, looked := c.reader.Next, false; ; {
+		var last, full bool
+		err := next(func(b []byte) (used int) {
+			for n := -1; n != 0 && !last && !full && used < len(b); used += n {
+				n, last, full = c.command(ctx, b[used:])
+			}
+			return used
+		})
+		next = c.reader.Next
+		c.mu.Lock()
+		if part := c.reader.Unread() > 0 && !full; part != c.part {
+			c.part, c.since = part, time.Now()
+		}
+		if c.arm(); errors.Is(err, os.ErrDeadlineExceeded) && c.out == 0 && c.asked && !c.part && !looked {
+			// One more look: a command that has come by now is not to be lost.
+			looked, err = true, nil
+			c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		}
+		c.mu.Unlock()
+		switch {
+		case last || errors.Is(err, os.ErrDeadlineExceeded):
+			return true, last
+		case err != nil:
+			return false, false
+		case full:
+			select { // whoever sends much ahead waits for answers of its own
+			case <-c.freed:
+			case <-ctx.Done():
+				return false, false
+			}
+			next = c.reader.Again
+		}
+	}
+}
+
+// ending tells whether the connection goes once nothing is out on it.
+func (c *conn) ending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.end
+}
+
+func (c *conn) full(most int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.out >= most
+}
+
+// writeAnswers writes the answers in the order of their commands.
+func (c *conn) writeAnswers(cancel context.CancelFunc) {
+	broken := false
+	for s := range c.slots {
+		broken = !c.writeAnswer(&s, broken) || broken
+		if broken {
+			cancel() // ends the reading
+		}
+		c.mu.Lock()
+		if c.out--; c.out == 0 {
+			if rest := c.front.closing.Load(); rest > 0 && !c.end {
+				c.end, c.restBy = true, time.Now().Add(time.Duration(rest))
+			}
+			if !c.part {
+				c.since = time.Now()
+			}
+			c.arm()
+		}
+		c.mu.Unlock()
+		select {
+		case c.freed <- struct{}{}:
+		default:
+		}
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"hoptiller"
+	"hoptiller/internal/figures"
+	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/relay"
 )
 
@@ -58,9 +60,10 @@
 		t.Fatal(err)
 	}
 	f.Classes, f.Deadlines = []string{"read"}, []time.Duration{time.Second}
+	f.Life, f.Counts = lifecycle.New(), figures.New(f.Classes)
 	ctx, end := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- f.Serve(ctx, ctx, l) }()
+	go func() { done <- f.Serve(ctx, l) }()
 	t.Cleanup(func() {
 		end()
 		if err := <-done; err != nil {
@@ -109,9 +112,9 @@
 		t.Fatal(err)
 	}
 	f := &Front{MostConns: 4, MostOpen: 4, Keep: time.Hour, Server: hold, Classes: []string{"read"}, Deadlines: []time.Duration{time.Second}}
-	stop, end := context.WithCancel(context.Background())
+	f.Life, f.Counts = lifecycle.New(), figures.New(f.Classes)
 	done := make(chan error, 1)
-	go func() { done <- f.Serve(context.Background(), stop, l) }()
+	go func() { done <- f.Serve(context.Background(), l) }()
 	conn, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -125,7 +128,7 @@
 		}
 	}
 	ask(1)
-	end()
+	f.Life.Tell(lifecycle.Stop)
 	for {
 		other, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
--- /dev/null
+++ b/internal/front/protocol.go
@@ -0,0 +1,172 @@
+package front
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/figures"
+	"hoptiller/internal/meta"
+	"hoptiller/internal/relay"
+)
+
+const (
+	readAhead    = 16               // commands of one connection that are begun before the first is answered
+	mostFaults   = 8                // commands of one connection that make no sense before it is ended
+	writeTimeout = 10 * time.Second // for a client that does not read its answers
+	longest      = time.Hour        // that a client can be taken to wait
+)
+
+// slot is the place of one answer.
+type slot struct {
+	line   string // an answer that was known at once
+	id     string
+	class  int
+	write  bool
+	answer chan relay.Answer
+}
+
+// command takes the command at the start of b, if it is whole. last tells that nothing more is read, full
+// that the command must wait until another one is answered.
+func (c *conn) command(ctx context.Context, b []byte) (used int, last, full bool) {
+	closing := c.front.closing.Load() > 0
+	if c.full(readAhead) || closing && c.full(1) {
+		return 0, false, true
+	}
+	cmd, n, err := meta.ParseCommand(b)
+	switch {
+	case err != nil:
+		c.fault(err.Error())
+		return n, meta.Fatal(err) || c.faults >= mostFaults, false
+	case n == 0:
+		return 0, false, false
+	}
+	switch cmd.Verb {
+	case meta.Noop:
+		c.put(slot{line: c.front.here()})
+	case meta.Version:
+		c.put(slot{line: "VERSION hoptiller\r\n"})
+	case meta.Quit:
+		return n, true, false
+	case meta.Unknown:
+		c.fault("ERROR")
+	default:
+		if c.front.crowded() && c.full(1) {
+			return 0, false, true
+		}
+		c.invoke(ctx, &cmd)
+	}
+	// One that is to go and was not silent for that is ended behind what it has asked by now.
+	return n, c.faults >= mostFaults || closing && c.ending(), false
+}
+
+// here answers whoever asks whether this router wants clients.
+func (f *Front) here() string {
+	if !f.Life.Phase().Wanted() {
+		return "SERVER_ERROR draining\r\n"
+	}
+	return "MN\r\n"
+}
+
+// fault answers what makes no sense. A client that goes on with it is ended.
+func (c *conn) fault(line string) {
+	c.faults++
+	c.put(slot{line: line + "\r\n"})
+}
+
+func (c *conn) put(s slot) {
+	c.mu.Lock()
+	c.out++
+	c.asked = true
+	c.mu.Unlock()
+	c.slots <- s // has room: see command
+}
+
+// invoke starts an invocation.
+func (c *conn) invoke(ctx context.Context, cmd *meta.Command) {
+	inv := &relay.Invocation{Write: cmd.Verb == meta.Set, Client: c.client}
+	if fault := c.front.facts(inv, cmd.Facts); fault != "" {
+		c.fault("CLIENT_ERROR " + fault)
+		return
+	}
+	id := string(cmd.ID)
+	if !c.front.begin(id) {
+		c.fault("CLIENT_ERROR request id is in use")
+		return
+	}
+	// The command must outlive the buffer that it was read into, at its own size: most are short.
+	b := make([]byte, 0, len(cmd.Key)+len(cmd.ID)+len(cmd.Facts)+len(cmd.Value))
+	keep := func(s []byte) []byte {
+		from := len(b)
+		b = append(b, s...)
+		return b[from:len(b):len(b)]
+	}
+	inv.Key, inv.ID, inv.Facts, inv.Value = keep(cmd.Key), keep(cmd.ID), keep(cmd.Facts), keep(cmd.Value)
+	s := slot{id: id, class: inv.Class, write: inv.Write, answer: make(chan relay.Answer, 1)}
+	c.front.Counts.Taken()
+	go func() { s.answer <- c.front.Server.Serve(ctx, inv) }()
+	c.put(s)
+}
+
+// facts reads the names and values that come with an invocation and tells what is wrong with them.
+func (f *Front) facts(inv *relay.Invocation, facts []byte) (fault string) {
+	class, _ := meta.Fact(facts, "c")
+	if inv.Class = slices.Index(f.Classes, string(class)); inv.Class < 0 {
+		return "unknown class"
+	}
+	inv.Remaining = f.Deadlines[inv.Class]
+	if d, ok := meta.Fact(facts, "d"); ok {
+		ms, err := strconv.ParseInt(string(d), 10, 64)
+		if err != nil || ms <= 0 || ms > longest.Milliseconds() {
+			return "bad deadline"
+		}
+		inv.Remaining = time.Duration(ms) * time.Millisecond
+	}
+	retry, _ := meta.Fact(facts, "r")
+	inv.Retry = string(retry) == "1"
+	return ""
+}
+
+func (c *conn) writeAnswer(s *slot, broken bool) bool {
+	if s.answer == nil {
+		return !broken && c.write([]byte(s.line))
+	}
+	a := <-s.answer
+	c.front.ended(s.id)
+	written := !broken && c.writeFinal(s, &a)
+	how := figures.Failed
+	switch {
+	case a.Kind == hoptiller.StepServed && written:
+		how = figures.Completed
+	case a.Kind == hoptiller.StepReject:
+		how = figures.Rejected
+	}
+	c.front.Counts.Ended(s.class, how)
+	return written
+}
+
+// writeFinal writes the final answer to an invocation.
+func (c *conn) writeFinal(s *slot, a *relay.Answer) bool {
+	var b []byte
+	switch {
+	case a.Kind == hoptiller.StepServed && s.write:
+		b = meta.AppendStored(b, s.id, a.Data)
+	case a.Kind == hoptiller.StepServed:
+		return c.write(meta.AppendValueHead(b, s.id, len(a.Data)), a.Data, []byte("\r\n"))
+	case a.Kind == hoptiller.StepReject:
+		b = meta.AppendBusy(b, a.RetryAfter.Milliseconds())
+	default:
+		b = meta.AppendFailed(b)
+	}
+	return c.write(b)
+}
+
+func (c *conn) write(parts ...[]byte) bool {
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	b := net.Buffers(parts)
+	_, err := b.WriteTo(c.Conn)
+	return err == nil
+}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -48,6 +48,7 @@
 	MostCalls      int           // calls out on one connection at once
 	IdleLimit      time.Duration // connections without use for so long are not used again; 0: no limit
 	ConnectTimeout time.Duration
+	Called         func() // told of each call that was written whole; nil: nobody is
 }
 
 // Pool has the connections to all servers of a kind. It is a relay.Caller.
@@ -413,6 +414,9 @@
 	stop := context.AfterFunc(ctx, func() { c.SetWriteDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if _, err := c.Write(b); err == nil {
+		if p.set.Called != nil {
+			p.set.Called()
+		}
 		return true, hoptiller.OK
 	}
 	p.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -114,6 +114,9 @@
 	return time.Duration(r.start.UnixNano()) + time.Since(r.start)
 }
 
+// Members tells how many slot caches are listed, and how many of them are avoided now.
+func (r *Relay) Members() (listed, avoided int) { return r.core.Members() }
+
 // Run carries out the orders that belong to no invocation, until ctx ends.
 func (r *Relay) Run(ctx context.Context, dir Directory) error {
 	timer := time.NewTimer(0)
--- a/router.go
+++ b/router.go
@@ -46,6 +46,7 @@
 	healthMost  = 4    // and of them this many count at most
 	healthSlack = 1.25 // a server this little under its peers counts in full
 	healthLeast = 0.03 // what a sick server keeps of its weight, so that it is seen to mend
+	avoidedAt   = 0.5  // part of its weight under which a server counts as avoided
 	keyHeld     = 20.0 // seconds for which a key answered here is held to be kept at its home
 	originFirst = 2.4  // fetches that may be out at first for each cache, at all balancers
 	originLeast = 4.0  // and at each of them
@@ -258,6 +259,21 @@
 	r.weigh()
 }
 
+// Members tells how many caches are listed, and how many of them are avoided: they drain, or health and
+// way leave them less than half of their weight.
+func (r *Router) Members() (listed, avoided int) {
+	for _, s := range r.known {
+		if s.origin || s.unlisted || s.Phase == Gone {
+			continue
+		}
+		listed++
+		if s.Phase == Draining || r.health(s)*r.path(s.Zone) < avoidedAt {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 // ---- the ranking ----
 
 // warmth is the part of its capacity that a server has at the least: the stated warm-up.
