--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -139,7 +139,7 @@
 	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
 	fresh := &freshList{Listener: listener, told: make(chan struct{})}
 	dir := directory.NewClient(registry(c), names, fresh, c.Known)
-	f := &front.Front{Classes: c.Classes, MostConns: shares.clients, MostKept: shares.kept, MostOpen: shares.open, Linger: linger,
+	f := &front.Front{Classes: c.Classes, MostConns: shares.clients, MostKept: shares.kept, MostOpen: shares.open, MostLong: int64(shares.long), Linger: linger,
 		Keep: keep(c.Settings.Classes), Rest: closeTime, Life: life, Counts: counts, Server: server}
 	if c.SocketFD != "" { // another process accepts from the same socket
 		f.Linger, f.Keep, f.Rest = 0, replaceTime, restTime
--- a/cmd/hoptiller/shares.go
+++ b/cmd/hoptiller/shares.go
@@ -11,6 +11,7 @@
 	clients   int // connections
 	kept      int // and of them, those that may stay idle: clients hold a third of the descriptors at most
 	open      int // invocations beyond the first of each client connection
+	long      int // bytes of long values that clients send
 	providers int // connections to all slot caches
 	provider  int // connections to one of them; four routers share the 70 that it accepts
 	origins   int // connections to the origin
@@ -31,7 +32,7 @@
 		sockets -= admin.Descriptors
 	}
 	rest := max(sockets-24, 8)
-	s := shares{clients: min(rest/2, 8*memory), kept: sockets / 4, open: 2 * memory, origins: min(64, rest/6)}
+	s := shares{clients: min(rest/2, 8*memory), kept: sockets / 4, open: 2 * memory, long: memory << 20 / 4, origins: min(64, rest/6)}
 	for from, to := range map[*int]*int{&stated.Clients: &s.clients, &stated.Open: &s.open, &stated.Origin: &s.origins} {
 		if *from > 0 {
 			*to = *from
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -3,9 +3,8 @@
 
 import "sync"
 
-// Size holds the largest value of the protocol together with the lines and
-// headers that come with it.
-const Size = 64<<10 + 8<<10
+// Size holds most of what comes at once. What is longer goes through in pieces, or is kept at its own size.
+const Size = 16 << 10
 
 // Buffer is one buffer of the pool.
 type Buffer [Size]byte
@@ -21,3 +20,41 @@
 		pool.Put(b)
 	}
 }
+
+// Chain is a long value in buffers of the pool.
+type Chain struct {
+	bufs []*Buffer
+	n    int
+}
+
+// Len is how much is in it.
+func (c *Chain) Len() int { return c.n }
+
+// Append copies more to its end.
+func (c *Chain) Append(b []byte) {
+	for len(b) > 0 {
+		at := c.n % Size
+		if at == 0 {
+			c.bufs = append(c.bufs, Get())
+		}
+		k := copy(c.bufs[len(c.bufs)-1][at:], b)
+		c.n += k
+		b = b[k:]
+	}
+}
+
+// Parts appends what is in it to some slices, which hold until Free.
+func (c *Chain) Parts(to [][]byte) [][]byte {
+	for i, b := range c.bufs {
+		to = append(to, b[:min(Size, c.n-i*Size)])
+	}
+	return to
+}
+
+// Free gives its buffers back.
+func (c *Chain) Free() {
+	for _, b := range c.bufs {
+		Put(b)
+	}
+	c.bufs, c.n = nil, 0
+}
--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -8,7 +8,7 @@
 )
 
 // step is how much is read at first of what may be without end. More is read at once of what has proved long.
-const step = 8 << 10
+const step = 4 << 10
 
 // Most is how much is kept of one message that is not whole: the largest that any protocol here allows, with
 // the lines and headers that come with it. What is so long has memory of its own for as long as it is needed.
@@ -17,6 +17,8 @@
 // Reader reads a connection and holds a buffer only while something is there to be read: of hundreds of
 // connections nearly all wait at any time. What is left over between reads is kept at its own size.
 type Reader struct {
+	Long bool // much is to come: as much is read at once as a buffer holds
+
 	raw  syscall.RawConn
 	rest []byte
 }
@@ -47,7 +49,7 @@
 	err := r.raw.Read(func(fd uintptr) bool {
 		buf = Get()
 		for failed = syscall.EINTR; failed == syscall.EINTR; {
-			n, failed = syscall.Read(int(fd), buf[:min(Size, max(step, len(r.rest)))])
+			n, failed = syscall.Read(int(fd), buf[:r.most()])
 		}
 		if failed == syscall.EAGAIN {
 			Put(buf)
@@ -74,6 +76,13 @@
 	return nil
 }
 
+func (r *Reader) most() int {
+	if r.Long {
+		return Size
+	}
+	return min(Size, max(step, len(r.rest)))
+}
+
 // Again hands over what is left without reading more.
 func (r *Reader) Again(take func(b []byte) (used int)) error {
 	r.keep(r.rest[take(r.rest):])
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -355,7 +355,7 @@
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	conn.SetDeadline(time.Now().Add(r.Timeout))
-	if _, err := conn.Write(http1.AppendRequest(nil, "GET", path, r.Addr, nil)); err != nil {
+	if _, err := conn.Write(http1.AppendRequest(nil, "GET", path, r.Addr, -1)); err != nil {
 		return err
 	}
 	body := body{line: line}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hoptiller/internal/buffer"
+	"hoptiller/internal/relay"
 )
 
 const (
@@ -32,6 +33,9 @@
 	faults int           // commands that made no sense
 	client netip.Addr
 
+	long    *relay.Invocation // a write of which the value is still to come
+	longLen int
+
 	mu    sync.Mutex
 	out   int       // commands taken and not answered
 	asked bool      // a whole command has come
@@ -39,7 +43,8 @@
 	since time.Time // when the part came, or else since when nothing is out
 	end   bool      // once nothing is out
 
-	restBy time.Time // when end is set: until when the rest of a command may come
+	pieceBy time.Time // when a long value is coming: until when there must be more of it
+	restBy  time.Time // when end is set: until when the rest of a command may come
 }
 
 // idle tells how long a connection has been without a command; one that never had a whole one counts as
@@ -73,6 +78,8 @@
 func (c *conn) arm() {
 	var by time.Time
 	switch {
+	case !c.pieceBy.IsZero():
+		by = c.pieceBy
 	case c.part:
 		by = c.since.Add(commandTime)
 	case c.out > 0:
@@ -83,7 +90,7 @@
 	default:
 		by = c.since.Add(firstTime)
 	}
-	if c.end && !c.restBy.IsZero() && by.After(c.restBy) {
+	if c.pieceBy.IsZero() && c.end && !c.restBy.IsZero() && by.After(c.restBy) {
 		by = c.restBy
 	}
 	c.SetReadDeadline(by)
@@ -98,7 +105,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		c.writeAnswers(cancel)
+		c.writeAnswers(ctx, cancel)
 	}()
 	own, unread := c.readCommands(ctx)
 	if !own {
@@ -128,12 +135,21 @@
 	for next, looked := c.reader.Next, false; ; {
 		var last, full bool
 		err := next(func(b []byte) (used int) {
-			for n := -1; n != 0 && !last && !full && used < len(b); used += n {
+			for n := -1; n != 0 && !last && !full && c.long == nil && used < len(b); used += n {
 				n, last, full = c.command(ctx, b[used:])
 			}
 			return used
 		})
 		next = c.reader.Next
+		if c.long != nil && err == nil {
+			if last, err = c.gather(ctx); err != nil {
+				return errors.Is(err, os.ErrDeadlineExceeded), false
+			}
+			if !last {
+				next = c.reader.Again
+				continue
+			}
+		}
 		c.mu.Lock()
 		if part := c.reader.Unread() > 0 && !full; part != c.part {
 			c.part, c.since = part, time.Now()
@@ -173,24 +189,30 @@
 	return c.out >= most
 }
 
+// settle takes one off what is out. c.mu is held.
+func (c *conn) settle() {
+	if c.out--; c.out > 0 {
+		return
+	}
+	if rest := c.front.closing.Load(); rest > 0 && !c.end {
+		c.end, c.restBy = true, time.Now().Add(time.Duration(rest))
+	}
+	if !c.part {
+		c.since = time.Now()
+	}
+	c.arm()
+}
+
 // writeAnswers writes the answers in the order of their commands.
-func (c *conn) writeAnswers(cancel context.CancelFunc) {
+func (c *conn) writeAnswers(ctx context.Context, cancel context.CancelFunc) {
 	broken := false
 	for s := range c.slots {
-		broken = !c.writeAnswer(&s, broken) || broken
+		broken = !c.writeAnswer(ctx, &s, broken) || broken
 		if broken {
 			cancel() // ends the reading
 		}
 		c.mu.Lock()
-		if c.out--; c.out == 0 {
-			if rest := c.front.closing.Load(); rest > 0 && !c.end {
-				c.end, c.restBy = true, time.Now().Add(time.Duration(rest))
-			}
-			if !c.part {
-				c.since = time.Now()
-			}
-			c.arm()
-		}
+		c.settle()
 		c.mu.Unlock()
 		select {
 		case c.freed <- struct{}{}:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"hoptiller/internal/buffer"
 	"hoptiller/internal/figures"
 	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/meta"
 	"hoptiller/internal/relay"
 )
 
@@ -34,12 +36,14 @@
 	Linger    time.Duration   // for which connections are still accepted after a stop
 	Keep      time.Duration   // for which those that are open are served after it, while there are any
 	Rest      time.Duration   // which commands that have begun have after that to come whole
+	MostLong  int64           // bytes of long values that are held at once
 	Life      *lifecycle.State
 	Counts    *figures.Counts
 	Server    Server
 
 	accepting atomic.Bool
-	closing   atomic.Int64 // if set, connections end once nothing is out on them, and what has begun has so long to come
+	room      *semaphore.Weighted // for long values
+	closing   atomic.Int64        // if set, connections end once nothing is out on them, and what has begun has so long to come
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -53,6 +57,7 @@
 // Serve accepts clients and follows the router's life: once that stops it accepts for Linger, serves those it
 // has until Keep is over, finishes what was taken and returns. When ctx ends, it drops everything.
 func (f *Front) Serve(ctx context.Context, listeners ...net.Listener) error {
+	f.room = semaphore.NewWeighted(max(f.MostLong, meta.MaxLong+2))
 	f.conns, f.open, f.left = map[*conn]bool{}, map[string]bool{}, make(chan struct{}, 1)
 	g, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, max(1, f.MostConns))
--- /dev/null
+++ b/internal/front/gather.go
@@ -0,0 +1,75 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"hoptiller/internal/buffer"
+	"hoptiller/internal/meta"
+)
+
+// pieceTime is how long the next piece of a long value may take.
+const pieceTime = 6 * time.Second
+
+// gather reads the long value of the write that has begun, and starts its invocation when it is whole. It takes room
+// for all of it first: with a part each, all would wait for each other. Until there is some the client waits
+// too, since nothing is read. last tells that nothing more is read.
+func (c *conn) gather(ctx context.Context) (last bool, err error) {
+	inv, length := c.long, c.longLen
+	c.long = nil
+	ended := func() { c.front.ended(string(inv.ID)) }
+	room := int64(length + 2)
+	if err := c.front.room.Acquire(ctx, room); err != nil {
+		ended()
+		return false, err
+	}
+	value := &buffer.Chain{}
+	free := func() {
+		value.Free()
+		c.front.room.Release(room)
+	}
+	// Meanwhile the connection counts as one on which something is out.
+	c.mu.Lock()
+	c.out++
+	c.mu.Unlock()
+	c.reader.Long = true
+	defer func() {
+		c.reader.Long = false
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.part, c.pieceBy = false, time.Time{}
+		c.settle()
+	}()
+	left, tail := length, "\r\n"
+	for next := c.reader.Again; left > 0 || tail != ""; next = c.reader.Next {
+		c.mu.Lock()
+		c.pieceBy = time.Now().Add(pieceTime)
+		c.arm()
+		c.mu.Unlock()
+		bad := false
+		if err := next(func(b []byte) (used int) {
+			used = min(left, len(b))
+			value.Append(b[:used])
+			if left -= used; left == 0 {
+				n := min(len(tail), len(b)-used)
+				bad = string(b[used:used+n]) != tail[:n]
+				tail = tail[n:]
+				used += n
+			}
+			return used
+		}); err != nil {
+			free()
+			ended()
+			return false, err
+		}
+		if bad {
+			free()
+			ended()
+			c.fault(meta.ErrChunk.Error())
+			return true, nil
+		}
+	}
+	inv.Long = value
+	c.invoke(ctx, inv, free)
+	return false, nil
+}
--- /dev/null
+++ b/internal/front/gather_test.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"hoptiller"
+	"hoptiller/internal/meta"
+	"hoptiller/internal/relay"
+)
+
+// taker tells of each invocation and serves it when it may.
+type taker struct{ begun, serve chan string }
+
+func (s taker) Serve(ctx context.Context, inv *relay.Invocation) relay.Answer {
+	value := ""
+	for _, part := range inv.Long.Parts(nil) {
+		value += string(part)
+	}
+	s.begun <- string(inv.ID) + " " + value
+	return relay.Answer{Kind: hoptiller.StepServed, Data: []byte(<-s.serve)}
+}
+
+// Long values are held up to a bound and no further: the next one waits in the network until the one before has had
+// its answer, and comes whole then. Those who ask for less are not held up meanwhile.
+func TestRoomForLongValues(t *testing.T) {
+	s := taker{make(chan string, 2), make(chan string)}
+	connect := start(t, &Front{MostConns: 9, MostOpen: 9, MostLong: 1, Server: s})
+	first, second, other := connect(), connect(), connect()
+	value := strings.Repeat("a", meta.MaxLong)
+	send := func(conn io.Writer, id int) {
+		fmt.Fprintf(conn, "ms k %d O%d Pc=read,d=900\r\n%s\r\n", len(value), id, value)
+	}
+	send(first, 1)
+	if got := <-s.begun; got != "1 "+value {
+		t.Fatalf("%.9q of %d bytes", got, len(got))
+	}
+	go send(second, 2)
+	fmt.Fprint(other, "mn\r\n")
+	if line, err := bufio.NewReader(other).ReadString('\n'); line != "MN\r\n" {
+		t.Fatalf("%q, %v", line, err)
+	}
+	select {
+	case got := <-s.begun:
+		t.Errorf("%.9q is held as well", got)
+	default:
+	}
+	s.serve <- "c1"
+	if line, err := bufio.NewReader(first).ReadString('\n'); line != "HD O1 cc1\r\n" {
+		t.Errorf("%q, %v", line, err)
+	}
+	if got := <-s.begun; got != "2 "+value {
+		t.Fatalf("%.9q of %d bytes", got, len(got))
+	}
+	s.serve <- "c2"
+	if line, err := bufio.NewReader(second).ReadString('\n'); line != "HD O2 cc2\r\n" {
+		t.Errorf("%q, %v", line, err)
+	}
+}
+
+// One that stops in the middle, or leaves, gives its room back and its id.
+func TestHalfALongValue(t *testing.T) {
+	s := taker{make(chan string, 2), make(chan string, 2)}
+	f := &Front{MostConns: 9, MostOpen: 9, MostLong: 1, Server: s}
+	connect := start(t, f)
+	value := strings.Repeat("a", meta.MaxLong)
+	head := fmt.Sprintf("ms k %d O1 Pc=read,d=900\r\n", len(value))
+	for range 3 {
+		half := connect()
+		fmt.Fprint(half, head+value[:99999])
+		half.Close()
+	}
+	bad := connect()
+	fmt.Fprint(bad, head+value+"xx")
+	s.serve <- "c1"
+	for whole := false; !whole; { // until the id of the last one that left is free
+		conn := connect()
+		io.WriteString(conn, head+value+"\r\n")
+		line, _ := bufio.NewReader(conn).ReadString('\n')
+		whole = line == "HD O1 cc1\r\n"
+	}
+	if got := <-s.begun; got != "1 "+value {
+		t.Errorf("%.9q of %d bytes", got, len(got))
+	}
+}
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -57,7 +57,19 @@
 		if c.front.crowded() && c.full(1) {
 			return 0, false, true
 		}
-		c.invoke(ctx, &cmd)
+		inv, fault := c.invocation(&cmd)
+		switch {
+		case fault != "" && cmd.Long > 0: // what follows is a value
+			c.fault(fault)
+			return n, true, false
+		case fault != "":
+			c.fault(fault)
+		case cmd.Long > 0:
+			c.long, c.longLen = inv, cmd.Long
+			return n, false, false
+		default:
+			c.invoke(ctx, inv, func() {})
+		}
 	}
 	// One that is to go and was not silent for that is ended behind what it has asked by now.
 	return n, c.faults >= mostFaults || closing && c.ending(), false
@@ -85,17 +97,14 @@
 	c.slots <- s // has room: see command
 }
 
-// invoke starts an invocation.
-func (c *conn) invoke(ctx context.Context, cmd *meta.Command) {
-	inv := &relay.Invocation{Write: cmd.Verb == meta.Set, Client: c.client}
+// invocation makes one of a command, or tells what is wrong with it.
+func (c *conn) invocation(cmd *meta.Command) (inv *relay.Invocation, fault string) {
+	inv = &relay.Invocation{Write: cmd.Verb == meta.Set, Client: c.client}
 	if fault := c.front.facts(inv, cmd.Facts); fault != "" {
-		c.fault("CLIENT_ERROR " + fault)
-		return
+		return nil, "CLIENT_ERROR " + fault
 	}
-	id := string(cmd.ID)
-	if !c.front.begin(id) {
-		c.fault("CLIENT_ERROR request id is in use")
-		return
+	if !c.front.begin(string(cmd.ID)) {
+		return nil, "CLIENT_ERROR request id is in use"
 	}
 	// The command must outlive the buffer that it was read into, at its own size: most are short.
 	b := make([]byte, 0, len(cmd.Key)+len(cmd.ID)+len(cmd.Facts)+len(cmd.Value))
@@ -105,9 +114,18 @@
 		return b[from:len(b):len(b)]
 	}
 	inv.Key, inv.ID, inv.Facts, inv.Value = keep(cmd.Key), keep(cmd.ID), keep(cmd.Facts), keep(cmd.Value)
-	s := slot{id: id, class: inv.Class, write: inv.Write, answer: make(chan relay.Answer, 1)}
+	return inv, ""
+}
+
+// invoke starts an invocation; over is called once it has its final answer.
+func (c *conn) invoke(ctx context.Context, inv *relay.Invocation, over func()) {
+	s := slot{id: string(inv.ID), class: inv.Class, write: inv.Write, answer: make(chan relay.Answer, 1)}
 	c.front.Counts.Taken()
-	go func() { s.answer <- c.front.Server.Serve(ctx, inv) }()
+	go func() {
+		a := c.front.Server.Serve(ctx, inv)
+		over()
+		s.answer <- a
+	}()
 	c.put(s)
 }
 
@@ -130,13 +148,16 @@
 	return ""
 }
 
-func (c *conn) writeAnswer(s *slot, broken bool) bool {
+func (c *conn) writeAnswer(ctx context.Context, s *slot, broken bool) bool {
 	if s.answer == nil {
 		return !broken && c.write([]byte(s.line))
 	}
 	a := <-s.answer
 	c.front.ended(s.id)
-	written := !broken && c.writeFinal(s, &a)
+	written := !broken && c.writeFinal(ctx, s, &a)
+	if a.Body != nil {
+		a.Body.Close()
+	}
 	how := figures.Failed
 	switch {
 	case a.Kind == hoptiller.StepServed && written:
@@ -149,11 +170,13 @@
 }
 
 // writeFinal writes the final answer to an invocation.
-func (c *conn) writeFinal(s *slot, a *relay.Answer) bool {
+func (c *conn) writeFinal(ctx context.Context, s *slot, a *relay.Answer) bool {
 	var b []byte
 	switch {
 	case a.Kind == hoptiller.StepServed && s.write:
 		b = meta.AppendStored(b, s.id, a.Data)
+	case a.Kind == hoptiller.StepServed && a.Body != nil:
+		return c.writeBody(ctx, s.id, a.Body)
 	case a.Kind == hoptiller.StepServed:
 		return c.write(meta.AppendValueHead(b, s.id, len(a.Data)), a.Data, []byte("\r\n"))
 	case a.Kind == hoptiller.StepReject:
@@ -164,6 +187,23 @@
 	return c.write(b)
 }
 
+// writeBody passes a long value on as it comes. One that does not come whole ends the connection before the line's
+// end that would make it so.
+func (c *conn) writeBody(ctx context.Context, id string, body relay.Body) bool {
+	defer context.AfterFunc(ctx, body.Close)()
+	if !c.write(meta.AppendValueHead(nil, id, body.Len())) {
+		return false
+	}
+	if err := body.Copy(func(piece []byte) error {
+		c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, err := c.Write(piece)
+		return err
+	}); err != nil {
+		return false
+	}
+	return c.write([]byte("\r\n"))
+}
+
 func (c *conn) write(parts ...[]byte) bool {
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	b := net.Buffers(parts)
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -11,8 +11,10 @@
 
 // The limits of what is read.
 const (
-	MaxHead = 8 << 10 // of a status line and its headers
-	MaxBody = 1 << 20 // of what ParseAnswer reads
+	MaxHead  = 8 << 10  // of a status line and its headers
+	MaxBody  = 64 << 10 // that ParseAnswer reads as a whole
+	MaxLong  = 4 << 20  // a longer one is not read
+	MaxParts = 1 << 20  // of a body in chunks, whose length shows at its end
 )
 
 // ErrFormat is the fault of an answer that can't be read.
@@ -21,18 +23,19 @@
 // Header is one header of a request.
 type Header struct{ Name, Value string }
 
-// AppendRequest writes a request. The path must be escaped already.
-func AppendRequest(b []byte, method, path, host string, body []byte, headers ...Header) []byte {
+// AppendRequest writes a request's head. The path must be escaped already; a body is the caller's to write, length is
+// that of it, or less than 0 where there is none.
+func AppendRequest(b []byte, method, path, host string, length int, headers ...Header) []byte {
 	b = append(append(append(append(b, method...), ' '), path...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, host...), "\r\n"...)
 	for _, h := range headers {
 		b = append(append(append(append(b, h.Name...), ": "...), h.Value...), "\r\n"...)
 	}
-	if body != nil {
-		b = strconv.AppendInt(append(b, "Content-Length: "...), int64(len(body)), 10)
+	if length >= 0 {
+		b = strconv.AppendInt(append(b, "Content-Length: "...), int64(length), 10)
 		b = append(b, "\r\n"...)
 	}
-	return append(append(b, "\r\n"...), body...)
+	return append(b, "\r\n"...)
 }
 
 // AppendPath writes a key as one part of a path.
@@ -166,7 +169,7 @@
 
 // ParseAnswer reads a whole answer with its body and tells how many bytes it
 // takes up: 0 without an error means that it is not whole yet. Interim answers
-// (1xx) ahead of it are passed over.
+// (1xx) ahead of it are passed over. Of one whose body is over MaxBody that is its head, and the body is nil.
 func ParseAnswer(b []byte, extra ...string) (h Head, body []byte, n int, err error) {
 	for h.Status < 200 {
 		var used int
@@ -185,12 +188,14 @@
 			if n += used; len(data) == 0 {
 				return h, body, n, nil
 			}
-			if body = append(body, data...); len(body) > MaxBody {
+			if body = append(body, data...); len(body) > MaxParts {
 				return h, nil, 0, ErrFormat
 			}
 		}
-	case h.Length < 0 || h.Length > MaxBody:
+	case h.Length < 0 || h.Length > MaxLong:
 		return h, nil, 0, ErrFormat
+	case h.Length > MaxBody:
+		return h, nil, n, nil
 	case len(b)-n < h.Length:
 		return h, nil, 0, nil
 	}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -27,7 +27,7 @@
 	for _, in := range []string{"FTP 200\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nnonsense\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n",
 		"ICY 200", "HTTP/1.1 OK 200\r\n\r\n", "H\x00", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nab",
-		"HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\nab", strings.Repeat("a", MaxHead),
+		"HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\nab", strings.Repeat("a", MaxHead),
 		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc"} {
@@ -41,10 +41,19 @@
 	}
 }
 
+// A long body is the caller's to read.
+func TestLongBody(t *testing.T) {
+	in := "HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n"
+	h, body, n, err := ParseAnswer([]byte(in + "abc"))
+	if err != nil || n != len(in) || h.Length != 65537 || body != nil {
+		t.Errorf("%+v, %q, %d bytes, %v", h, body, n, err)
+	}
+}
+
 func TestAppendRequest(t *testing.T) {
 	path := string(AppendPath(nil, []byte("a/b ?é")))
-	got := string(AppendRequest(nil, "PUT", path, "s-1", []byte("hi"), Header{"X-Facts", "c=put"}))
-	want := "PUT /a%2Fb%20%3F%C3%A9 HTTP/1.1\r\nHost: s-1\r\nX-Facts: c=put\r\nContent-Length: 2\r\n\r\nhi"
+	got := string(AppendRequest(nil, "PUT", path, "s-1", 2, Header{"X-Facts", "c=put"}))
+	want := "PUT /a%2Fb%20%3F%C3%A9 HTTP/1.1\r\nHost: s-1\r\nX-Facts: c=put\r\nContent-Length: 2\r\n\r\n"
 	if got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -11,10 +11,10 @@
 
 // The limits of what is read.
 const (
-	MaxLine   = 2048
-	MaxKey    = 250
-	MaxValue  = 64 << 10 // of a client
-	MaxAnswer = 1 << 20  // of a provider: values over the protocol's 64 KiB are seen in service
+	MaxLine  = 2048
+	MaxKey   = 250
+	MaxValue = 64 << 10 // that is read as a whole
+	MaxLong  = 4 << 20  // a longer one is not read
 )
 
 // Verb is what a command asks for.
@@ -37,6 +37,7 @@
 	ID    []byte // the O flag
 	Facts []byte // the P flag: a list of names and values
 	Value []byte // of Set
+	Long  int    // the length of a value over MaxValue, which follows the line, and a line's end follows that
 }
 
 // The faults of a command. After those of Fatal the stream can't be read on.
@@ -79,7 +80,8 @@
 }
 
 // ParseCommand reads the command at the start of b and tells how many bytes it
-// takes up: 0 without an error means that it is not whole yet.
+// takes up: 0 without an error means that it is not whole yet. Of one with a long value that is its line, and where
+// it has a fault as well nothing after the line can be trusted.
 func ParseCommand(b []byte) (c Command, n int, err error) {
 	text, n, err := line(b)
 	if n == 0 || err != nil {
@@ -108,8 +110,10 @@
 		switch end := n + int(size); {
 		case bad != nil: // how much data follows is not known
 			return c, n, ErrLength
-		case size > MaxValue:
+		case size > MaxLong:
 			return c, n, ErrLarge
+		case size > MaxValue:
+			c.Long = int(size)
 		case len(b) < end+2:
 			return c, 0, nil
 		case b[end] != '\r' || b[end+1] != '\n':
@@ -162,11 +166,11 @@
 }
 
 // AppendCommand writes a command for a provider: as it came, but for the fact
-// d, which becomes how many milliseconds the router will wait.
+// d, which becomes how many milliseconds the router will wait. A value is the caller's to write, with a line's end.
 func AppendCommand(b []byte, c *Command, wait int64) []byte {
 	if c.Verb == Set {
 		b = append(append(b, "ms "...), c.Key...)
-		b = strconv.AppendInt(append(b, ' '), int64(len(c.Value)), 10)
+		b = strconv.AppendInt(append(b, ' '), int64(max(len(c.Value), c.Long)), 10)
 	} else {
 		b = append(append(append(b, "mg "...), c.Key...), " v"...)
 	}
@@ -186,11 +190,7 @@
 			}
 		}
 	}
-	b = append(b, "\r\n"...)
-	if c.Verb == Set {
-		b = append(append(b, c.Value...), "\r\n"...)
-	}
-	return b
+	return append(b, "\r\n"...)
 }
 
 // AnswerKind is what an answer says.
@@ -210,6 +210,7 @@
 	Kind AnswerKind
 	ID   []byte // empty where the answer carries none
 	Data []byte // the value or the receipt
+	Long int    // the length of a value over MaxValue, which follows the line, and a line's end follows that
 }
 
 // ErrAnswer is the fault of an answer that is none of the protocol.
@@ -279,8 +280,10 @@
 	switch end := n + int(size); {
 	case bad != nil:
 		return a, 0, ErrLength
-	case size > MaxAnswer:
+	case size > MaxLong:
 		return a, 0, ErrLarge
+	case size > MaxValue:
+		a.Long = int(size)
 	case len(b) < end+2:
 		return a, 0, nil
 	case b[end] != '\r' || b[end+1] != '\n':
--- a/internal/meta/meta_test.go
+++ b/internal/meta/meta_test.go
@@ -20,7 +20,7 @@
 		if err != nil || n == 0 {
 			t.Fatalf("%q: %d bytes, %v", in, n, err)
 		}
-		if got := AppendCommand(nil, &c, 77); string(got) != want {
+		if got := whole(&c, 77); string(got) != want {
 			t.Errorf("%q is passed on as %q, want %q", in, got, want)
 		}
 		for cut := range n { // nothing is a command before it is whole
@@ -31,12 +31,43 @@
 	}
 }
 
+// whole writes a command with its value.
+func whole(c *Command, wait int64) []byte {
+	b := AppendCommand(nil, c, wait)
+	if c.Verb == Set && c.Long == 0 {
+		b = append(append(b, c.Value...), "\r\n"...)
+	}
+	return b
+}
+
+// A long value is told of by its line, and one that is too long turned away by it.
+func TestLongValues(t *testing.T) {
+	for in, long := range map[string]int{"ms k 65537 O1 Pc=w\r\nab": 65537, "ms k 4194304 O1 Pc=w\r\n": MaxLong} {
+		c, n, err := ParseCommand([]byte(in))
+		if err != nil || c.Long != long || n != strings.Index(in, "\n")+1 || string(AppendCommand(nil, &c, 5)) != in[:n] {
+			t.Errorf("%q: %+v, %d bytes, %v", in, c, n, err)
+		}
+	}
+	for in, long := range map[string]int{"VA 65537 O1 h1\r\nab": 65537, "VA 4194304 O1\r\n": MaxLong} {
+		a, n, err := ParseAnswer([]byte(in), "1")
+		if err != nil || a.Long != long || n != strings.Index(in, "\n")+1 || a.Data != nil {
+			t.Errorf("%q: %+v, %d bytes, %v", in, a, n, err)
+		}
+	}
+	if _, _, err := ParseCommand([]byte("ms k 4194305 O1\r\n")); err != ErrLarge {
+		t.Error(err)
+	}
+	if _, _, err := ParseAnswer([]byte("VA 65537 O2\r\n"), "1"); err != ErrID {
+		t.Error(err)
+	}
+}
+
 func TestAnswers(t *testing.T) {
 	for in, want := range map[string]Answer{
-		"VA 3 O9b h1\r\nabc\r\n":       {Value, []byte("9b"), []byte("abc")},
-		"VA 4 O9b\r\n\r\n\r\n\r\n":     {Value, []byte("9b"), []byte("\r\n\r\n")},
-		"HD O9b cr77\r\n":              {Stored, []byte("9b"), []byte("r77")},
-		"EN O9b h0 Z\r\n":              {Miss, []byte("9b"), nil},
+		"VA 3 O9b h1\r\nabc\r\n":       {Kind: Value, ID: []byte("9b"), Data: []byte("abc")},
+		"VA 4 O9b\r\n\r\n\r\n\r\n":     {Kind: Value, ID: []byte("9b"), Data: []byte("\r\n\r\n")},
+		"HD O9b cr77\r\n":              {Kind: Stored, ID: []byte("9b"), Data: []byte("r77")},
+		"EN O9b h0 Z\r\n":              {Kind: Miss, ID: []byte("9b")},
 		"SERVER_ERROR busy\r\n":        {Kind: Busy},
 		"SERVER_ERROR failed\r\n":      {Kind: Failed},
 		"CLIENT_ERROR bad command\r\n": {Kind: Failed},
@@ -48,7 +79,7 @@
 		}
 	}
 	for in, want := range map[string]error{ // each is told as soon as it shows
-		"VA x O9b\r\n": ErrLength, "VA 3 O9b\r\nabcdef": ErrChunk, "VA 1048577 O9b\r\n": ErrLarge,
+		"VA x O9b\r\n": ErrLength, "VA 3 O9b\r\nabcdef": ErrChunk, "VA 4194305 O9b\r\n": ErrLarge,
 		"VA 3000000000 O9b\r\n": ErrLength, "VA -1 O9b\r\n": ErrLength, "VA 3\r\n": ErrID, "EN\r\n": ErrID,
 		"VA 3 O9c\r\n": ErrID, "HD O9bb c5\r\n": ErrID, // told before the value has come
 		"\r\n": ErrAnswer, "VALUE": ErrAnswer, "x": ErrAnswer, "ENO9b\r\n": ErrAnswer, "EN\x00": ErrAnswer,
@@ -69,13 +100,13 @@
 		if c, n, err := ParseCommand(b); n < 0 || n > len(b) || len(c.Value) > MaxValue {
 			t.Errorf("command of %d bytes: %v", n, err)
 		} else if err == nil && n > 0 && (c.Verb == Get || c.Verb == Set) {
-			again, used, err := ParseCommand(AppendCommand(nil, &c, 5))
+			again, used, err := ParseCommand(whole(&c, 5))
 			if err != nil || used == 0 || !bytes.Equal(again.Key, c.Key) || !bytes.Equal(again.Value, c.Value) ||
 				!bytes.Equal(again.ID, c.ID) {
 				t.Errorf("%q is passed on as %+v, %v", b, again, err)
 			}
 		}
-		if a, n, err := ParseAnswer(b, "1"); n < 0 || n > len(b) || len(a.Data) > MaxAnswer {
+		if a, n, err := ParseAnswer(b, "1"); n < 0 || n > len(b) || len(a.Data) > MaxValue {
 			t.Errorf("answer of %d bytes: %v", n, err)
 		}
 	})
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -9,6 +9,7 @@
 
 	"hoptiller"
 	"hoptiller/internal/http1"
+	"hoptiller/internal/provider"
 	"hoptiller/internal/relay"
 )
 
@@ -19,34 +20,37 @@
 type Protocol struct{}
 
 // Append implements provider.Protocol.
-func (Protocol) Append(b []byte, inv *relay.Invocation, host string, _ time.Duration) []byte {
-	method, body := "GET", []byte(nil)
+func (Protocol) Append(b []byte, inv *relay.Invocation, host string, _ time.Duration) (head []byte, tail string) {
+	method, length := "GET", -1
 	if inv.Write {
-		method, body = "PUT", inv.Value[:len(inv.Value):len(inv.Value)]
-		if body == nil {
-			body = []byte{} // a length of 0 is stated too
-		}
+		method, length = "PUT", inv.Length()
 	}
-	return http1.AppendRequest(b, method, string(http1.AppendPath(nil, inv.Key)), host, body,
+	return http1.AppendRequest(b, method, string(http1.AppendPath(nil, inv.Key)), host, length,
 		http1.Header{Name: "X-Correlation-Id", Value: string(inv.ID)},
-		http1.Header{Name: "X-Facts", Value: string(inv.Facts)})
+		http1.Header{Name: "X-Facts", Value: string(inv.Facts)}), ""
 }
 
 // Parse implements provider.Protocol.
-func (Protocol) Parse(b []byte, inv *relay.Invocation) (hoptiller.Status, []byte, int, bool, error) {
+func (Protocol) Parse(b []byte, inv *relay.Invocation) (provider.Reply, error) {
 	h, body, n, err := http1.ParseAnswer(b, notRun)
 	if err != nil || n == 0 {
-		return 0, nil, 0, false, err
+		return provider.Reply{}, err
 	}
+	r := provider.Reply{N: n, Status: hoptiller.ServerError, Keep: !h.Close}
+	long := h.Length > http1.MaxBody
 	switch {
-	case h.Status == 200 && inv.Write && bytes.ContainsFunc(body, func(r rune) bool { return r <= ' ' || r == 0x7f }):
-		return 0, nil, 0, false, errReceipt
+	case h.Status == 200 && inv.Write && (long || bytes.ContainsFunc(body, func(r rune) bool { return r <= ' ' || r == 0x7f })):
+		return provider.Reply{}, errReceipt
+	case h.Status == 200 && long:
+		r.Status, r.Long = hoptiller.OK, h.Length
+	case long: // nobody wants it
+		return provider.Reply{}, http1.ErrFormat
 	case h.Status == 200:
-		return hoptiller.OK, body, n, !h.Close, nil
+		r.Status, r.Data = hoptiller.OK, body
 	case (h.Status == 503 || h.Status == 504) && h.Extra[notRun] == "1":
-		return hoptiller.Full, nil, n, !h.Close, nil
+		r.Status = hoptiller.Full
 	}
-	return hoptiller.ServerError, nil, n, !h.Close, nil
+	return r, nil
 }
 
 // errReceipt is the fault of a receipt that would break the line in which a client is given it.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -27,9 +27,9 @@
 		"ICY 200 OK\r\nContent-Length: 3\r\n\r\na b":                                         {read, 0, "", true},
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n": {read, 0, "", true},
 	} {
-		status, data, n, _, err := Protocol{}.Parse([]byte(in), want.inv)
-		if status != want.status || string(data) != want.data || (err != nil) != want.fault || err == nil && n != len(in) {
-			t.Errorf("%q: status %d, %q, %d bytes, %v", in, status, data, n, err)
+		r, err := Protocol{}.Parse([]byte(in), want.inv)
+		if (err != nil) != want.fault || err == nil && (r.Status != want.status || string(r.Data) != want.data || r.N != len(in)) {
+			t.Errorf("%q: %+v, %v", in, r, err)
 		}
 	}
 }
--- /dev/null
+++ b/internal/provider/body.go
@@ -0,0 +1,117 @@
+package provider
+
+import (
+	"errors"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/buffer"
+	"hoptiller/internal/relay"
+)
+
+const (
+	pieceTime  = 6 * time.Second  // that the next piece of a long value may take
+	longLately = 10 * time.Second // after a long value calls share no connection for so long
+)
+
+var (
+	errTail    = errors.New("value without its end")
+	errGivenUp = errors.New("value given up")
+)
+
+// body is a long value that is still coming. Until it has ended, the connection is its reader's alone. It is a
+// relay.Body.
+type body struct {
+	conn   *conn
+	out    *call
+	reader *buffer.Reader
+	length int
+	left   int    // of the value
+	tail   string // what is still to follow it
+	keep   bool   // the connection can be used after it
+	ended  chan struct{}
+}
+
+// Len implements relay.Body.
+func (b *body) Len() int { return b.length }
+
+// Copy implements relay.Body. The connection is read no faster than write takes the pieces.
+func (b *body) Copy(write func(piece []byte) error) (err error) {
+	defer func() { b.end(err) }()
+	defer func() { b.reader.Long = false }()
+	next := b.reader.Again // what has come with the head
+	for b.left > 0 || b.tail != "" {
+		var failed error
+		b.conn.SetReadDeadline(time.Now().Add(pieceTime))
+		err := next(func(p []byte) (used int) {
+			used, failed = b.take(p, write)
+			return used
+		})
+		if err = errors.Join(failed, err); err != nil {
+			return err
+		}
+		b.reader.Long, next = true, b.reader.Next
+	}
+	return nil
+}
+
+// take passes a piece on as far as it belongs to the value.
+func (b *body) take(p []byte, write func([]byte) error) (used int, err error) {
+	if used = min(b.left, len(p)); used > 0 {
+		b.left -= used
+		if err := write(p[:used]); err != nil {
+			return used, err
+		}
+	}
+	if b.left == 0 {
+		n := min(len(b.tail), len(p)-used)
+		if string(p[used:used+n]) != b.tail[:n] {
+			return used, errTail
+		}
+		b.tail = b.tail[n:]
+		used += n
+	}
+	return used, nil
+}
+
+// Close implements relay.Body.
+func (b *body) Close() {
+	b.end(errGivenUp)
+}
+
+// end gives the connection back, or ends it where the value did not come whole.
+func (b *body) end(err error) {
+	c := b.conn
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.body != b {
+		return
+	}
+	c.body = nil
+	if err != nil {
+		p.end(c, hoptiller.Cancelled) // what waits behind it is no fault of the server's
+	} else if c.leave(); !b.keep {
+		p.drop(c)
+	}
+	close(b.ended)
+}
+
+// hand gives the body to whoever waits for the answer, if anybody still does, and waits for its end. It tells
+// whether the connection can be read on.
+func (b *body) hand() bool {
+	p := b.conn.pool
+	p.mu.Lock()
+	if b.out.givenUp || b.conn.dead {
+		b.conn.body = nil
+		p.end(b.conn, hoptiller.Cancelled)
+		p.mu.Unlock()
+		return false
+	}
+	b.out.done <- relay.Result{Status: hoptiller.OK, Body: b}
+	p.mu.Unlock()
+	<-b.ended
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !b.conn.dead
+}
--- /dev/null
+++ b/internal/provider/conn.go
@@ -0,0 +1,273 @@
+package provider
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/buffer"
+	"hoptiller/internal/relay"
+)
+
+// goesOnWithin is how long an answer that has begun may stop before its end.
+const goesOnWithin = 150 * time.Millisecond
+
+// conn is one connection. Its calls are answered in order.
+type conn struct {
+	net.Conn
+	pool   *Pool
+	server *server
+	idleAt time.Time
+
+	write sync.Mutex // held while a call is queued and written
+
+	// Guarded by pool.mu.
+	load   int     // calls that are on it or about to be
+	calls  []*call // those that wait for their answer
+	body   *body   // a long value is on its way: until its end nothing behind it can be
+	ending bool    // some call on it was given up: it ends when the others have their answers
+	dead   bool
+}
+
+// call is one call that waits for its answer.
+type call struct {
+	inv     *relay.Invocation
+	sent    time.Time
+	done    chan relay.Result // has room for the one result
+	givenUp bool
+}
+
+// drop closes a connection whose other side has ended or broken it: what is out on it is reset.
+// p.mu is held.
+func (p *Pool) drop(c *conn) { p.end(c, hoptiller.Reset) }
+
+// end closes a connection; what is out on it ends with a status. p.mu is held.
+func (p *Pool) end(c *conn, status hoptiller.Status) {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	c.Close()
+	p.total--
+	s := c.server
+	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
+	for _, out := range c.calls {
+		out.done <- relay.Result{Status: status}
+	}
+	c.calls = nil
+}
+
+// spoilt ends a connection on which something has come that can't be read. The server did answer the
+// first call, which may have run. Those behind it end by this router's choice and no fault of theirs.
+// p.mu is held.
+func (p *Pool) spoilt(c *conn) {
+	calls := c.calls
+	if len(calls) > 0 {
+		c.calls = calls[1:]
+	}
+	p.end(c, hoptiller.Cancelled) // first: as long as it is open, a call on it counts as out
+	if len(calls) > 0 {
+		calls[0].done <- relay.Result{Status: hoptiller.ServerError}
+	}
+}
+
+// give gives a call up, unless its answer has come meanwhile. Only the end of its connection tells the
+// server, and that ends all calls on it; so where there are others, the connection only takes no more
+// calls, and ends with the last of them. A router that wants to call again must not wait for that: until
+// then the call counts as still out.
+func (p *Pool) give(c *conn, out *call) (r relay.Result, ended bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case r = <-out.done:
+		return r, true
+	default:
+	}
+	// Its answer may still come, when the invocation's buffer has gone back to the pool.
+	inv := *out.inv
+	inv.ID = bytes.Clone(inv.ID)
+	out.inv, out.givenUp = &inv, true
+	c.ending = true
+	if c.dropIfUnused(); c.dead {
+		return r, false
+	}
+	r.End = func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if c.body != nil { // that one's client has begun to get it
+			return false
+		}
+		p.end(c, hoptiller.Cancelled) // the neighbours too, by no fault of the server's
+		return true
+	}
+	return r, false
+}
+
+// dropIfUnused ends a connection that is to end once nobody waits for anything on it. p.mu is held.
+func (c *conn) dropIfUnused() {
+	if c.body != nil {
+		return
+	}
+	for _, out := range c.calls {
+		if !out.givenUp {
+			return
+		}
+	}
+	if c.ending || c.server.Phase != hoptiller.Ready {
+		c.pool.drop(c)
+	}
+}
+
+// send writes a call, unless the connection has ended or is to end since it was chosen; then another may
+// be. If it fails, it tells how: until the last byte is written the server can't have begun the call. The directory
+// may have spoken since the call was picked, and a drain binds when a call is sent, so the last look at the list is here.
+func (c *conn) send(ctx context.Context, out *call) (sent bool, status hoptiller.Status) {
+	c.write.Lock() // calls are queued in the order in which they are written
+	defer c.write.Unlock()
+	p := c.pool
+	p.mu.Lock()
+	switch {
+	case c.dead || c.ending || c.body != nil:
+		c.leave()
+		p.mu.Unlock()
+		return false, hoptiller.OK
+	case c.server.Phase != hoptiller.Ready || ctx.Err() != nil:
+		c.leave()
+		p.mu.Unlock()
+		return false, hoptiller.Moot
+	}
+	out.sent = time.Now()
+	c.calls = append(c.calls, out)
+	host := c.server.Name
+	p.mu.Unlock()
+
+	end, _ := ctx.Deadline()
+	buf := buffer.Get()
+	defer buffer.Put(buf)
+	head, tail := p.proto.Append(buf[:0], out.inv, host, time.Until(end))
+	c.SetWriteDeadline(end)
+	stop := context.AfterFunc(ctx, func() { c.SetWriteDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := c.put(head, out.inv, tail); err == nil {
+		if p.set.Called != nil {
+			p.set.Called()
+		}
+		return true, hoptiller.OK
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.calls = slices.DeleteFunc(c.calls, func(o *call) bool { return o == out })
+	p.drop(c) // half a call is on it
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return false, hoptiller.Moot
+	}
+	return false, hoptiller.ConnectFailed
+}
+
+// put writes a call with its value.
+func (c *conn) put(head []byte, inv *relay.Invocation, tail string) error {
+	if !inv.Write {
+		_, err := c.Write(head)
+		return err
+	}
+	parts := net.Buffers{head, inv.Value}
+	if inv.Long != nil {
+		parts = inv.Long.Parts(parts)
+	}
+	if tail != "" {
+		parts = append(parts, []byte(tail))
+	}
+	_, err := parts.WriteTo(c.Conn)
+	return err
+}
+
+// leave takes a call off the connection's count. p.mu is held.
+func (c *conn) leave() {
+	c.load--
+	c.idleAt = time.Now()
+	c.dropIfUnused()
+}
+
+// read takes the answers on a connection until it ends. An answer that has begun goes on, so one that stops
+// is spoilt: to wait on would hold up all calls behind it until their time is up.
+func (c *conn) read(r *buffer.Reader) {
+	var err error
+	ok, next := true, r.Next
+	for ok && err == nil {
+		var long *body
+		err = next(func(b []byte) (used int) {
+			used, long, ok = c.answers(b)
+			return used
+		})
+		next = r.Next
+		if long != nil {
+			if long.reader = r; !long.hand() {
+				return
+			}
+			next = r.Again // what has come behind it
+		}
+		if r.Unread() > 0 {
+			c.SetReadDeadline(time.Now().Add(goesOnWithin))
+		} else {
+			c.SetReadDeadline(time.Time{})
+		}
+	}
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrShortBuffer) {
+		p.spoilt(c)
+	} else {
+		p.drop(c)
+	}
+}
+
+// answers hands out the whole answers in b and tells how many bytes they took up, which long value follows
+// those if one does, and whether the connection can be read on.
+func (c *conn) answers(b []byte) (used int, long *body, ok bool) {
+	p := c.pool
+	p.mu.Lock() // also keeps a call from being given up while its answer is read
+	defer p.mu.Unlock()
+	for used < len(b) && !c.dead {
+		if len(c.calls) == 0 { // an answer that nothing asked for must not reach the next call
+			return used, nil, false
+		}
+		out := c.calls[0]
+		reply, err := p.proto.Parse(b[used:], out.inv)
+		if err != nil {
+			p.spoilt(c)
+			return used, nil, false
+		}
+		if reply.N == 0 {
+			return used, nil, true
+		}
+		used += reply.N
+		c.calls = c.calls[1:]
+		if s := c.server; out.sent.After(s.passed) {
+			s.passed = out.sent
+		}
+		c.server.typical += (time.Since(out.sent) - c.server.typical) / 16
+		if reply.Long > 0 {
+			p.longAt = time.Now()
+			c.body = &body{conn: c, out: out, length: reply.Long, left: reply.Long, tail: reply.Tail, keep: reply.Keep,
+				ended: make(chan struct{})}
+			return used, c.body, true
+		}
+		r := relay.Result{Status: reply.Status}
+		if reply.Status == hoptiller.OK && !out.givenUp {
+			r.Data = bytes.Clone(reply.Data)
+		}
+		if c.leave(); !reply.Keep {
+			p.drop(c)
+		}
+		out.done <- r
+	}
+	return used, nil, !c.dead
+}
--- /dev/null
+++ b/internal/provider/find.go
@@ -0,0 +1,151 @@
+package provider
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/buffer"
+)
+
+// A connection whose first call has waited for overdue typical times, and for overdueLeast, gets no more
+// calls while there is another way: it may have fallen silent, and whatever is behind that call waits too.
+const (
+	overdue      = 8
+	overdueLeast = 20 * time.Millisecond
+	overdueMost  = 2 // connections that may be so before it takes a later call's answer to tell them from a slow server
+)
+
+// connect finds a connection for a call and counts the call as on it: one that is idle, else the
+// one with the fewest calls, else a new one. A new one costs the server as much work as a good part of a
+// call does, and its first call two round trips, which is more than a short wait behind another call.
+// Without a connection it tells why.
+func (p *Pool) connect(ctx context.Context, id uint32) (*conn, hoptiller.Status) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[id]
+	if s == nil || s.Phase != hoptiller.Ready {
+		return nil, hoptiller.Moot
+	}
+	c := p.idle(s)
+	full := len(s.conns)+s.dialing >= p.set.MostConns
+	if c == nil && !full && p.set.MostTotal > 0 && p.total >= p.set.MostTotal {
+		full = !p.makeRoom()
+	}
+	if c == nil {
+		c = s.leastBusy(time.Now(), full)
+	}
+	switch {
+	case full && (c == nil || c.load >= p.set.MostCalls):
+		return nil, hoptiller.ConnectFailed
+	case !full && (c == nil || c.load >= p.share()):
+		nc, reader, err := p.dial(ctx, s)
+		if err != nil {
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return nil, hoptiller.Moot
+			}
+			return nil, hoptiller.ConnectFailed
+		}
+		c = &conn{Conn: nc, pool: p, server: s}
+		s.conns = append(s.conns, c)
+		go c.read(reader)
+	}
+	c.load++
+	return c, hoptiller.OK
+}
+
+// share is how many calls share a connection before another one is opened. While there are long values none do:
+// whatever waits behind one would wait for its client too.
+func (p *Pool) share() int {
+	if !p.longAt.IsZero() && time.Since(p.longAt) < longLately {
+		return 1
+	}
+	return p.set.Share
+}
+
+// errMoved tells that the server has started anew while a connection to it came up.
+var errMoved = errors.New("server has moved")
+
+// makeRoom closes the connection that has been idle longest, of any server. p.mu is held.
+func (p *Pool) makeRoom() bool {
+	var oldest *conn
+	for _, s := range p.servers {
+		for _, c := range s.conns {
+			if c.load == 0 && (oldest == nil || c.idleAt.Before(oldest.idleAt)) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		p.drop(oldest)
+	}
+	return oldest != nil
+}
+
+// dial opens a connection. p.mu is held, but not while it waits.
+func (p *Pool) dial(ctx context.Context, s *server) (nc net.Conn, reader *buffer.Reader, err error) {
+	addr, started := s.Addr, s.Started
+	s.dialing++
+	p.total++
+	p.mu.Unlock()
+	dialer := net.Dialer{Timeout: p.set.ConnectTimeout, KeepAlive: -1}
+	if nc, err = dialer.DialContext(ctx, "tcp", addr); err == nil {
+		reader, err = buffer.NewReader(nc)
+	}
+	p.mu.Lock()
+	s.dialing--
+	if err == nil && (s.Addr != addr || s.Started != started) {
+		err = errMoved
+	}
+	if err != nil {
+		p.total--
+		if nc != nil {
+			nc.Close()
+		}
+	}
+	return nc, reader, err
+}
+
+// idle takes the idle connection that was used last; the others then end by and by. Those near the
+// server's idle limit are closed, since a call that crosses the server's close is lost as a reset.
+func (p *Pool) idle(s *server) *conn {
+	for i := len(s.conns) - 1; i >= 0; i-- {
+		c := s.conns[i]
+		if c.load > 0 {
+			continue
+		}
+		if p.set.IdleLimit > 0 && time.Since(c.idleAt) >= p.set.IdleLimit {
+			p.drop(c)
+			continue
+		}
+		copy(s.conns[i:], s.conns[i+1:])
+		s.conns[len(s.conns)-1] = c
+		return c
+	}
+	return nil
+}
+
+// leastBusy finds the connection with the fewest calls among those that can be expected to answer. Without
+// one it is better to open another, unless the whole server may be slow: that would make it slower.
+func (s *server) leastBusy(now time.Time, full bool) *conn {
+	var best, late *conn
+	lates, lost := 0, false
+	for _, c := range s.conns {
+		switch {
+		case c.ending || c.body != nil:
+		case len(c.calls) > 0 && now.Sub(c.calls[0].sent) > max(overdueLeast, overdue*s.typical):
+			lost = lost || s.passed.After(c.calls[0].sent)
+			if lates++; late == nil || c.load < late.load {
+				late = c
+			}
+		case best == nil || c.load < best.load:
+			best = c
+		}
+	}
+	if best == nil && (full || lates > overdueMost && !lost) {
+		return late
+	}
+	return best
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,14 +13,16 @@
 	"time"
 
 	"hoptiller"
+	"hoptiller/internal/buffer"
 )
 
 // Invocation is one client request.
 type Invocation struct {
 	Key       []byte
-	ID        []byte // as the client named it
-	Facts     []byte // names and values that came with it
-	Value     []byte // of a write
+	ID        []byte        // as the client named it
+	Facts     []byte        // names and values that came with it
+	Value     []byte        // of a write
+	Long      *buffer.Chain // the same where it is long; nothing may use it once the final answer is known
 	Write     bool
 	Class     int
 	Retry     bool
@@ -30,17 +32,39 @@
 	Narrow hoptiller.Narrowing // what an operator forbids it; nil: nothing
 }
 
+// Length is that of its value.
+func (inv *Invocation) Length() int {
+	if inv.Long != nil {
+		return inv.Long.Len()
+	}
+	return len(inv.Value)
+}
+
 // Result is how an invoker call ended.
 type Result struct {
 	Status hoptiller.Status
 	Data   []byte // the value or the receipt
-	End    func() // if set, the call is still out until this is called
+	Body   Body   // the value, if it is long
+	// If End is set, the call is still out until this is called. It may be that this can't be: that another's long
+	// value would be cut off.
+	End func() (ended bool)
+}
+
+// Body is a long value that is still coming. Whoever has it either copies or closes it.
+type Body interface {
+	// Len is the length that the value is said to have.
+	Len() int
+	// Copy hands over the value in pieces, no faster than write takes them. After an error it is not whole.
+	Copy(write func(piece []byte) error) error
+	// Close gives up what has not come yet; it may be called while Copy runs, and as often as one likes.
+	Close()
 }
 
 // Answer is the final answer to an invocation.
 type Answer struct {
 	Kind       hoptiller.StepKind // anything but StepCall
 	Data       []byte
+	Body       Body // instead of Data, if the value is long
 	RetryAfter time.Duration
 }
 
@@ -192,10 +216,17 @@
 		step = r.core.Report(now, call, step.Provider, result.Status, now-sent)
 		if step.Kind == hoptiller.StepServed {
 			r.closeIdle(step.CloseIdle)
-			return Answer{Kind: step.Kind, Data: result.Data}
+			return Answer{Kind: step.Kind, Data: result.Data, Body: result.Body}
+		}
+		if result.Body != nil {
+			result.Body.Close()
 		}
-		if step.Kind == hoptiller.StepCall && result.End != nil {
-			result.End() // one call out at a time, whatever else the connection carries
+		if step.Kind == hoptiller.StepCall && result.End != nil && !result.End() {
+			// One call is out at a time, whatever else the connection carries, and this one still is.
+			call.Attempt = step.Attempt
+			r.core.Gone(r.now(), id)
+			r.core.Report(r.now(), call, step.Provider, hoptiller.Moot, 0)
+			return Answer{Kind: hoptiller.StepFail}
 		}
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -85,7 +85,7 @@
 // A miss goes to the origin, once the call that missed has ended; the answer is the one that was made for it.
 func TestMissGoesToTheOrigin(t *testing.T) {
 	ended := false
-	r, p, o := newRelay([]Result{{Status: hoptiller.Miss, End: func() { ended = true }}}, []Result{{Status: hoptiller.OK, Data: []byte("v")}})
+	r, p, o := newRelay([]Result{{Status: hoptiller.Miss, End: func() bool { ended = true; return true }}}, []Result{{Status: hoptiller.OK, Data: []byte("v")}})
 	a := r.Serve(context.Background(), invocation(0, false))
 	if a.Kind != hoptiller.StepServed || string(a.Data) != "v" || !ended {
 		t.Errorf("%+v, the first call's end %v", a, ended)
