--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -127,6 +127,7 @@
 	origins := provider.New(provider.Settings{
 		Share: 1, MostConns: shares.origins, MostCalls: 1,
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
+		Called: counts.Called,
 	}, origin.Protocol{})
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	var server front.Server = r
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -37,7 +37,7 @@
 	c.pending.Add(-1)
 }
 
-// Called counts an invoker call that was written whole to a slot cache.
+// Called counts an invoker call that was written whole, to a slot cache or the origin.
 func (c *Counts) Called() { c.upstream.Add(1) }
 
 // Downstream is what became of the invocations of a class.
