Find who makes room at flat cost, cut heads last, and bound an accept on a shared socket

A process on a shared socket that somebody had made blocking never ended on SIGTERM (seen as a hang of TestReplace, shown by its stack: accept4 in a system call). Change: front/room.go keeps connections in lists by standing; MostHeld bounds what clients hold; shares.go derives every bound, with fewer places for operators (one for 32 descriptors); SO_RCVTIMEO on the inherited socket.

--- a/cmd/hoptiller/listen.go
+++ b/cmd/hoptiller/listen.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"syscall"
+	"time"
 
 	"hoptiller/internal/config"
 	"hoptiller/internal/plan"
@@ -39,6 +40,9 @@
 	return all, nil
 }
 
+// acceptTime is how long an accept may block, where others have made the socket so.
+const acceptTime = 100 * time.Millisecond
+
 // inherited gives the listener that the platform holds and this process was started with.
 func inherited(number string) (net.Listener, error) {
 	if number == "" {
@@ -52,6 +56,12 @@
 	if on, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil || on == 0 {
 		return nil, bad("is no listening socket")
 	}
+	// Who holds the socket too may make it blocking again at any time, as some do to pass it on; an accept that finds
+	// nothing then, since the other process took it, must not keep this one from ending.
+	atMost := syscall.NsecToTimeval(int64(acceptTime))
+	if err := syscall.SetsockoptTimeval(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &atMost); err != nil {
+		return nil, bad("can't be used: " + err.Error())
+	}
 	f := os.NewFile(uintptr(fd), "RELAY_SOCKET_FD")
 	defer f.Close() // the listener has its own
 	l, err := net.FileListener(f)
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -106,9 +106,6 @@
 	}
 	log := logs.New(os.Stderr, options)
 	slog.SetDefault(slog.New(log))
-	if c.MemoryMB > 0 { // collect garbage harder well before the limit that kills
-		debug.SetMemoryLimit(c.MemoryMB << 20 / 2)
-	}
 	listeners, err := listen(c, p)
 	if err != nil {
 		return err
@@ -119,6 +116,9 @@
 	}
 	counts, life := figures.New(c.Classes), lifecycle.New()
 	shares := divide(c, &p.Limits)
+	if shares.heap > 0 {
+		debug.SetMemoryLimit(int64(shares.heap))
+	}
 	providers := provider.New(provider.Settings{
 		Share: providerShare, MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
@@ -140,7 +140,7 @@
 	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
 	fresh := &freshList{Listener: listener, told: make(chan struct{})}
 	dir := directory.NewClient(registry(c), names, fresh, c.Known)
-	f := &front.Front{Classes: c.Classes, MostConns: shares.clients, MostKept: shares.kept, MostOpen: shares.open, MostLong: int64(shares.long), Linger: linger,
+	f := &front.Front{Classes: c.Classes, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held, MostOpen: shares.open, MostLong: int64(shares.long), Linger: linger,
 		Keep: keep(c.Settings.Classes), Rest: closeTime, Life: life, Counts: counts, Server: server}
 	if c.SocketFD != "" { // another process accepts from the same socket
 		f.Linger, f.Keep, f.Rest = 0, replaceTime, restTime
@@ -177,7 +177,7 @@
 		return f.Serve(ctx, listeners...)
 	})
 	if operators != nil {
-		a := &admin.Server{Calls: calls(life, f, counts, r)}
+		a := &admin.Server{Places: shares.operators, Calls: calls(life, f, counts, r)}
 		group.Go(func() error { return a.Serve(ctx, operators) })
 	}
 	err = group.Wait()
--- a/cmd/hoptiller/shares.go
+++ b/cmd/hoptiller/shares.go
@@ -1,38 +1,47 @@
 package main
 
 import (
-	"hoptiller/internal/admin"
 	"hoptiller/internal/config"
 	"hoptiller/internal/plan"
 )
 
-// shares is what the limits leave to each side of the router.
+// shares is what the limits leave to each side of the router. Every bound that hangs on them is made here.
 type shares struct {
-	clients   int // connections
-	kept      int // and of them, those that may stay idle: clients hold a third of the descriptors at most
+	operators int // connections of operators
+	clients   int // connections of clients
+	held      int // and of them, those on which something was asked, or half of it: clients hold no more at once
+	kept      int // and of them, those that may stay idle
 	open      int // invocations beyond the first of each client connection
 	long      int // bytes of long values that clients send
 	providers int // connections to all slot caches
 	provider  int // connections to one of them; four routers share the 70 that it accepts
 	origins   int // connections to the origin
+	heap      int // bytes from which garbage is collected harder; 0: never
 }
 
-// divide shares out the descriptors and the memory that a router has. Clients get half of the descriptors:
-// those that say nothing must leave room for those that ask. Some are kept for the listener, the
-// directory and the program itself. What the operator states goes before that.
+// own are the descriptors of the program itself: its files, its listeners, the directory's calls and the system's.
+const own = 18
+
+// divide shares out the descriptors and the memory that a router has. Clients get the most descriptors: those
+// that say nothing, or take long to say it, must leave room for those that ask. What the operator states goes before that.
 func divide(c *config.Config, stated *plan.Limits) shares {
 	sockets, memory := c.Sockets, int(c.MemoryMB)
+	s := shares{heap: memory << 20 / 2}
 	if sockets <= 0 {
 		sockets = 1024
 	}
 	if memory <= 0 {
 		memory = 192
 	}
+	rest := sockets - own
 	if c.Admin != "" {
-		sockets -= admin.Descriptors
+		s.operators = min(32, max(8, sockets/32))
+		rest -= s.operators + 1
 	}
-	rest := max(sockets-24, 8)
-	s := shares{clients: min(rest/2, 8*memory), kept: sockets / 4, open: 2 * memory, long: memory << 20 / 4, origins: min(64, rest/6)}
+	rest = max(rest, 8)
+	s.clients, s.held, s.kept = min(rest*11/20, 8*memory), sockets/3, sockets/4
+	s.open, s.long = 2*memory, memory<<20/4
+	s.origins = min(64, rest/8)
 	for from, to := range map[*int]*int{&stated.Clients: &s.clients, &stated.Open: &s.open, &stated.Origin: &s.origins} {
 		if *from > 0 {
 			*to = *from
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -19,16 +19,12 @@
 )
 
 const (
-	places    = 32                     // connections at once; as many descriptors are set aside for them
 	headTime  = 2 * time.Second        // for a caller to say what it wants; callers wait for half of that
 	writeTime = time.Second            // for it to take the answer
 	closeTime = 200 * time.Millisecond // for it to close its side
 	mostRest  = 256 << 10              // bytes that it may send without need
 )
 
-// Descriptors is how many descriptors the listener and its callers may hold.
-const Descriptors = places + 2
-
 // Call is what one path does.
 type Call struct {
 	Method string
@@ -38,7 +34,8 @@
 
 // Server answers operators' calls, by path.
 type Server struct {
-	Calls map[string]Call
+	Calls  map[string]Call
+	Places int // connections at once; one descriptor more may be in use, and one for the listener
 
 	mu      sync.Mutex
 	callers []*caller // those that have not asked yet, the oldest first
@@ -52,11 +49,11 @@
 	var g errgroup.Group
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
-	free := make(chan struct{}, places)
+	free := make(chan struct{}, max(1, s.Places))
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			s.drop(places)
+			s.drop(s.Places)
 			return g.Wait()
 		}
 		if err != nil { // out of descriptors, or the caller has left again: not the end of the listener
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -45,22 +46,27 @@
 
 	pieceBy time.Time // when a long value is coming: until when there must be more of it
 	restBy  time.Time // when end is set: until when the rest of a command may come
+
+	// Guarded by the front's seats.
+	seat     *list.Element
+	standing standing
+	standsAt time.Time
 }
 
-// idle tells how long a connection has been without a command; one that never had a whole one counts as
-// idle for longer than any other, and one whose first may be on its way not at all. ending tells that it
-// goes anyway, used that it has had a whole command and no part of another.
-func (c *conn) idle(now time.Time) (idle time.Duration, ending, used bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	used = c.asked && !c.part
-	switch idle = now.Sub(c.since); {
-	case c.out > 0 || !used && idle <= settled:
-		return 0, c.out == 0 && c.end, used
-	case !used:
-		idle += time.Hour
+// sit tells the others what this connection is to them. c.mu is held.
+func (c *conn) sit() {
+	to := silent
+	switch {
+	case c.out > 0:
+		to = busy
+	case c.end:
+		to = going
+	case c.part:
+		to = halfway
+	case c.asked:
+		to = idle
 	}
-	return idle, c.end, used
+	c.front.seats.move(c, to)
 }
 
 // endIfIdle ends a connection if nothing is out on it; the rest of a command that has begun may take a while.
@@ -76,6 +82,7 @@
 // arm sets how long the next read may take: a client that says nothing, or never the rest of a command,
 // must hold neither a place nor, after SIGTERM, the program. c.mu is held.
 func (c *conn) arm() {
+	c.sit()
 	var by time.Time
 	switch {
 	case !c.pieceBy.IsZero():
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,7 @@
 	Deadlines []time.Duration // for an invocation that states none, by class
 	MostConns int             // client connections at once
 	MostKept  int             // of those that have asked, beyond which idle ones are ended as others come; 0: no limit
+	MostHeld  int             // of those that have asked or begun to; 0: no limit
 	MostOpen  int             // invocations at once beyond the first of each connection
 	Linger    time.Duration   // for which connections are still accepted after a stop
 	Keep      time.Duration   // for which those that are open are served after it, while there are any
@@ -45,6 +46,8 @@
 	room      *semaphore.Weighted // for long values
 	closing   atomic.Int64        // if set, connections end once nothing is out on them, and what has begun has so long to come
 
+	seats seats
+
 	mu    sync.Mutex
 	conns map[*conn]bool
 	open  map[string]bool // the ids of invocations that are not answered
@@ -128,13 +131,15 @@
 		if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 			c.client = a.AddrPort().Addr().Unmap()
 		}
+		f.seats.move(c, silent)
 		f.mu.Lock()
 		f.conns[c] = true
 		f.mu.Unlock()
-		f.thin(time.Now())
+		f.thin()
 		g.Go(func() error {
 			defer func() { <-places }()
 			c.serve(ctx)
+			f.seats.leave(c)
 			f.mu.Lock()
 			delete(f.conns, c)
 			f.mu.Unlock()
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -31,6 +31,7 @@
 	// Meanwhile the connection counts as one on which something is out.
 	c.mu.Lock()
 	c.out++
+	c.sit()
 	c.mu.Unlock()
 	c.reader.Long = true
 	defer func() {
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -93,6 +93,7 @@
 	c.mu.Lock()
 	c.out++
 	c.asked = true
+	c.sit()
 	c.mu.Unlock()
 	c.slots <- s // has room: see command
 }
--- a/internal/front/room.go
+++ b/internal/front/room.go
@@ -1,8 +1,8 @@
 package front
 
 import (
-	"cmp"
-	"slices"
+	"container/list"
+	"sync"
 	"time"
 )
 
@@ -11,9 +11,100 @@
 	atOnce  = 16                     // connections that make room together
 )
 
+// standing is what a connection is to those that want its place.
+type standing uint8
+
+const (
+	busy    standing = iota // something is out on it
+	silent                  // it never had a command
+	halfway                 // a command has come in part
+	idle                    // it may ask again, here or on a new one
+	going                   // it ends anyway
+	standings
+)
+
+// seats knows the connections by standing, each in the order in which they came to it, so that to find the one that
+// goes costs the same however many there are.
+type seats struct {
+	mu    sync.Mutex
+	lists [standings]list.List
+}
+
+// move gives a connection its standing.
+func (s *seats) move(c *conn, to standing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.seat != nil {
+		if to == c.standing {
+			return
+		}
+		s.lists[c.standing].Remove(c.seat)
+	}
+	c.standing, c.standsAt = to, time.Now()
+	c.seat = s.lists[to].PushBack(c)
+}
+
+// leave forgets a connection.
+func (s *seats) leave(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists[c.standing].Remove(c.seat)
+}
+
+// first is the connection that has had a standing longest, if that is for some time; s.mu is held.
+func (s *seats) first(of standing, now time.Time, least time.Duration) *conn {
+	if e := s.lists[of].Front(); e != nil && now.Sub(e.Value.(*conn).standsAt) >= least {
+		return e.Value.(*conn)
+	}
+	return nil
+}
+
+// last is the connection that is to make room: one that never said anything, or was long in saying it; several of these
+// go at once, for they may come by the hundred. Else one that may ask again on a new one, and only then one whose
+// command may still come whole: the first to have begun, since most that do come are shorter.
+func (s *seats) last(now time.Time) *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ending := s.lists[going].Len()
+	if ending >= atOnce {
+		return nil
+	}
+	if c := s.first(silent, now, settled); c != nil {
+		return c
+	}
+	if c := s.first(halfway, now, headTime); c != nil {
+		return c
+	}
+	if ending > 0 {
+		return nil
+	}
+	if c := s.first(idle, now, 0); c != nil {
+		return c
+	}
+	return s.first(halfway, now, 0)
+}
+
+// surplus is the connection that goes where clients hold too many: if those that have asked are more than kept the one
+// that was used longest ago, and if all that have begun to ask are more than held that one too, or else the one
+// that has been at its command longest.
+func (s *seats) surplus(kept, held int) *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asked := s.lists[busy].Len() + s.lists[idle].Len()
+	begun := asked + s.lists[halfway].Len()
+	if kept > 0 && asked > kept || held > 0 && begun > held {
+		if c := s.first(idle, time.Now(), 0); c != nil {
+			return c
+		}
+	}
+	if held > 0 && begun > held {
+		return s.first(halfway, time.Now(), 0)
+	}
+	return nil
+}
+
 // makeRoom waits for a place. Clients that connect and say nothing, or half a command, must not keep the
-// others out, so where there is no place the connection goes that has been without a command longest: those
-// that never had one first, then those that may ask again on a new one.
+// others out, so where there is no place another connection goes.
 func (f *Front) makeRoom(places chan struct{}) {
 	for {
 		select {
@@ -21,7 +112,9 @@
 			return
 		default:
 		}
-		f.evict(time.Now())
+		if c := f.seats.last(time.Now()); c != nil {
+			c.endIfIdle(0)
+		}
 		select {
 		case places <- struct{}{}:
 			return
@@ -30,54 +123,10 @@
 	}
 }
 
-// evict has connections make room. Several go at once, for they may come by the hundred; of those that have
-// asked only one does.
-func (f *Front) evict(now time.Time) {
-	type candidate struct {
-		*conn
-		idle time.Duration
-		used bool
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var candidates []candidate
-	ending := 0
-	for c := range f.conns {
-		idle, going, used := c.idle(now)
-		if going {
-			ending++
-		} else if idle > 0 {
-			candidates = append(candidates, candidate{c, idle, used})
-		}
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.idle, a.idle) })
-	for _, c := range candidates {
-		if ending >= atOnce || c.used && ending > 0 {
-			return
-		}
+// thin ends a connection where many are kept: clients hold only so many at once, and those that ask once and keep
+// theirs, or are long in asking, would leave the others none to ask on.
+func (f *Front) thin() {
+	if c := f.seats.surplus(f.MostKept, f.MostHeld); c != nil {
 		c.endIfIdle(0)
-		ending++
-	}
-}
-
-// thin ends the connection that was used longest ago where many are kept: clients hold only so many at once,
-// and those that ask once and keep theirs would leave the others none to ask on.
-func (f *Front) thin(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var oldest *conn
-	var most time.Duration
-	kept := 0
-	for c := range f.conns {
-		idle, going, used := c.idle(now)
-		if !used || going {
-			continue
-		}
-		if kept++; idle > most {
-			oldest, most = c, idle
-		}
-	}
-	if f.MostKept > 0 && kept > f.MostKept && oldest != nil {
-		oldest.endIfIdle(0)
 	}
 }
--- /dev/null
+++ b/internal/front/room_test.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+)
+
+// Who makes room: those that never said anything by the dozen, then who was long in saying it, then, one at a time, who
+// may ask again on a new connection, and only then whose command may still come whole. Nobody who waits for an
+// answer does, and nobody whose first word may be on its way.
+func TestWhoMakesRoom(t *testing.T) {
+	f := &Front{}
+	start := time.Now()
+	seat := func(to standing, age time.Duration) *conn {
+		a, b := net.Pipe()
+		t.Cleanup(func() { a.Close(); b.Close() })
+		c := &conn{Conn: a, front: f, asked: to == idle, part: to == halfway}
+		f.seats.move(c, to)
+		c.standsAt = start.Add(-age)
+		if to == busy {
+			c.out = 1
+		}
+		return c
+	}
+	const second = time.Second
+	seat(busy, 9*second)
+	var silents []*conn
+	for i := range 2 * atOnce {
+		silents = append(silents, seat(silent, second-time.Duration(i)))
+	}
+	fresh := seat(silent, 0)
+	long, young := seat(halfway, 3*second), seat(halfway, second)
+	firstIdle, secondIdle := seat(idle, second), seat(idle, 0)
+	gone := func(c *conn) {
+		f.seats.leave(c)
+	}
+	for _, want := range silents[:atOnce] {
+		if c := f.seats.last(start); c != want {
+			t.Fatalf("%v goes, want the first of the silent ones", c.standing)
+		}
+		want.endIfIdle(0)
+	}
+	if c := f.seats.last(start); c != nil {
+		t.Fatalf("%v goes while %d are going", c.standing, atOnce)
+	}
+	for i, c := range silents {
+		if i >= atOnce {
+			c.endIfIdle(0)
+		}
+		gone(c)
+	}
+	for _, want := range []*conn{long, firstIdle, secondIdle, young} {
+		if c := f.seats.last(start); c != want {
+			t.Fatalf("%v goes, want %v", c, want)
+		}
+		want.endIfIdle(0)
+		if c := f.seats.last(start); c != nil {
+			t.Fatalf("%v goes as well", c.standing)
+		}
+		gone(want)
+	}
+	if c := f.seats.last(start); c != nil {
+		t.Fatalf("%v goes", c.standing)
+	}
+	if c := f.seats.last(start.Add(settled)); c != fresh {
+		t.Fatalf("%v goes, want what has been silent by now", c)
+	}
+}
+
+// To find who makes room costs the same however many there are.
+func BenchmarkWhoMakesRoom(b *testing.B) {
+	for _, n := range []int{10, 100000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := &Front{}
+			for range n {
+				f.seats.move(&conn{front: f}, silent)
+			}
+			late := time.Now().Add(time.Second)
+			for b.Loop() {
+				c := f.seats.last(late)
+				f.seats.move(c, busy)
+				f.seats.move(c, silent)
+				c.standsAt = time.Time{}
+			}
+		})
+	}
+}
