Take half of the limits on a shared socket, so that two processes stay within them

Cause: each process took all of limits.sockets and limits.memory_mb, and two are there during a replacement. Change: divide halves both where RELAY_SOCKET_FD is given; a property test holds all sides of one and of two processes to the limits.

--- a/cmd/hoptiller/shares.go
+++ b/cmd/hoptiller/shares.go
@@ -26,21 +26,26 @@
 // that say nothing, or take long to say it, must leave room for those that ask. What the operator states goes before that.
 func divide(c *config.Config, stated *plan.Limits) shares {
 	sockets, memory := c.Sockets, int(c.MemoryMB)
-	s := shares{heap: memory << 20 / 2}
 	if sockets <= 0 {
 		sockets = 1024
 	}
 	if memory <= 0 {
 		memory = 192
 	}
+	s := shares{held: sockets / 3, kept: sockets / 4}
+	if c.SocketFD != "" { // one that replaces this, or that this replaces, is there at the same time
+		sockets, memory = sockets/2, memory/2
+	}
+	if c.MemoryMB > 0 {
+		s.heap = memory << 20 / 2
+	}
 	rest := sockets - own
 	if c.Admin != "" {
 		s.operators = min(32, max(8, sockets/32))
 		rest -= s.operators + 1
 	}
 	rest = max(rest, 8)
-	s.clients, s.held, s.kept = min(rest*11/20, 8*memory), sockets/3, sockets/4
-	s.open, s.long = 2*memory, memory<<20/4
+	s.clients, s.open, s.long = min(rest*11/20, 8*memory), 2*memory, memory<<20/4
 	s.origins = min(64, rest/8)
 	for from, to := range map[*int]*int{&stated.Clients: &s.clients, &stated.Open: &s.open, &stated.Origin: &s.origins} {
 		if *from > 0 {
--- /dev/null
+++ b/cmd/hoptiller/shares_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hoptiller/internal/config"
+	"hoptiller/internal/plan"
+)
+
+// Whatever the limits: what all sides together may hold stays within them, also of two processes that share a socket,
+// and each side has something.
+func TestDivide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &config.Config{Sockets: rapid.IntRange(128, 4096).Draw(t, "sockets"), MemoryMB: rapid.Int64Range(16, 2048).Draw(t, "memory")}
+		processes := 1
+		if rapid.Bool().Draw(t, "admin") {
+			c.Admin = "127.0.0.1:1"
+		}
+		if rapid.Bool().Draw(t, "shared") {
+			c.SocketFD, processes = "4", 2
+		}
+		s := divide(c, &plan.Limits{})
+		if all := processes * (own + s.operators + s.clients + s.providers + s.origins); all > c.Sockets {
+			t.Fatalf("%+v: %d descriptors of %d", s, all, c.Sockets)
+		}
+		if memory := processes * (s.heap + s.long); memory > int(c.MemoryMB)<<20 {
+			t.Fatalf("%+v: %d bytes of %d MB", s, memory, c.MemoryMB)
+		}
+		if s.clients < 8 || s.providers < 4 || s.origins < 1 || s.open < 1 || (s.operators > 0) != (c.Admin != "") {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
