Keep the connection of a read whose client leaves, and look last just before a close

Change: only what the module withdraws (relay.ErrWithdrawn) ends its connection at once; a read whose client has left may be answered for a second. Suspected, not shown: a pause between the last look and the close of all idle connections.

--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -36,6 +36,16 @@
 // Unread tells how much has come that was not taken.
 func (r *Reader) Unread() int { return len(r.rest) }
 
+// Waiting tells whether more has come that was not read. It does not wait.
+func (r *Reader) Waiting() (more bool) {
+	r.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		more = err == nil && n > 0
+	})
+	return more
+}
+
 // Next waits for more and hands over all that has come and was not taken. take tells how much it has used
 // up, and must not keep it. What it leaves is handed over again, with more behind it. The error is that
 // of the connection: io.EOF at its end, and io.ErrShortBuffer if too much is left.
--- a/internal/buffer/reader_test.go
+++ b/internal/buffer/reader_test.go
@@ -48,3 +48,36 @@
 		t.Errorf("too much: %v", err)
 	}
 }
+
+// What has come is told of and stays to be read; of what has not, or of the end, nothing is told.
+func TestWaiting(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r, err := NewReader(conn)
+	if err != nil || r.Waiting() {
+		t.Fatal("something waits on a new connection", err)
+	}
+	io.WriteString(client, "x")
+	for !r.Waiting() {
+	}
+	got := ""
+	if err := r.Next(func(b []byte) int { got += string(b); return len(b) }); got != "x" || err != nil || r.Waiting() {
+		t.Errorf("read %q, %v", got, err)
+	}
+	client.Close()
+	if err := r.Next(func(b []byte) int { return len(b) }); err != io.EOF || r.Waiting() {
+		t.Errorf("at the end: %v", err)
+	}
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -139,7 +139,7 @@
 	c.mu.Lock()
 	c.arm()
 	c.mu.Unlock()
-	for next, looked := c.reader.Next, false; ; {
+	for next := c.reader.Next; ; {
 		var last, full bool
 		err := next(func(b []byte) (used int) {
 			for n := -1; n != 0 && !last && !full && c.long == nil && used < len(b); used += n {
@@ -161,10 +161,11 @@
 		if part := c.reader.Unread() > 0 && !full; part != c.part {
 			c.part, c.since = part, time.Now()
 		}
-		if c.arm(); errors.Is(err, os.ErrDeadlineExceeded) && c.out == 0 && c.asked && !c.part && !looked {
-			// One more look: a command that has come by now is not to be lost.
-			looked, err = true, nil
-			c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if c.arm(); errors.Is(err, os.ErrDeadlineExceeded) && c.out == 0 && !c.part && c.reader.Waiting() {
+			// A command that has come by now is not to be lost. The last look is just before the close: a program with a
+			// part of a core may stand still for a while anywhere, and all that came in that time would be reset.
+			err = nil
+			c.SetReadDeadline(time.Now().Add(closeTimeout))
 		}
 		c.mu.Unlock()
 		switch {
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -126,7 +126,8 @@
 		return r
 	case <-ctx.Done():
 	}
-	r, ended := p.give(c, out)
+	left := errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), relay.ErrWithdrawn)
+	r, ended := p.give(c, out, left)
 	switch {
 	case ended:
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -68,6 +69,10 @@
 	RetryAfter time.Duration
 }
 
+// ErrWithdrawn is why a call's context ends that the module has withdrawn: another may follow. Where one is cancelled
+// for another reason its client has left.
+var ErrWithdrawn = errors.New("call withdrawn")
+
 // Caller makes invoker calls to one kind of server.
 type Caller interface {
 	// Call makes one call and returns when it has ended, or ctx has.
@@ -235,9 +240,11 @@
 func (r *Relay) call(ctx context.Context, l *live, inv *Invocation, step hoptiller.Step) Result {
 	ctx, cancel := context.WithTimeout(ctx, step.Timeout)
 	defer cancel()
+	ctx, withdraw := context.WithCancelCause(ctx)
+	defer withdraw(nil)
 	r.liveMu.Lock()
 	withdrawn := l.withdrawn > step.Attempt
-	l.cancel = cancel
+	l.cancel = func() { withdraw(ErrWithdrawn) }
 	r.liveMu.Unlock()
 	if withdrawn {
 		return Result{Status: hoptiller.Moot}
