--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 fuzz:
 	go test -fuzz FuzzParse -fuzztime 30s ./internal/meta
 	go test -fuzz FuzzParseAnswer -fuzztime 30s ./internal/http1
+	go test -fuzz FuzzParseRequest -fuzztime 30s ./internal/http1
 
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go' ':!journal/'))" || { echo "gofmt wants to change files"; exit 1; }
