Say no at readyz once stopping, and keep waiting writers and drains from blocking room

A long write that waited for room stood as half a command: evicted on paper, it kept one standing as going, which holds off all further evictions; so did every head that a drain gives time. A sender of a byte now and then held its room for hours. Change: Ready is Serving; gather counts as busy before it waits; going is only what ends at once, and a rest can be cut short; pieceBy asks for 64 KiB/s beyond the first 6 s. Front.conns went: seats know the same.

--- a/cmd/hoptiller/listen.go
+++ b/cmd/hoptiller/listen.go
@@ -24,8 +24,10 @@
 		all = append(all, l)
 		return nil
 	}
-	main, err := inherited(c.SocketFD)
-	if c.SocketFD == "" {
+	var main net.Listener
+	if c.SocketFD != "" {
+		main, err = inherited(c.SocketFD)
+	} else {
 		main, err = net.Listen("tcp", c.Listen)
 	}
 	if err := open("main", main, err); err != nil {
@@ -45,9 +47,6 @@
 
 // inherited gives the listener that the platform holds and this process was started with.
 func inherited(number string) (net.Listener, error) {
-	if number == "" {
-		return nil, nil
-	}
 	bad := func(why string) error { return fmt.Errorf("RELAY_SOCKET_FD %q %s", number, why) }
 	fd, err := strconv.ParseUint(number, 10, 16)
 	if err != nil {
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -34,7 +34,7 @@
 	spare         = 300 * time.Millisecond  // between the last answer and SIGKILL
 	replaceTime   = 300 * time.Millisecond  // for which clients are served after SIGTERM where another process accepts them
 	closeTime     = 500 * time.Millisecond  // after that, for the rest of a command
-	restTime      = 2100 * time.Millisecond // the same where there is time for a whole command
+	restTime      = 2100 * time.Millisecond // the same where there is time for a whole command before SIGKILL
 	freshTime     = 2 * time.Second         // that a new process waits for a fresh list before it takes clients from the old one
 )
 
@@ -140,10 +140,15 @@
 	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
 	fresh := &freshList{Listener: listener, told: make(chan struct{})}
 	dir := directory.NewClient(registry(c), names, fresh, c.Known)
-	f := &front.Front{Classes: c.Classes, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held, MostOpen: shares.open, MostLong: int64(shares.long), Linger: linger,
-		Keep: keep(c.Settings.Classes), Rest: closeTime, Life: life, Counts: counts, Server: server}
+	f := &front.Front{
+		Classes: c.Classes, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held,
+		MostOpen: shares.open, MostLong: int64(shares.long),
+		Linger: linger, Keep: keep(c.Settings.Classes), Rest: closeTime,
+		Life: life, Counts: counts, Server: server,
+	}
 	if c.SocketFD != "" { // another process accepts from the same socket
-		f.Linger, f.Keep, f.Rest = 0, replaceTime, restTime
+		f.Linger, f.Keep = 0, replaceTime
+		f.Rest = min(restTime, max(closeTime, keep(c.Settings.Classes)-replaceTime))
 	}
 	for _, class := range c.Settings.Classes {
 		f.Deadlines = append(f.Deadlines, class.Deadline)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -59,7 +59,7 @@
 	switch {
 	case c.out > 0:
 		to = busy
-	case c.end:
+	case c.end && (c.asked && !c.part || !c.restBy.After(time.Now())):
 		to = going
 	case c.part:
 		to = halfway
@@ -69,12 +69,13 @@
 	c.front.seats.move(c, to)
 }
 
-// endIfIdle ends a connection if nothing is out on it; the rest of a command that has begun may take a while.
+// endIfIdle ends a connection if nothing is out on it. A command that has begun, or may be on its way where there was none
+// yet, has a while to come whole; that may be cut short later, when its place is needed.
 func (c *conn) endIfIdle(rest time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.out == 0 && !c.end {
-		c.end, c.restBy = true, time.Now().Add(rest)
+	if by := time.Now().Add(rest); c.out == 0 && (!c.end || by.Before(c.restBy)) {
+		c.end, c.restBy = true, by
 		c.arm()
 	}
 }
@@ -97,7 +98,7 @@
 	default:
 		by = c.since.Add(firstTime)
 	}
-	if c.pieceBy.IsZero() && c.end && !c.restBy.IsZero() && by.After(c.restBy) {
+	if c.pieceBy.IsZero() && c.end && by.After(c.restBy) {
 		by = c.restBy
 	}
 	c.SetReadDeadline(by)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,20 +48,20 @@
 
 	seats seats
 
-	mu    sync.Mutex
-	conns map[*conn]bool
-	open  map[string]bool // the ids of invocations that are not answered
-	left  chan struct{}   // told when a connection has ended
+	left chan struct{} // told when a connection has ended
+
+	mu   sync.Mutex
+	open map[string]bool // the ids of invocations that are not answered
 }
 
-// Ready tells whether clients are wanted: it is what they are told where they ask.
-func (f *Front) Ready() bool { return f.accepting.Load() && f.Life.Phase().Wanted() }
+// Ready tells whether new clients are taken and wanted.
+func (f *Front) Ready() bool { return f.accepting.Load() && f.Life.Phase() == lifecycle.Serving }
 
 // Serve accepts clients and follows the router's life: once that stops it accepts for Linger, serves those it
 // has until Keep is over, finishes what was taken and returns. When ctx ends, it drops everything.
 func (f *Front) Serve(ctx context.Context, listeners ...net.Listener) error {
 	f.room = semaphore.NewWeighted(max(f.MostLong, meta.MaxLong+2))
-	f.conns, f.open, f.left = map[*conn]bool{}, map[string]bool{}, make(chan struct{}, 1)
+	f.open, f.left = map[string]bool{}, make(chan struct{}, 1)
 	g, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, max(1, f.MostConns))
 	var accepting sync.WaitGroup
@@ -132,17 +132,11 @@
 			c.client = a.AddrPort().Addr().Unmap()
 		}
 		f.seats.move(c, silent)
-		f.mu.Lock()
-		f.conns[c] = true
-		f.mu.Unlock()
 		f.thin()
 		g.Go(func() error {
 			defer func() { <-places }()
 			c.serve(ctx)
 			f.seats.leave(c)
-			f.mu.Lock()
-			delete(f.conns, c)
-			f.mu.Unlock()
 			select {
 			case f.left <- struct{}{}:
 			default:
@@ -157,10 +151,7 @@
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	for {
-		f.mu.Lock()
-		none := orNone && len(f.conns) == 0
-		f.mu.Unlock()
-		if none {
+		if orNone && len(f.seats.all()) == 0 {
 			return
 		}
 		select {
@@ -177,9 +168,7 @@
 // begun, or may be on their way on a connection that had none yet, have a while to come whole.
 func (f *Front) endIdle(rest time.Duration) {
 	f.closing.Store(int64(rest))
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c := range f.conns {
+	for _, c := range f.seats.all() {
 		c.endIfIdle(rest)
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -163,9 +163,8 @@
 		f.mu.Unlock()
 	}
 	f.thin()
-	f.mu.Lock()
-	ended := 0
-	for c := range f.conns {
+	ended, all := 0, f.seats.all()
+	for _, c := range all {
 		c.mu.Lock()
 		if c.end {
 			ended++
@@ -175,8 +174,7 @@
 		}
 		c.mu.Unlock()
 	}
-	left := len(f.conns)
-	f.mu.Unlock()
+	left := len(all)
 	if ended+4-left != 1 {
 		t.Errorf("%d connections are left, %d of them ending", left, ended)
 	}
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -8,8 +8,20 @@
 	"hoptiller/internal/meta"
 )
 
-// pieceTime is how long the next piece of a long value may take.
-const pieceTime = 6 * time.Second
+const (
+	pieceTime = 6 * time.Second // that the next piece of a long value may take
+	slowest   = 64 << 10        // bytes a second that must come beyond that
+)
+
+// pieceBy is when the next piece of a value must have come. Time goes by progress, but one that goes on by a byte now
+// and then would hold its room for hours, and all who wait for it.
+func pieceBy(begun, now time.Time, got int) time.Time {
+	most := begun.Add(pieceTime + time.Duration(got)*time.Second/slowest)
+	if by := now.Add(pieceTime); by.Before(most) {
+		return by
+	}
+	return most
+}
 
 // gather reads the long value of the write that has begun, and starts its invocation when it is whole. It takes room
 // for all of it first: with a part each, all would wait for each other. Until there is some the client waits
@@ -17,6 +29,18 @@
 func (c *conn) gather(ctx context.Context) (last bool, err error) {
 	inv, length := c.long, c.longLen
 	c.long = nil
+	// From now on the connection counts as one on which something is out: it must not make room.
+	c.mu.Lock()
+	c.out++
+	c.sit()
+	c.mu.Unlock()
+	defer func() {
+		c.reader.Long = false
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.part, c.pieceBy = false, time.Time{}
+		c.settle()
+	}()
 	ended := func() { c.front.ended(string(inv.ID)) }
 	room := int64(length + 2)
 	if err := c.front.room.Acquire(ctx, room); err != nil {
@@ -28,23 +52,12 @@
 		value.Free()
 		c.front.room.Release(room)
 	}
-	// Meanwhile the connection counts as one on which something is out.
-	c.mu.Lock()
-	c.out++
-	c.sit()
-	c.mu.Unlock()
 	c.reader.Long = true
-	defer func() {
-		c.reader.Long = false
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.part, c.pieceBy = false, time.Time{}
-		c.settle()
-	}()
+	begun := time.Now()
 	left, tail := length, "\r\n"
 	for next := c.reader.Again; left > 0 || tail != ""; next = c.reader.Next {
 		c.mu.Lock()
-		c.pieceBy = time.Now().Add(pieceTime)
+		c.pieceBy = pieceBy(begun, time.Now(), value.Len())
 		c.arm()
 		c.mu.Unlock()
 		bad := false
--- a/internal/front/gather_test.go
+++ b/internal/front/gather_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"hoptiller"
 	"hoptiller/internal/meta"
@@ -29,7 +30,8 @@
 // its answer, and comes whole then. Those who ask for less are not held up meanwhile.
 func TestRoomForLongValues(t *testing.T) {
 	s := taker{make(chan string, 2), make(chan string)}
-	connect := start(t, &Front{MostConns: 9, MostOpen: 9, MostLong: 1, Server: s})
+	f := &Front{MostConns: 9, MostOpen: 9, MostLong: 1, Server: s}
+	connect := start(t, f)
 	first, second, other := connect(), connect(), connect()
 	value := strings.Repeat("a", meta.MaxLong)
 	send := func(conn io.Writer, id int) {
@@ -40,6 +42,14 @@
 		t.Fatalf("%.9q of %d bytes", got, len(got))
 	}
 	go send(second, 2)
+	for late, waits := time.Now().Add(10*time.Second), 0; waits < 2; { // and is no candidate to make room
+		f.seats.mu.Lock()
+		waits = f.seats.lists[busy].Len()
+		f.seats.mu.Unlock()
+		if time.Now().After(late) {
+			t.Fatal("one that waits for room does not count as busy")
+		}
+	}
 	fmt.Fprint(other, "mn\r\n")
 	if line, err := bufio.NewReader(other).ReadString('\n'); line != "MN\r\n" {
 		t.Fatalf("%q, %v", line, err)
@@ -87,3 +97,22 @@
 		t.Errorf("%.9q of %d bytes", got, len(got))
 	}
 }
+
+// A value has six seconds for each piece, and for all but its first six seconds a rate to keep.
+func TestPieceBy(t *testing.T) {
+	begun := time.Now()
+	for _, c := range []struct {
+		now  time.Duration
+		got  int
+		want time.Duration
+	}{
+		{0, 0, pieceTime},
+		{5 * time.Second, 5, pieceTime},                     // a byte a second
+		{5 * time.Second, slowest, pieceTime + time.Second}, // short of the piece's own time
+		{20 * time.Second, meta.MaxLong, 26 * time.Second},
+	} {
+		if by := pieceBy(begun, begun.Add(c.now), c.got); by.Sub(begun).Round(time.Millisecond) != c.want {
+			t.Errorf("after %v and %d bytes: %v, want %v", c.now, c.got, by.Sub(begun), c.want)
+		}
+	}
+}
--- a/internal/front/room.go
+++ b/internal/front/room.go
@@ -19,7 +19,7 @@
 	silent                  // it never had a command
 	halfway                 // a command has come in part
 	idle                    // it may ask again, here or on a new one
-	going                   // it ends anyway
+	going                   // it ends at once
 	standings
 )
 
@@ -51,6 +51,18 @@
 	s.lists[c.standing].Remove(c.seat)
 }
 
+// all are the connections that there are.
+func (s *seats) all() (conns []*conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.lists {
+		for e := s.lists[i].Front(); e != nil; e = e.Next() {
+			conns = append(conns, e.Value.(*conn))
+		}
+	}
+	return conns
+}
+
 // first is the connection that has had a standing longest, if that is for some time; s.mu is held.
 func (s *seats) first(of standing, now time.Time, least time.Duration) *conn {
 	if e := s.lists[of].Front(); e != nil && now.Sub(e.Value.(*conn).standsAt) >= least {
--- a/internal/front/room_test.go
+++ b/internal/front/room_test.go
@@ -32,6 +32,7 @@
 	}
 	fresh := seat(silent, 0)
 	long, young := seat(halfway, 3*second), seat(halfway, second)
+	young.endIfIdle(time.Hour) // as in a drain: it has its time, and no place of its own
 	firstIdle, secondIdle := seat(idle, second), seat(idle, 0)
 	gone := func(c *conn) {
 		f.seats.leave(c)
