--- a/facade_test.go
+++ b/facade_test.go
@@ -103,6 +103,32 @@
 	}
 }
 
+// Where answers come in order a call ends only with its connection: a read whose client has left runs on, and what it
+// comes to is learned from, but a write is withdrawn, and so is what goes to the origin for a read.
+func TestFacadeGoneOrdered(t *testing.T) {
+	for name, c := range map[string]struct {
+		write, missed bool
+		cancelled     int
+	}{"read": {false, false, 0}, "write": {true, false, 1}, "fetch": {false, true, 1}} {
+		f, _ := newFacade(nil)
+		f.router.set.Ordered = true
+		id := f.Reserve()
+		step := f.Pick(time.Hour, Request{ID: id, Key: 7, Write: c.write, Remaining: 3 * time.Second})
+		f.router.reqs[id].missed = c.missed
+		f.Gone(time.Hour+time.Millisecond, id)
+		if orders := f.Tick(time.Hour + time.Millisecond); len(orders.Cancelled) != c.cancelled {
+			t.Errorf("%s: orders %+v", name, orders)
+		}
+		if s := f.router.known[step.Provider]; s.out != 1 {
+			t.Errorf("%s: %d count as out", name, s.out)
+		}
+		f.Report(time.Hour+time.Second, CallID{id, 0}, step.Provider, OK, time.Second)
+		if s := f.router.known[step.Provider]; s.out != 0 || s.heard != f.now || len(f.open) != 0 || len(f.router.reqs) != 0 {
+			t.Errorf("%s: after its answer %d out, heard at %v, %d open", name, s.out, s.heard, len(f.open))
+		}
+	}
+}
+
 // Goroutines read their clocks before they get the lock: time must not go back for the Router, nor may
 // timers fire before they are due or out of order.
 func TestFacadeTime(t *testing.T) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -61,7 +61,10 @@
 // has until Keep is over, finishes what was taken and returns. When ctx ends, it drops everything.
 func (f *Front) Serve(ctx context.Context, listeners ...net.Listener) error {
 	f.room = semaphore.NewWeighted(max(f.MostLong, meta.MaxLong+2))
-	f.open, f.left = map[string]bool{}, make(chan struct{}, 1)
+	f.left = make(chan struct{}, 1)
+	f.mu.Lock()
+	f.open = map[string]bool{}
+	f.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, max(1, f.MostConns))
 	var accepting sync.WaitGroup
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -102,6 +102,38 @@
 	}
 }
 
+// One that leaves gives its place back at once, however long its call is still out; its id is taken until then.
+func TestLeavingFreesThePlace(t *testing.T) {
+	hold := make(holder)
+	f := &Front{MostConns: 1, MostOpen: 9, Server: hold}
+	connect := start(t, f)
+	first := connect()
+	fmt.Fprint(first, "mg k v O1 Pc=read,d=900\r\n")
+	for open := 0; open == 0; { // until it is read
+		f.mu.Lock()
+		open = len(f.open)
+		f.mu.Unlock()
+	}
+	first.Close()
+	second := connect()
+	fmt.Fprint(second, "mg k v O1 Pc=read,d=900\r\nmn\r\n")
+	r := bufio.NewReader(second)
+	for _, want := range []string{"CLIENT_ERROR request id is in use\r\n", "MN\r\n"} {
+		if line, err := r.ReadString('\n'); line != want {
+			t.Errorf("got %q, %v, want %q", line, err, want)
+		}
+	}
+	close(hold)
+	for open := 1; open > 0; {
+		f.mu.Lock()
+		open = len(f.open)
+		f.mu.Unlock()
+	}
+	if s := f.Counts.Snapshot(); s.Pending != 0 || s.Downstream["read"].Failed != 1 {
+		t.Errorf("%+v", s)
+	}
+}
+
 // After a stop nobody new is let in, but those who are there are served for as long as they stay; then
 // nothing is waited for.
 func TestStopKeepsClients(t *testing.T) {
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -118,14 +118,21 @@
 	return inv, ""
 }
 
-// invoke starts an invocation; over is called once it has its final answer.
+// invoke starts an invocation; over is called once nothing is out for it.
 func (c *conn) invoke(ctx context.Context, inv *relay.Invocation, over func()) {
-	s := slot{id: string(inv.ID), class: inv.Class, write: inv.Write, answer: make(chan relay.Answer, 1)}
+	s := slot{id: string(inv.ID), class: inv.Class, write: inv.Write, answer: make(chan relay.Answer)}
 	c.front.Counts.Taken()
 	go func() {
 		a := c.front.Server.Serve(ctx, inv)
 		over()
-		s.answer <- a
+		c.front.ended(s.id)
+		select {
+		case s.answer <- a:
+		case <-ctx.Done(): // the client has left, and its connection does not wait for what is still out
+			if a.Body != nil {
+				a.Body.Close()
+			}
+		}
 	}()
 	c.put(s)
 }
@@ -153,8 +160,13 @@
 	if s.answer == nil {
 		return !broken && c.write([]byte(s.line))
 	}
-	a := <-s.answer
-	c.front.ended(s.id)
+	var a relay.Answer
+	select {
+	case a = <-s.answer:
+	case <-ctx.Done():
+		c.front.Counts.Ended(s.class, figures.Failed)
+		return false
+	}
 	written := !broken && c.writeFinal(ctx, s, &a)
 	if a.Body != nil {
 		a.Body.Close()
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -19,9 +19,6 @@
 // goesOnWithin is how long an answer that has begun may stop before its end.
 const goesOnWithin = 150 * time.Millisecond
 
-// leftTime is how long the answer to a read whose client has left may still take.
-const leftTime = time.Second
-
 // conn is one connection. Its calls are answered in order.
 type conn struct {
 	net.Conn
@@ -84,9 +81,8 @@
 // give gives a call up, unless its answer has come meanwhile. Only the end of its connection tells the
 // server, and that ends all calls on it; so where there are others, the connection only takes no more
 // calls, and ends with the last of them. A router that wants to call again must not wait for that: until
-// then the call counts as still out. Where the client has left nobody will call again, and a read may be answered
-// for nothing: the rest of its work costs the server no more than the next connection's handshake.
-func (p *Pool) give(c *conn, out *call, left bool) (r relay.Result, ended bool) {
+// then the call counts as still out.
+func (p *Pool) give(c *conn, out *call) (r relay.Result, ended bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
@@ -98,17 +94,6 @@
 	inv := *out.inv
 	inv.ID = bytes.Clone(inv.ID)
 	out.inv, out.givenUp = &inv, true
-	if left && !inv.Write && p.set.Share > 1 {
-		time.AfterFunc(leftTime, func() {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			if slices.Contains(c.calls, out) {
-				c.ending = true
-				c.dropIfUnused()
-			}
-		})
-		return r, false
-	}
 	c.ending = true
 	if c.dropIfUnused(); c.dead {
 		return r, false
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -126,8 +126,7 @@
 		return r
 	case <-ctx.Done():
 	}
-	left := errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), relay.ErrWithdrawn)
-	r, ended := p.give(c, out, left)
+	r, ended := p.give(c, out)
 	switch {
 	case ended:
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -69,10 +68,6 @@
 	RetryAfter time.Duration
 }
 
-// ErrWithdrawn is why a call's context ends that the module has withdrawn: another may follow. Where one is cancelled
-// for another reason its client has left.
-var ErrWithdrawn = errors.New("call withdrawn")
-
 // Caller makes invoker calls to one kind of server.
 type Caller interface {
 	// Call makes one call and returns when it has ended, or ctx has.
@@ -189,7 +184,7 @@
 }
 
 // Serve carries one invocation to its final answer. When ctx ends its client
-// has left, and the answer matters to no one.
+// has left, and the answer matters to no one; it returns when nothing is out for it.
 func (r *Relay) Serve(ctx context.Context, inv *Invocation) Answer {
 	id := r.core.Reserve()
 	l := &live{}
@@ -206,6 +201,7 @@
 		ID: id, Class: inv.Class, Key: keyNumber(inv.Key), Write: inv.Write, Retry: inv.Retry,
 		Remaining: inv.Remaining, Narrow: inv.Narrow,
 	})
+	defer context.AfterFunc(ctx, func() { r.core.Gone(r.now(), id) })()
 	for {
 		r.closeIdle(step.CloseIdle)
 		if step.Kind != hoptiller.StepCall {
@@ -214,7 +210,7 @@
 		sent := r.now()
 		result := r.call(ctx, l, inv, step)
 		now := r.now()
-		if ctx.Err() != nil {
+		if ctx.Err() != nil { // whatever it comes to, no other call follows
 			r.core.Gone(now, id)
 		}
 		call := hoptiller.CallID{Invocation: id, Attempt: step.Attempt}
@@ -236,15 +232,14 @@
 	}
 }
 
-// call makes one call, unless it has been withdrawn before it began.
+// call makes one call, unless it has been withdrawn before it began. It does not end with the client's leaving: the
+// module hears of that, and withdraws the call if it is to end.
 func (r *Relay) call(ctx context.Context, l *live, inv *Invocation, step hoptiller.Step) Result {
-	ctx, cancel := context.WithTimeout(ctx, step.Timeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), step.Timeout)
 	defer cancel()
-	ctx, withdraw := context.WithCancelCause(ctx)
-	defer withdraw(nil)
 	r.liveMu.Lock()
 	withdrawn := l.withdrawn > step.Attempt
-	l.cancel = func() { withdraw(ErrWithdrawn) }
+	l.cancel = cancel
 	r.liveMu.Unlock()
 	if withdrawn {
 		return Result{Status: hoptiller.Moot}
