Gather long bodies in chunks within the budget of long values

Cause: a body in chunks was read whole with its answer, to 1 MiB on each of the origin's connections, and longer ones were refused; nothing bounded them together. Change: http1.Chunks reads one as it comes; what a long value is taken from is a Decoder, counted or in chunks; provider/whole.go gathers one whose length shows at its end, out of the room that clients' long writes share; a connection keeps 96 KiB of one message at most (1 MiB + 16 KiB before). Front takes the room instead of a number.

--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"hoptiller"
 	"hoptiller/internal/admin"
@@ -22,6 +23,7 @@
 	"hoptiller/internal/guard"
 	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/logs"
+	"hoptiller/internal/meta"
 	"hoptiller/internal/origin"
 	"hoptiller/internal/plan"
 	"hoptiller/internal/provider"
@@ -119,6 +121,7 @@
 	if shares.heap > 0 {
 		debug.SetMemoryLimit(int64(shares.heap))
 	}
+	room := semaphore.NewWeighted(int64(max(shares.long, meta.MaxLong)))
 	providers := provider.New(provider.Settings{
 		Share: providerShare, MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
@@ -127,7 +130,7 @@
 	origins := provider.New(provider.Settings{
 		Share: 1, MostConns: shares.origins, MostCalls: 1,
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
-		Called: counts.Called,
+		Room: room, Called: counts.Called,
 	}, origin.Protocol{})
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	var server front.Server = r
@@ -142,7 +145,7 @@
 	dir := directory.NewClient(registry(c), names, fresh, c.Known)
 	f := &front.Front{
 		Classes: c.Classes, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held,
-		MostOpen: shares.open, MostLong: int64(shares.long),
+		MostOpen: shares.open, Room: room,
 		Linger: linger, Keep: keep(c.Settings.Classes), Rest: closeTime,
 		Life: life, Counts: counts, Server: server,
 	}
--- a/cmd/hoptiller/shares.go
+++ b/cmd/hoptiller/shares.go
@@ -12,7 +12,7 @@
 	held      int // and of them, those on which something was asked, or half of it: clients hold no more at once
 	kept      int // and of them, those that may stay idle
 	open      int // invocations beyond the first of each client connection
-	long      int // bytes of long values that clients send
+	long      int // bytes of long values that are held whole
 	providers int // connections to all slot caches
 	provider  int // connections to one of them; four routers share the 70 that it accepts
 	origins   int // connections to the origin
--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -12,7 +12,7 @@
 
 // Most is how much is kept of one message that is not whole: the largest that any protocol here allows, with
 // the lines and headers that come with it. What is so long has memory of its own for as long as it is needed.
-const Most = 1<<20 + 16<<10
+const Most = 96 << 10
 
 // Reader reads a connection and holds a buffer only while something is there to be read: of hundreds of
 // connections nearly all wait at any time. What is left over between reads is kept at its own size.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,7 +17,6 @@
 	"hoptiller/internal/buffer"
 	"hoptiller/internal/figures"
 	"hoptiller/internal/lifecycle"
-	"hoptiller/internal/meta"
 	"hoptiller/internal/relay"
 )
 
@@ -28,23 +27,22 @@
 
 // Front serves the clients of a router, who may come by several listeners.
 type Front struct {
-	Classes   []string        // names, by number
-	Deadlines []time.Duration // for an invocation that states none, by class
-	MostConns int             // client connections at once
-	MostKept  int             // of those that have asked, beyond which idle ones are ended as others come; 0: no limit
-	MostHeld  int             // of those that have asked or begun to; 0: no limit
-	MostOpen  int             // invocations at once beyond the first of each connection
-	Linger    time.Duration   // for which connections are still accepted after a stop
-	Keep      time.Duration   // for which those that are open are served after it, while there are any
-	Rest      time.Duration   // which commands that have begun have after that to come whole
-	MostLong  int64           // bytes of long values that are held at once
+	Classes   []string            // names, by number
+	Deadlines []time.Duration     // for an invocation that states none, by class
+	MostConns int                 // client connections at once
+	MostKept  int                 // of those that have asked, beyond which idle ones are ended as others come; 0: no limit
+	MostHeld  int                 // of those that have asked or begun to; 0: no limit
+	MostOpen  int                 // invocations at once beyond the first of each connection
+	Linger    time.Duration       // for which connections are still accepted after a stop
+	Keep      time.Duration       // for which those that are open are served after it, while there are any
+	Rest      time.Duration       // which commands that have begun have after that to come whole
+	Room      *semaphore.Weighted // bytes of long values that are held at once, of the longest at least
 	Life      *lifecycle.State
 	Counts    *figures.Counts
 	Server    Server
 
 	accepting atomic.Bool
-	room      *semaphore.Weighted // for long values
-	closing   atomic.Int64        // if set, connections end once nothing is out on them, and what has begun has so long to come
+	closing   atomic.Int64 // if set, connections end once nothing is out on them, and what has begun has so long to come
 
 	seats seats
 
@@ -60,7 +58,6 @@
 // Serve accepts clients and follows the router's life: once that stops it accepts for Linger, serves those it
 // has until Keep is over, finishes what was taken and returns. When ctx ends, it drops everything.
 func (f *Front) Serve(ctx context.Context, listeners ...net.Listener) error {
-	f.room = semaphore.NewWeighted(max(f.MostLong, meta.MaxLong+2))
 	f.left = make(chan struct{}, 1)
 	f.mu.Lock()
 	f.open = map[string]bool{}
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -42,15 +42,15 @@
 		c.settle()
 	}()
 	ended := func() { c.front.ended(string(inv.ID)) }
-	room := int64(length + 2)
-	if err := c.front.room.Acquire(ctx, room); err != nil {
+	room := int64(length)
+	if err := c.front.Room.Acquire(ctx, room); err != nil {
 		ended()
 		return false, err
 	}
 	value := &buffer.Chain{}
 	free := func() {
 		value.Free()
-		c.front.room.Release(room)
+		c.front.Room.Release(room)
 	}
 	c.reader.Long = true
 	begun := time.Now()
--- a/internal/front/gather_test.go
+++ b/internal/front/gather_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"hoptiller"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/relay"
@@ -30,7 +32,7 @@
 // its answer, and comes whole then. Those who ask for less are not held up meanwhile.
 func TestRoomForLongValues(t *testing.T) {
 	s := taker{make(chan string, 2), make(chan string)}
-	f := &Front{MostConns: 9, MostOpen: 9, MostLong: 1, Server: s}
+	f := &Front{MostConns: 9, MostOpen: 9, Room: semaphore.NewWeighted(meta.MaxLong), Server: s}
 	connect := start(t, f)
 	first, second, other := connect(), connect(), connect()
 	value := strings.Repeat("a", meta.MaxLong)
@@ -75,7 +77,7 @@
 // One that stops in the middle, or leaves, gives its room back and its id.
 func TestHalfALongValue(t *testing.T) {
 	s := taker{make(chan string, 2), make(chan string, 2)}
-	f := &Front{MostConns: 9, MostOpen: 9, MostLong: 1, Server: s}
+	f := &Front{MostConns: 9, MostOpen: 9, Room: semaphore.NewWeighted(meta.MaxLong), Server: s}
 	connect := start(t, f)
 	value := strings.Repeat("a", meta.MaxLong)
 	head := fmt.Sprintf("ms k %d O1 Pc=read,d=900\r\n", len(value))
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -11,10 +11,9 @@
 
 // The limits of what is read.
 const (
-	MaxHead  = 8 << 10  // of a status line and its headers
-	MaxBody  = 64 << 10 // that ParseAnswer reads as a whole
-	MaxLong  = 4 << 20  // a longer one is not read
-	MaxParts = 1 << 20  // of a body in chunks, whose length shows at its end
+	MaxHead = 8 << 10  // of a status line and its headers
+	MaxBody = 64 << 10 // that ParseAnswer reads as a whole
+	MaxLong = 4 << 20  // a longer one is not read
 )
 
 // ErrFormat is the fault of an answer that can't be read.
@@ -127,77 +126,40 @@
 	return nil
 }
 
-// ParseChunk reads one chunk and tells how many bytes it takes up: 0 without
-// an error means that it is not whole yet. The last chunk has no data.
-func ParseChunk(b []byte) (data []byte, n int, err error) {
-	end := bytes.Index(b[:min(len(b), 64)], []byte("\r\n"))
-	if end < 0 {
-		if len(b) >= 64 {
-			return nil, 0, ErrFormat
-		}
-		return nil, 0, nil
-	}
-	digits, _, _ := bytes.Cut(b[:end], []byte(";"))
-	size, bad := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 31)
-	if bad != nil {
-		return nil, 0, ErrFormat
-	}
-	from := end + 2
-	to := from + int(size)
-	if size == 0 { // trailers are of no use here, but must be passed over
-		for {
-			next := bytes.Index(b[from:], []byte("\r\n"))
-			switch {
-			case next < 0 && len(b)-from > MaxHead:
-				return nil, 0, ErrFormat
-			case next < 0:
-				return nil, 0, nil
-			case next == 0:
-				return nil, from + 2, nil
-			}
-			from += next + 2
-		}
-	}
-	if len(b) < to+2 {
-		return nil, 0, nil
-	}
-	if b[to] != '\r' || b[to+1] != '\n' {
-		return nil, 0, ErrFormat
-	}
-	return b[from:to], to + 2, nil
-}
-
 // ParseAnswer reads a whole answer with its body and tells how many bytes it
 // takes up: 0 without an error means that it is not whole yet. Interim answers
-// (1xx) ahead of it are passed over. Of one whose body is over MaxBody that is its head, and the body is nil.
-func ParseAnswer(b []byte, extra ...string) (h Head, body []byte, n int, err error) {
+// (1xx) ahead of it are passed over. Of one whose body is long, over MaxBody, that is its head.
+func ParseAnswer(b []byte, extra ...string) (h Head, body []byte, n int, long bool, err error) {
 	for h.Status < 200 {
 		var used int
 		if h, used, err = ParseHead(b[n:], extra...); err != nil || used == 0 {
-			return h, nil, 0, err
+			return h, nil, 0, false, err
 		}
 		n += used
 	}
 	switch {
 	case h.Chunked:
-		for {
-			data, used, err := ParseChunk(b[n:])
-			if err != nil || used == 0 {
-				return h, nil, 0, err
-			}
-			if n += used; len(data) == 0 {
-				return h, body, n, nil
+		for end := n; ; {
+			data, used, err := ParseChunk(b[end:])
+			switch {
+			case err != nil:
+				return h, nil, 0, false, err
+			case used == 0 && len(b)-n > MaxBody, end+used-n > MaxBody:
+				return h, nil, n, true, nil
+			case used == 0:
+				return h, nil, 0, false, nil
 			}
-			if body = append(body, data...); len(body) > MaxParts {
-				return h, nil, 0, ErrFormat
+			if end += used; len(data) == 0 {
+				return h, body, end, false, nil
 			}
+			body = append(body, data...)
 		}
 	case h.Length < 0 || h.Length > MaxLong:
-		return h, nil, 0, ErrFormat
+		return h, nil, 0, false, ErrFormat
 	case h.Length > MaxBody:
-		return h, nil, n, nil
+		return h, nil, n, true, nil
 	case len(b)-n < h.Length:
-		return h, nil, 0, nil
+		return h, nil, 0, false, nil
 	}
-	return h, b[n : n+h.Length], n + h.Length, nil
+	return h, b[n : n+h.Length], n + h.Length, false, nil
 }
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -14,12 +14,12 @@
 		"HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na": "a",
 		"HTTP/1.1 200 OK\r\nX-Backend-Load: \xff=,=;\x01\r\nContent-Length: 1\r\n\r\na":                                "a",
 	} {
-		h, body, n, err := ParseAnswer([]byte(in))
+		h, body, n, _, err := ParseAnswer([]byte(in))
 		if err != nil || n != len(in) || string(body) != want || h.Status/100 != 2 {
 			t.Errorf("%q: %+v, body %q, %d bytes, %v", in, h, body, n, err)
 		}
 		for cut := range in {
-			if _, _, n, err := ParseAnswer([]byte(in[:cut])); n != 0 || err != nil {
+			if _, _, n, _, err := ParseAnswer([]byte(in[:cut])); n != 0 || err != nil {
 				t.Errorf("%q cut to %d bytes: %d used, %v", in, cut, n, err)
 			}
 		}
@@ -31,22 +31,26 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc"} {
-		if _, _, _, err := ParseAnswer([]byte(in)); err == nil {
+		if _, _, _, _, err := ParseAnswer([]byte(in)); err == nil {
 			t.Errorf("%.60q was taken", in)
 		}
 	}
-	h, _, _, err := ParseAnswer([]byte("HTTP/1.1 503 No\r\nx-unprocessed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"), "X-Unprocessed")
+	h, _, _, _, err := ParseAnswer([]byte("HTTP/1.1 503 No\r\nx-unprocessed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"), "X-Unprocessed")
 	if err != nil || h.Extra["X-Unprocessed"] != "1" || !h.Close {
 		t.Errorf("%+v, %v", h, err)
 	}
 }
 
-// A long body is the caller's to read.
+// A long body is the caller's to read, and told of by its head, or where it is in chunks by what has come.
 func TestLongBody(t *testing.T) {
-	in := "HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n"
-	h, body, n, err := ParseAnswer([]byte(in + "abc"))
-	if err != nil || n != len(in) || h.Length != 65537 || body != nil {
-		t.Errorf("%+v, %q, %d bytes, %v", h, body, n, err)
+	for in, rest := range map[string]string{
+		"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n": "abc",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                   "fffff\r\n" + strings.Repeat("a", MaxBody),
+	} {
+		_, body, n, long, err := ParseAnswer([]byte(in + rest))
+		if err != nil || n != len(in) || !long || body != nil {
+			t.Errorf("%q: %d bytes, long %v, %q, %v", in, n, long, body, err)
+		}
 	}
 }
 
@@ -63,10 +67,39 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\nab"))
+	f.Add([]byte("2\r\nab\r\n1;x=y\r\nc\r\n0\r\nT: 1\r\n\r\nmore"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		_, body, n, err := ParseAnswer(b, "X-Unprocessed")
+		_, body, n, _, err := ParseAnswer(b, "X-Unprocessed")
 		if n < 0 || n > len(b) || len(body) > len(b) {
 			t.Errorf("%d bytes, body of %d, %v", n, len(body), err)
 		}
+		// Read as it comes, byte by byte, a body in chunks is what it is as a whole.
+		var whole, pieces []byte
+		for rest := b; ; {
+			data, n, err := ParseChunk(rest)
+			if err != nil || n == 0 {
+				return
+			}
+			if whole, rest = append(whole, data...), rest[n:]; len(data) == 0 {
+				b = b[:len(b)-len(rest)]
+				break
+			}
+		}
+		c, from := Chunks{}, 0
+		for to := range b {
+			for n, done := -1, false; n != 0; {
+				var data []byte
+				if data, n, done, err = c.Take(b[from : to+1]); err != nil || done != (from+n == len(b)) {
+					t.Fatalf("%q at %d to %d: %d, done %v, %v", b, from, to, n, done, err)
+				}
+				pieces = append(pieces, data...)
+				if from += n; done {
+					n = 0
+				}
+			}
+		}
+		if string(pieces) != string(whole) {
+			t.Errorf("%q in pieces, %q as a whole", pieces, whole)
+		}
 	})
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -32,19 +32,20 @@
 
 // Parse implements provider.Protocol.
 func (Protocol) Parse(b []byte, inv *relay.Invocation) (provider.Reply, error) {
-	h, body, n, err := http1.ParseAnswer(b, notRun)
+	h, body, n, long, err := http1.ParseAnswer(b, notRun)
 	if err != nil || n == 0 {
 		return provider.Reply{}, err
 	}
 	r := provider.Reply{N: n, Status: hoptiller.ServerError, Keep: !h.Close}
-	long := h.Length > http1.MaxBody
 	switch {
 	case h.Status == 200 && inv.Write && (long || bytes.ContainsFunc(body, func(r rune) bool { return r <= ' ' || r == 0x7f })):
 		return provider.Reply{}, errReceipt
-	case h.Status == 200 && long:
-		r.Status, r.Long = hoptiller.OK, h.Length
-	case long: // nobody wants it
+	case long && h.Status != 200: // nobody wants it
 		return provider.Reply{}, http1.ErrFormat
+	case long && h.Chunked:
+		r.Status, r.Long, r.Length = hoptiller.OK, &http1.Chunks{}, -1
+	case long:
+		r.Status, r.Long, r.Length = hoptiller.OK, &provider.Counted{Left: h.Length}, h.Length
 	case h.Status == 200:
 		r.Status, r.Data = hoptiller.OK, body
 	case (h.Status == 503 || h.Status == 504) && h.Extra[notRun] == "1":
--- a/internal/provider/body.go
+++ b/internal/provider/body.go
@@ -14,22 +14,18 @@
 	longLately = 10 * time.Second // after a long value calls share no connection for so long
 )
 
-var (
-	errTail    = errors.New("value without its end")
-	errGivenUp = errors.New("value given up")
-)
+var errGivenUp = errors.New("value given up")
 
 // body is a long value that is still coming. Until it has ended, the connection is its reader's alone. It is a
 // relay.Body.
 type body struct {
-	conn   *conn
-	out    *call
-	reader *buffer.Reader
-	length int
-	left   int    // of the value
-	tail   string // what is still to follow it
-	keep   bool   // the connection can be used after it
-	ended  chan struct{}
+	conn    *conn
+	out     *call
+	reader  *buffer.Reader
+	decoder Decoder
+	length  int  // -1: it shows at the end
+	keep    bool // the connection can be used after it
+	ended   chan struct{}
 }
 
 // Len implements relay.Body.
@@ -40,11 +36,16 @@
 	defer func() { b.end(err) }()
 	defer func() { b.reader.Long = false }()
 	next := b.reader.Again // what has come with the head
-	for b.left > 0 || b.tail != "" {
+	for done := false; !done; {
 		var failed error
 		b.conn.SetReadDeadline(time.Now().Add(pieceTime))
 		err := next(func(p []byte) (used int) {
-			used, failed = b.take(p, write)
+			for n := -1; n != 0 && !done && failed == nil && used < len(p); used += n {
+				var part []byte
+				if part, n, done, failed = b.decoder.Take(p[used:]); len(part) > 0 {
+					failed = write(part)
+				}
+			}
 			return used
 		})
 		if err = errors.Join(failed, err); err != nil {
@@ -55,25 +56,6 @@
 	return nil
 }
 
-// take passes a piece on as far as it belongs to the value.
-func (b *body) take(p []byte, write func([]byte) error) (used int, err error) {
-	if used = min(b.left, len(p)); used > 0 {
-		b.left -= used
-		if err := write(p[:used]); err != nil {
-			return used, err
-		}
-	}
-	if b.left == 0 {
-		n := min(len(b.tail), len(p)-used)
-		if string(p[used:used+n]) != b.tail[:n] {
-			return used, errTail
-		}
-		b.tail = b.tail[n:]
-		used += n
-	}
-	return used, nil
-}
-
 // Close implements relay.Body.
 func (b *body) Close() {
 	b.end(errGivenUp)
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -254,10 +254,9 @@
 			s.passed = out.sent
 		}
 		c.server.typical += (time.Since(out.sent) - c.server.typical) / 16
-		if reply.Long > 0 {
+		if reply.Long != nil {
 			p.longAt = time.Now()
-			c.body = &body{conn: c, out: out, length: reply.Long, left: reply.Long, tail: reply.Tail, keep: reply.Keep,
-				ended: make(chan struct{})}
+			c.body = &body{conn: c, out: out, decoder: reply.Long, length: reply.Length, keep: reply.Keep, ended: make(chan struct{})}
 			return used, c.body, true
 		}
 		r := relay.Result{Status: reply.Status}
--- a/internal/provider/protocol.go
+++ b/internal/provider/protocol.go
@@ -1,6 +1,7 @@
 package provider
 
 import (
+	"errors"
 	"time"
 
 	"hoptiller"
@@ -21,10 +22,39 @@
 type Reply struct {
 	N      int // bytes that it takes up; 0: it is not whole yet
 	Status hoptiller.Status
-	Data   []byte // the value or the receipt
-	Long   int    // if set, a value of this length follows those bytes
-	Tail   string // and this follows it
-	Keep   bool   // the connection can be used after it
+	Data   []byte  // the value or the receipt
+	Long   Decoder // if set, a long value follows those bytes
+	Length int     // of that; -1: it shows at its end
+	Keep   bool    // the connection can be used after it
+}
+
+// Decoder takes a long value from what comes.
+type Decoder interface {
+	// Take gives the next part of the value in b, which may be empty, and tells how many bytes are used up with it, and
+	// whether that was all. If none are, more must come first.
+	Take(b []byte) (part []byte, used int, done bool, err error)
+}
+
+// Counted is the Decoder of a value whose length is known.
+type Counted struct {
+	Left int    // of the value
+	Tail string // what follows it
+}
+
+var errTail = errors.New("value without its end")
+
+// Take implements Decoder.
+func (c *Counted) Take(b []byte) (part []byte, used int, done bool, err error) {
+	if used = min(c.Left, len(b)); used > 0 {
+		c.Left -= used
+		return b[:used], used, c.Left == 0 && c.Tail == "", nil
+	}
+	n := min(len(c.Tail), len(b))
+	if string(b[:n]) != c.Tail[:n] {
+		return nil, 0, false, errTail
+	}
+	c.Tail = c.Tail[n:]
+	return nil, n, c.Tail == "", nil
 }
 
 // Meta is the protocol of the slot caches.
@@ -57,7 +87,9 @@
 		if inv.Write != (a.Kind == meta.Stored) {
 			return Reply{}, meta.ErrAnswer
 		}
-		r.Status, r.Data, r.Long, r.Tail = hoptiller.OK, a.Data, a.Long, "\r\n"
+		if r.Status, r.Data = hoptiller.OK, a.Data; a.Long > 0 {
+			r.Long, r.Length = &Counted{a.Long, "\r\n"}, a.Long
+		}
 	}
 	return r, nil
 }
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -5,11 +5,12 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"hoptiller"
 	"hoptiller/internal/relay"
 )
@@ -22,7 +23,8 @@
 	MostCalls      int           // calls out on one connection at once
 	IdleLimit      time.Duration // connections without use for so long are not used again; 0: no limit
 	ConnectTimeout time.Duration
-	Called         func() // told of each call that was written whole; nil: nobody is
+	Room           *semaphore.Weighted // bytes of values whose length shows at their end
+	Called         func()              // told of each call that was written whole; nil: nobody is
 }
 
 // Pool has the connections to all servers of a kind. It is a relay.Caller.
@@ -121,18 +123,18 @@
 			return relay.Result{Status: status}
 		}
 	}
+	var r relay.Result
 	select {
-	case r := <-out.done:
-		return r
+	case r = <-out.done:
 	case <-ctx.Done():
+		var answered bool
+		if r, answered = p.give(c, out); !answered {
+			r.Status = ended(ctx)
+			return r
+		}
 	}
-	r, ended := p.give(c, out)
-	switch {
-	case ended:
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		r.Status = hoptiller.Timeout
-	default:
-		r.Status = hoptiller.Cancelled
+	if b, ok := r.Body.(*body); ok && b.length < 0 {
+		return p.gather(ctx, b)
 	}
 	return r
 }
