--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,6 +9,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -38,12 +39,9 @@
 	Places int // connections at once; one descriptor more may be in use, and one for the listener
 
 	mu      sync.Mutex
-	callers []*caller // those that have not asked yet, the oldest first
+	callers []net.Conn // that have not asked yet, the oldest first
 }
 
-// caller is one connection.
-type caller struct{ net.Conn }
-
 // Serve answers calls until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	var g errgroup.Group
@@ -51,7 +49,7 @@
 	defer stop()
 	free := make(chan struct{}, max(1, s.Places))
 	for {
-		nc, err := l.Accept()
+		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			s.drop(s.Places)
 			return g.Wait()
@@ -67,7 +65,6 @@
 			s.drop(1)
 			free <- struct{}{}
 		}
-		c := &caller{nc}
 		s.mu.Lock()
 		s.callers = append(s.callers, c)
 		s.mu.Unlock()
@@ -88,44 +85,29 @@
 	for _, c := range s.callers[:n] {
 		c.Close()
 	}
-	s.callers = append([]*caller(nil), s.callers[n:]...)
+	s.callers = slices.Delete(s.callers, 0, n)
 }
 
 // asked takes a caller off those that have not asked yet.
-func (s *Server) asked(c *caller) {
+func (s *Server) asked(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, o := range s.callers {
-		if o == c {
-			s.callers = append(s.callers[:i], s.callers[i+1:]...)
-			return
-		}
-	}
+	s.callers = slices.DeleteFunc(s.callers, func(o net.Conn) bool { return o == c })
 }
 
-func (s *Server) answer(c *caller) {
+func (s *Server) answer(c net.Conn) {
 	c.SetReadDeadline(time.Now().Add(headTime))
-	var (
-		head = make([]byte, 0, 512)
-		n    int
-		q    http1.Request
-		err  error
-	)
+	head, n := make([]byte, 0, 512), 0
+	var q http1.Request
+	var err error
 	for n == 0 && err == nil {
-		if len(head) == cap(head) {
-			head = append(head, 0)[:len(head)]
-		}
-		var got int
-		var failed error
-		got, failed = c.Read(head[len(head):cap(head)])
-		head = head[:len(head)+got]
-		if got > 0 {
-			q, n, err = http1.ParseRequest(head)
-		}
-		if failed != nil && n == 0 && err == nil {
+		head = slices.Grow(head, 1)
+		got, failed := c.Read(head[len(head):cap(head)])
+		if head = head[:len(head)+got]; failed != nil {
 			s.asked(c)
 			return
 		}
+		q, n, err = http1.ParseRequest(head)
 	}
 	s.asked(c)
 	c.SetWriteDeadline(time.Now().Add(writeTime))
@@ -133,7 +115,9 @@
 		return
 	}
 	// To close with something unread resets the connection, and the answer may be lost with it.
-	c.Conn.(*net.TCPConn).CloseWrite()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
 	c.SetReadDeadline(time.Now().Add(closeTime))
 	for rest := 0; rest < mostRest; {
 		n, err := c.Read(head[:cap(head)])
--- a/internal/provider/find.go
+++ b/internal/provider/find.go
@@ -1,7 +1,6 @@
 package provider
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -27,7 +26,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[id]
-	if s == nil || s.Phase != hoptiller.Ready || ctx.Err() != nil {
+	if s == nil || s.Phase != hoptiller.Ready {
 		return nil, hoptiller.Moot
 	}
 	c := p.idle(s)
@@ -42,7 +41,16 @@
 	case full && (c == nil || c.load >= p.set.MostCalls):
 		return nil, hoptiller.ConnectFailed
 	case !full && (c == nil || c.load >= p.share()):
-		return p.open(ctx, s)
+		nc, reader, err := p.dial(ctx, s)
+		if err != nil {
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return nil, hoptiller.Moot
+			}
+			return nil, hoptiller.ConnectFailed
+		}
+		c = &conn{Conn: nc, pool: p, server: s}
+		s.conns = append(s.conns, c)
+		go c.read(reader)
 	}
 	c.load++
 	return c, hoptiller.OK
@@ -57,9 +65,6 @@
 	return p.set.Share
 }
 
-// longestDial is how long a connection may take to come up where the platform does not say.
-const longestDial = 2 * time.Second
-
 // errMoved tells that the server has started anew while a connection to it came up.
 var errMoved = errors.New("server has moved")
 
@@ -79,60 +84,26 @@
 	return oldest != nil
 }
 
-// open opens a connection for a call. p.mu is held, but not while it waits. One whose call is given up meanwhile comes up
-// all the same and is there for the next call: the server has done its work for it by then.
-func (p *Pool) open(ctx context.Context, s *server) (c *conn, status hoptiller.Status) {
+// dial opens a connection. p.mu is held, but not while it waits.
+func (p *Pool) dial(ctx context.Context, s *server) (nc net.Conn, reader *buffer.Reader, err error) {
+	addr, started := s.Addr, s.Started
 	s.dialing++
 	p.total++
-	addr, started, wanted := s.Addr, s.Started, true
-	done := make(chan struct{})
 	p.mu.Unlock()
-	go func() {
-		defer close(done)
-		nc, reader, err := p.dial(addr)
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		s.dialing--
-		if err == nil && (s.Addr != addr || s.Started != started) {
-			nc.Close()
-			err = errMoved
-		}
-		if err != nil {
-			p.total--
-			return
-		}
-		c = &conn{Conn: nc, pool: p, server: s, idleAt: time.Now()}
-		s.conns = append(s.conns, c)
-		go c.read(reader)
-		if wanted {
-			c.load++
-		} else {
-			c.dropIfUnused()
-		}
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	dialer := net.Dialer{Timeout: p.set.ConnectTimeout, KeepAlive: -1}
+	if nc, err = dialer.DialContext(ctx, "tcp", addr); err == nil {
+		reader, err = buffer.NewReader(nc)
 	}
 	p.mu.Lock()
-	switch wanted = false; {
-	case c != nil:
-		return c, hoptiller.OK
-	case errors.Is(ctx.Err(), context.Canceled):
-		return nil, hoptiller.Moot
-	}
-	return nil, hoptiller.ConnectFailed
-}
-
-func (p *Pool) dial(addr string) (net.Conn, *buffer.Reader, error) {
-	dialer := net.Dialer{Timeout: cmp.Or(p.set.ConnectTimeout, longestDial), KeepAlive: -1}
-	nc, err := dialer.Dial("tcp", addr)
-	if err != nil {
-		return nil, nil, err
+	s.dialing--
+	if err == nil && (s.Addr != addr || s.Started != started) {
+		err = errMoved
 	}
-	reader, err := buffer.NewReader(nc)
 	if err != nil {
-		nc.Close()
+		p.total--
+		if nc != nil {
+			nc.Close()
+		}
 	}
 	return nc, reader, err
 }
