--- a/router.go
+++ b/router.go
@@ -896,8 +896,9 @@
 	}
 }
 
-// ClientGone takes the leaving of a client: nothing more is owed. Where answers come in order a call ends only with its
-// connection, and the next one's handshake costs a server what the rest of a read does: that runs on, to its time-out.
+// ClientGone takes the leaving of a client: nothing more is owed. Where answers come in order a call ends
+// only with its connection, and the next one's handshake costs a server what the rest of a read does: that
+// runs on, to its time-out.
 func (r *Router) ClientGone(now time.Duration, id uint32) {
 	r.now = now
 	if q := r.reqs[id]; q != nil && !q.closed {
