Read quantities exactly, bound every wait of the tests, and draw from a stated seed

Cause: Parse went through strconv.ParseFloat and a factor (quantity.go), and String through a float64 quotient. TestIdleEnds gave the word to answer before its three calls had a connection each; one answered early took the next call, whose command the stand-in read as the end, and the third `release <- true` had nobody to take it.

Gone through all packages: buffer, front, guard, provider, relay, standin and cmd/hoptiller had such waits.

--- a/cmd/hoptiller/replace_test.go
+++ b/cmd/hoptiller/replace_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"hoptiller/internal/testprog"
 )
 
 // A descriptor or an address that can't be listened on ends the program with one line that names it.
@@ -69,8 +71,9 @@
 			t.Fatal(step, err)
 		}
 	}
+	operator := http.Client{Timeout: patience}
 	for late := time.Now().Add(patience); time.Now().Before(late); {
-		r, err := http.Get("http://" + admin + "/v1/readyz")
+		r, err := operator.Get("http://" + admin + "/v1/readyz")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -94,6 +97,7 @@
 			t.Error(err)
 			return
 		}
+		conn.SetDeadline(time.Now().Add(patience))
 		fmt.Fprint(conn, "mn\r\n")
 		if text, err := bufio.NewReader(conn).ReadString('\n'); text != "MN\r\n" {
 			t.Errorf("a new client is answered %q, %v", text, err)
@@ -159,13 +163,8 @@
 			if value, err := r.ReadString('\n'); head != "VA 1 O01\r\n" || value != "x\r\n" {
 				t.Errorf("what was taken before is answered %q %q, %v", head, value, err)
 			}
-			select {
-			case err := <-oldExit:
-				if err != nil {
-					t.Errorf("the old process: %v", err)
-				}
-			case <-time.After(patience):
-				t.Fatal("the old process does not end")
+			if err := testprog.Await(t, oldExit, "end of the old process"); err != nil {
+				t.Errorf("the old process: %v", err)
 			}
 			close(stop)
 			clients.Wait()
--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -160,6 +160,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { cmd.Process.Kill() })
+	pipe := stderr.(*os.File) // as os/exec has it
+	if err := pipe.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
 	log = bufio.NewReader(stderr)
 	for i := range addrs {
 		text, _ := log.ReadString('\n')
@@ -168,6 +172,7 @@
 			t.Fatalf("the program begins with %q", text)
 		}
 	}
+	pipe.SetReadDeadline(time.Time{})
 	return cmd, log, addrs
 }
 
@@ -213,13 +218,14 @@
 	return a, nil
 }
 
-// dial connects until the test ends.
+// dial connects until the test ends. What has not come in twice its patience does not come.
 func dial(t *testing.T, addr string) net.Conn {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Error(err)
 		return nil
 	}
+	conn.SetDeadline(time.Now().Add(2 * patience))
 	t.Cleanup(func() { conn.Close() })
 	return conn
 }
--- a/cmd/hoptiller/shares_test.go
+++ b/cmd/hoptiller/shares_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"hoptiller/internal/config"
+	_ "hoptiller/internal/draws"
 	"hoptiller/internal/plan"
 )
 
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"hoptiller"
+	_ "hoptiller/internal/draws"
 	"hoptiller/internal/limit"
 	"hoptiller/internal/plan"
 )
--- a/internal/buffer/reader_test.go
+++ b/internal/buffer/reader_test.go
@@ -60,13 +60,12 @@
 		conns <- conn
 		return err
 	})()
-	r, err := NewReader(<-conns)
+	r, err := NewReader(testprog.Await(t, conns, "connection"))
 	if err != nil || r.Waiting() {
 		t.Fatal("something waits on a new connection", err)
 	}
 	io.WriteString(client, "x")
-	for !r.Waiting() {
-	}
+	testprog.Until(t, "a byte waits", r.Waiting)
 	got := ""
 	if err := r.Next(func(b []byte) int { got += string(b); return len(b) }); got != "x" || err != nil || r.Waiting() {
 		t.Errorf("read %q, %v", got, err)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -82,12 +82,13 @@
 }
 
 // untilOpen waits until so many invocations are open.
-func untilOpen(f *Front, n int) {
-	for open := -1; open != n; {
+func untilOpen(t *testing.T, f *Front, n int) {
+	t.Helper()
+	testprog.Until(t, fmt.Sprint(n, " invocations are open"), func() bool {
 		f.mu.Lock()
-		open = len(f.open)
-		f.mu.Unlock()
-	}
+		defer f.mu.Unlock()
+		return len(f.open) == n
+	})
 }
 
 // Clients that say nothing, or half a command, make room for one that asks; one that waits for its
@@ -119,7 +120,7 @@
 	connect := start(t, f)
 	first := connect()
 	fmt.Fprint(first, "mg k v O1 Pc=read,d=900\r\n")
-	untilOpen(f, 1)
+	untilOpen(t, f, 1)
 	first.Close()
 	second := connect()
 	fmt.Fprint(second, "mg k v O1 Pc=read,d=900\r\nmn\r\n")
@@ -130,7 +131,7 @@
 		}
 	}
 	close(hold)
-	untilOpen(f, 0)
+	untilOpen(t, f, 0)
 	if s := f.Counts.Snapshot(); s.Pending != 0 || s.Downstream["read"].Failed != 1 {
 		t.Errorf("%+v", s)
 	}
@@ -153,6 +154,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	conn.SetDeadline(time.Now().Add(testprog.Patience))
 	r := bufio.NewReader(conn)
 	ask := func(id int) {
 		fmt.Fprintf(conn, "mg k v O%d Pc=read,d=900\r\n", id)
@@ -163,16 +165,16 @@
 	}
 	ask(1)
 	f.Life.Tell(lifecycle.Stop)
-	for {
+	testprog.Until(t, "nobody new is let in", func() bool {
 		other, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			break
+		if err == nil {
+			other.Close()
 		}
-		other.Close()
-	}
+		return err != nil
+	})
 	ask(2)
 	conn.Close()
-	if err := <-done; err != nil {
+	if err := testprog.Await(t, done, "end of the front"); err != nil {
 		t.Error(err)
 	}
 }
@@ -191,7 +193,7 @@
 		fmt.Fprint(kept[len(kept)-1], "mn\r\n")
 		bufio.NewReader(kept[len(kept)-1]).ReadString('\n')
 	}
-	untilOpen(f, 1) // the first client's command has been read too
+	untilOpen(t, f, 1) // the first client's command has been read too
 	f.thin()
 	ended, all := 0, f.seats.all()
 	for _, c := range all {
--- a/internal/front/gather_test.go
+++ b/internal/front/gather_test.go
@@ -14,6 +14,7 @@
 	"hoptiller"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/relay"
+	"hoptiller/internal/testprog"
 )
 
 // taker tells of each invocation and serves it when it may.
@@ -40,18 +41,15 @@
 		fmt.Fprintf(conn, "ms k %d O%d Pc=read,d=900\r\n%s\r\n", len(value), id, value)
 	}
 	send(first, 1)
-	if got := <-s.begun; got != "1 "+value {
+	if got := testprog.Await(t, s.begun, "invocation"); got != "1 "+value {
 		t.Fatalf("%.9q of %d bytes", got, len(got))
 	}
 	go send(second, 2)
-	for late, waits := time.Now().Add(10*time.Second), 0; waits < 2; { // and is no candidate to make room
+	testprog.Until(t, "one that waits for room counts as busy", func() bool { // and is no candidate to make room
 		f.seats.mu.Lock()
-		waits = f.seats.lists[busy].Len()
-		f.seats.mu.Unlock()
-		if time.Now().After(late) {
-			t.Fatal("one that waits for room does not count as busy")
-		}
-	}
+		defer f.seats.mu.Unlock()
+		return f.seats.lists[busy].Len() == 2
+	})
 	fmt.Fprint(other, "mn\r\n")
 	if line, err := bufio.NewReader(other).ReadString('\n'); line != "MN\r\n" {
 		t.Fatalf("%q, %v", line, err)
@@ -61,14 +59,14 @@
 		t.Errorf("%.9q is held as well", got)
 	default:
 	}
-	s.serve <- "c1"
+	testprog.Give(t, s.serve, "c1", "the word to answer")
 	if line, err := bufio.NewReader(first).ReadString('\n'); line != "HD O1 cc1\r\n" {
 		t.Errorf("%q, %v", line, err)
 	}
-	if got := <-s.begun; got != "2 "+value {
+	if got := testprog.Await(t, s.begun, "invocation"); got != "2 "+value {
 		t.Fatalf("%.9q of %d bytes", got, len(got))
 	}
-	s.serve <- "c2"
+	testprog.Give(t, s.serve, "c2", "the word to answer")
 	if line, err := bufio.NewReader(second).ReadString('\n'); line != "HD O2 cc2\r\n" {
 		t.Errorf("%q, %v", line, err)
 	}
@@ -89,13 +87,13 @@
 	bad := connect()
 	fmt.Fprint(bad, head+value+"xx")
 	s.serve <- "c1"
-	for whole := false; !whole; { // until the id of the last one that left is free
+	testprog.Until(t, "the id of the last one that left is free", func() bool {
 		conn := connect()
 		io.WriteString(conn, head+value+"\r\n")
 		line, _ := bufio.NewReader(conn).ReadString('\n')
-		whole = line == "HD O1 cc1\r\n"
-	}
-	if got := <-s.begun; got != "1 "+value {
+		return line == "HD O1 cc1\r\n"
+	})
+	if got := testprog.Await(t, s.begun, "invocation"); got != "1 "+value {
 		t.Errorf("%.9q of %d bytes", got, len(got))
 	}
 }
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -13,6 +13,7 @@
 	"hoptiller"
 	"hoptiller/internal/plan"
 	"hoptiller/internal/relay"
+	"hoptiller/internal/testprog"
 )
 
 func load(t testing.TB, text string) *plan.Plan {
@@ -64,13 +65,7 @@
 
 // await waits until so many wait in a queue.
 func await(t *testing.T, g *Guard, n int) {
-	for end := time.Now().Add(20 * time.Second); ; {
-		if _, waiting := g.Counts(); waiting == n {
-			return
-		} else if time.Now().After(end) {
-			t.Fatalf("%d wait, not %d", waiting, n)
-		}
-	}
+	testprog.Until(t, fmt.Sprint(n, " wait"), func() bool { _, waiting := g.Counts(); return waiting == n })
 }
 
 // One is out, the next waits and goes when the first is answered, the third is refused at once.
@@ -81,36 +76,36 @@
 		answers <- g.Serve(ctx, &relay.Invocation{Key: []byte("k"), Remaining: time.Minute})
 	}
 	go serve(context.Background())
-	<-b.come
+	testprog.Await(t, b.come, "invocation at the relay")
 	go serve(context.Background())
 	await(t, g, 1)
-	if a := g.Serve(context.Background(), &relay.Invocation{}); a.Kind != hoptiller.StepReject || a.RetryAfter <= 0 || <-met != "concurrency of route r" {
+	if a := g.Serve(context.Background(), &relay.Invocation{}); a.Kind != hoptiller.StepReject || a.RetryAfter <= 0 || testprog.Await(t, met, "limit that was met") != "concurrency of route r" {
 		t.Errorf("%+v", a)
 	}
 	b.go_ <- true
-	if inv := <-b.come; inv.Remaining >= time.Minute || inv.Narrow == nil {
+	if inv := testprog.Await(t, b.come, "the next one at the relay"); inv.Remaining >= time.Minute || inv.Narrow == nil {
 		t.Errorf("what was waited is not taken off: %+v", inv)
 	}
 	b.go_ <- true
 	for range 2 {
-		if a := <-answers; a.Kind != hoptiller.StepServed {
+		if a := testprog.Await(t, answers, "answer"); a.Kind != hoptiller.StepServed {
 			t.Errorf("%+v", a)
 		}
 	}
 	// One whose client leaves, and one whose time in the queue is up, give their places back.
 	go serve(context.Background())
-	<-b.come
+	testprog.Await(t, b.come, "invocation at the relay")
 	ctx, cancel := context.WithCancel(context.Background())
 	go serve(ctx)
 	await(t, g, 1)
 	cancel()
-	<-answers
+	testprog.Await(t, answers, "answer")
 	g.Adopt(load(t, fmt.Sprintf(one, "2ms")))
-	if a := g.Serve(context.Background(), &relay.Invocation{}); a.Kind != hoptiller.StepReject || <-met != "queue of route r" {
+	if a := g.Serve(context.Background(), &relay.Invocation{}); a.Kind != hoptiller.StepReject || testprog.Await(t, met, "limit that was met") != "queue of route r" {
 		t.Errorf("%+v", a)
 	}
 	b.go_ <- true
-	<-answers
+	testprog.Await(t, answers, "answer")
 	if in, waiting := g.Counts(); in+waiting > 0 {
 		t.Errorf("%d in and %d waiting are left", in, waiting)
 	}
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "hoptiller/internal/draws"
 )
 
 // Whatever the order: a stop is for good, the last of drain and activate before it decides whether clients are
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "hoptiller/internal/draws"
 )
 
 func TestBucket(t *testing.T) {
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "hoptiller/internal/draws"
 	"hoptiller/internal/unit"
 )
 
--- a/internal/opfile/opfile_test.go
+++ b/internal/opfile/opfile_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "hoptiller/internal/draws"
 )
 
 // same tells that two files say the same words in the same order, whatever stands between them.
--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "hoptiller/internal/draws"
 )
 
 // A cache with any number of cores, half of them busy, with its calls from any routers in any order: what all
--- a/internal/plan/property_test.go
+++ b/internal/plan/property_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "hoptiller/internal/draws"
 	"hoptiller/internal/opfile"
 )
 
--- a/internal/provider/body_test.go
+++ b/internal/provider/body_test.go
@@ -10,6 +10,7 @@
 
 	"hoptiller"
 	"hoptiller/internal/relay"
+	"hoptiller/internal/testprog"
 )
 
 func ask(p *Pool, id string) relay.Result {
@@ -36,15 +37,15 @@
 	})
 	results := make(chan relay.Result, 1)
 	go func() { results <- ask(p, "01") }()
-	until(p, func(s *server) bool { return len(s.conns) > 0 && len(s.conns[0].calls) == 1 })
+	until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) > 0 && len(s.conns[0].calls) == 1 })
 	ctx, cancel := context.WithCancel(context.Background())
 	behind := make(chan relay.Result, 1)
 	go func() {
 		behind <- p.Call(ctx, 1, &relay.Invocation{Key: []byte("k"), ID: []byte("02"), Facts: []byte("c=read")})
 	}()
-	until(p, func(s *server) bool { return len(s.conns[0].calls) == 2 })
-	begin <- true
-	r := <-results
+	until(t, p, "two calls on it", func(s *server) bool { return len(s.conns[0].calls) == 2 })
+	testprog.Give(t, begin, true, "the word to begin")
+	r := testprog.Await(t, results, "head of the value")
 	if r.Body == nil {
 		t.Fatalf("%+v", r)
 	}
@@ -52,7 +53,7 @@
 		t.Errorf("a later call: %+v", r)
 	}
 	cancel()
-	if b := <-behind; b.Status != hoptiller.Cancelled || b.End == nil || b.End() {
+	if b := testprog.Await(t, behind, "end of the call behind"); b.Status != hoptiller.Cancelled || b.End == nil || b.End() {
 		t.Errorf("the call behind: %+v", b)
 	}
 	select {
@@ -62,7 +63,7 @@
 	}
 	r.Body.Close()
 	r.Body.Close()
-	<-ended
+	testprog.Await(t, ended, "end of the connection")
 	if err := r.Body.Copy(func([]byte) error { return nil }); err == nil {
 		t.Error("a closed value came whole")
 	}
--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -5,13 +5,13 @@
 	"context"
 	"net"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"hoptiller"
 	"hoptiller/internal/relay"
+	"hoptiller/internal/testprog"
 )
 
 // serve starts a server that handles each connection, and a pool that knows it as number 1.
@@ -96,7 +96,7 @@
 			t.Errorf("%s: status %d, want %d", name, r.Status, c.want)
 		}
 		if c.ends { // nothing more can be believed of it
-			until(p, func(s *server) bool { return len(s.conns) == 0 })
+			until(t, p, "all connections ended", func(s *server) bool { return len(s.conns) == 0 })
 		}
 		cancel()
 	}
@@ -139,22 +139,22 @@
 	first, cancel := context.WithCancel(context.Background())
 	given := make(chan relay.Result, 1)
 	go func() { given <- p.Call(first, 1, read) }()
-	until(p, func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
+	until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
 	ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
 	defer end()
 	other := make(chan relay.Result, 1)
 	go func() { other <- p.Call(ctx, 1, read) }()
-	conn := <-second
+	conn := testprog.Await(t, second, "second command")
 	cancel()
-	r := <-given
+	r := testprog.Await(t, given, "end of the call that is given up")
 	if r.Status != hoptiller.Cancelled || r.End == nil {
 		t.Fatalf("the call that was given up: %+v", r)
 	}
 	conn.Write([]byte("VA 1 O01\r\nx\r\nVA 1 O01\r\ny\r\n"))
-	if o := <-other; o.Status != hoptiller.OK || string(o.Data) != "y" {
+	if o := testprog.Await(t, other, "its neighbour's answer"); o.Status != hoptiller.OK || string(o.Data) != "y" {
 		t.Errorf("its neighbour: %+v", o)
 	}
-	until(p, func(s *server) bool { return len(s.conns) == 0 })
+	until(t, p, "all connections ended", func(s *server) bool { return len(s.conns) == 0 })
 	r.End()
 }
 
@@ -173,10 +173,10 @@
 	for i := range 2 {
 		go func() { results <- p.Call(ctx, 1, read) }()
 		if i == 0 {
-			until(p, func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
+			until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
 		}
 	}
-	a, b := <-results, <-results
+	a, b := testprog.Await(t, results, "first result"), testprog.Await(t, results, "second result")
 	if min(a.Status, b.Status) != hoptiller.ServerError || max(a.Status, b.Status) != hoptiller.Cancelled {
 		t.Errorf("statuses %d and %d", a.Status, b.Status)
 	}
@@ -209,9 +209,9 @@
 	p := serve(t, hold)
 	result := make(chan relay.Result, 1)
 	go func() { result <- p.Call(context.Background(), 1, read) }()
-	until(p, func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
+	until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
 	p.Update(entry(p.servers[1].Addr, hoptiller.Ready), true)
-	if r := <-result; r.Status != hoptiller.Reset {
+	if r := testprog.Await(t, result, "end of the call"); r.Status != hoptiller.Reset {
 		t.Errorf("status %d", r.Status)
 	}
 }
@@ -229,7 +229,7 @@
 	ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
 	defer end()
 	go p.Call(ctx, 1, read)
-	until(p, func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
+	until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
 	p.mu.Lock()
 	silent := p.servers[1].conns[0]
 	silent.calls[0].sent = time.Now().Add(-time.Hour)
@@ -259,16 +259,13 @@
 }
 
 // until waits for a state of the server that calls bring about by themselves.
-func until(p *Pool, ok func(*server) bool) {
-	for {
+func until(t *testing.T, p *Pool, what string, ok func(*server) bool) {
+	t.Helper()
+	testprog.Until(t, what, func() bool {
 		p.mu.Lock()
-		done := ok(p.servers[1])
-		p.mu.Unlock()
-		if done {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
+		defer p.mu.Unlock()
+		return ok(p.servers[1])
+	})
 }
 
 // A connection that has been idle for nearly as long as the server allows is not used again.
@@ -303,16 +300,27 @@
 		ended <- conn
 	})
 	p.set.Share, p.set.Kept, p.set.ConnectTimeout = 1, 1, 50*time.Millisecond
-	var calls sync.WaitGroup
+	called := make(chan relay.Result, 3)
+	for range 3 {
+		go func() { called <- p.Call(t.Context(), 1, read) }()
+	}
+	// Each has a connection of its own before the first is answered: else a later call goes out on that one, whose
+	// command the server takes for the end.
+	until(t, p, "three connections with a call each", func(s *server) bool {
+		out := 0
+		for _, c := range s.conns {
+			out += len(c.calls)
+		}
+		return len(s.conns) == 3 && out == 3
+	})
 	for range 3 {
-		calls.Go(func() { p.Call(t.Context(), 1, read) })
+		testprog.Give(t, release, true, "the word to answer")
 	}
 	for range 3 {
-		release <- true
+		testprog.Await(t, called, "answer")
 	}
-	calls.Wait()
-	<-ended
-	<-ended
+	testprog.Await(t, ended, "end of one idle connection")
+	testprog.Await(t, ended, "end of another")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := len(p.servers[1].conns); n != 1 {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hoptiller"
+	"hoptiller/internal/testprog"
 )
 
 // caller answers calls by a script and keeps what it was asked.
@@ -128,9 +129,9 @@
 	ctx, leave := context.WithCancel(context.Background())
 	done := make(chan Answer)
 	go func() { done <- r.Serve(ctx, invocation(0, false)) }()
-	<-p.block
+	testprog.Await(t, p.block, "call")
 	leave()
-	if a := <-done; a.Kind == hoptiller.StepServed || len(r.live) != 0 {
+	if a := testprog.Await(t, done, "answer"); a.Kind == hoptiller.StepServed || len(r.live) != 0 {
 		t.Errorf("%+v, %d live", a, len(r.live))
 	}
 }
@@ -141,12 +142,12 @@
 	p.block = make(chan struct{})
 	done := make(chan Answer)
 	go func() { done <- r.Serve(context.Background(), invocation(0, false)) }()
-	<-p.block
+	testprog.Await(t, p.block, "call")
 	r.withdraw(hoptiller.CallID{Invocation: 1, Attempt: 0})
 	r.withdraw(hoptiller.CallID{Invocation: 1, Attempt: 1})
 	r.withdraw(hoptiller.CallID{Invocation: 1, Attempt: 2})
 	r.withdraw(hoptiller.CallID{Invocation: 77, Attempt: 0}) // over already
-	<-done
+	testprog.Await(t, done, "answer")
 	if got := p.said(); len(got) != 1 {
 		t.Errorf("asked %v", got)
 	}
@@ -195,13 +196,8 @@
 	asked := make(orders, 10)
 	go r.Run(ctx, asked)
 	for range 2 {
-		select {
-		case got := <-asked:
-			if got != "watch true" {
-				t.Errorf("asked %q", got)
-			}
-		case <-time.After(20 * time.Second):
-			t.Fatal("no watch")
+		if got := testprog.Await(t, asked, "watch"); got != "watch true" {
+			t.Errorf("asked %q", got)
 		}
 		r.Told(hoptiller.ListFailed, nil)
 	}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -122,11 +122,12 @@
 					return
 				}
 				defer second.Close()
+				second.SetDeadline(time.Now().Add(testprog.Patience))
 				fmt.Fprint(second, "mg 00000000000000aa v O77 Pc=slot-view,d=800\r\n")
 				bufio.NewReader(second).ReadString('\n')
 			}()
 			r, err := Run(context.Background(), &day, Options{Dir: dir})
-			<-played
+			testprog.Await(t, played, "end of what the clients play")
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/testprog/serve.go
+++ b/internal/testprog/serve.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 )
 
 // Serve runs a server on a listener of its own until the test ends, and gives a function that connects to it.
+// Reads and writes of the connections fail once Patience has passed.
 func Serve(t *testing.T, serve func(ctx context.Context, l net.Listener) error) (dial func() net.Conn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -17,7 +19,7 @@
 	go func() { done <- serve(ctx, l) }()
 	t.Cleanup(func() {
 		end()
-		if err := <-done; err != nil {
+		if err := Await(t, done, "end of the server"); err != nil {
 			t.Error(err)
 		}
 	})
@@ -26,6 +28,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		conn.SetDeadline(time.Now().Add(Patience))
 		t.Cleanup(func() { conn.Close() })
 		return conn
 	}
--- a/internal/unit/unit.go
+++ b/internal/unit/unit.go
@@ -3,8 +3,8 @@
 package unit
 
 import (
+	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -25,8 +25,11 @@
 	if text == "0" {
 		return 0, nil
 	}
-	x, err := Parse(text, Time)
-	return Duration(x), err
+	x, err := exact(text, Time)
+	if err != nil {
+		return 0, err
+	}
+	return Duration(x.Num().Int64()), nil
 }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
@@ -38,18 +41,27 @@
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
-// String writes the value in the largest unit in which it has at most three decimals.
+// String writes the value in the largest unit in which it has at most three decimals; ParseDuration reads it as the
+// same where it takes it at all.
 func (d Duration) String() string {
-	for _, u := range slices.Backward(units[Time]) {
-		one := time.Duration(u.of)
-		if milli := one / 1000; time.Duration(d) >= one && (milli == 0 || time.Duration(d)%milli == 0) {
-			return strconv.FormatFloat(float64(d)/u.of, 'f', -1, 64) + " " + u.name
-		}
-	}
 	if d == 0 {
 		return "0 s"
 	}
-	return strconv.FormatFloat(float64(d)/float64(time.Microsecond), 'f', -1, 64) + " us"
+	list := units[Time]
+	in := list[0] // a us has no more decimals than ns
+	for _, u := range slices.Backward(list) {
+		if milli := u.of / 1000; d >= Duration(u.of) && int64(d)%milli == 0 {
+			in = u
+			break
+		}
+	}
+	sign := ""
+	if d < 0 {
+		sign = "-"
+	}
+	abs := func(x int64) int64 { return max(x, -x) } // of parts, which can be turned
+	text := fmt.Sprintf("%s%d.%03d", sign, abs(int64(d)/in.of), abs(int64(d)%in.of/(in.of/1000)))
+	return strings.TrimSuffix(strings.TrimRight(text, "0"), ".") + " " + in.name
 }
 
 // split cuts a quantity into its number and its unit.
