Cut the origin's window on a queue, not on slow work, and call clients back in time

Each request that the module ended was counted by the branch that ended it: 2,176 of 20,537 "origin full after miss", 26 writes short of time after a time-out, nothing else. The fetches out at both routers were 10 to 20, while the origin's answers came in 0.10 s (p50).

Cause: learnWindow (router.go) cut the origin's window by a fifth on each single answer later than 0.6 of its class's aim. A trace of 138 cuts in 52 s: 100 were writes, which take an origin here 2.6 times as long as reads (p50 0.26 s, p90 0.70 s, aim 0.6 s) and which no window bounds; the rest single reads (p99 0.63 s). On the first deployment a write's aim is longer than a read's, so that it worked by luck.

Change: writes leave the window alone; of reads a second late one within eight cuts it. The refused are told to come after a quarter of the aim, or the site's longest wait where that is less: a client's two waits and usual answers fit within the aim.

--- a/defence_test.go
+++ b/defence_test.go
@@ -533,6 +533,70 @@
 	}
 }
 
+// Fetches differ by their own work: one in sixteen takes longer than the aim leaves, as writes do that have more to do.
+// That is no queue, and takes nothing of the window; two late ones of eight are. On a site whose writes take an origin
+// 2.6 times as long as reads, within half of their aim, the window fell to a third and a tenth of all reads was refused.
+func TestSlowWorkIsNoQueueAtTheOrigin(t *testing.T) {
+	set := testSettings()
+	set.Aside, set.OriginKind, set.Balancers, set.MaxAttempts = true, 2, 1, 2
+	list := fleet(1, 1, 1, 1)
+	list[3].Kind = 2
+	r, p := newRouter(set, list)
+	id := uint32(0)
+	fetch := func(write bool, took time.Duration) {
+		id++
+		class := 0
+		if write {
+			class = 2
+		}
+		r.Request(r.now, Request{ID: id, Key: mix(uint64(id)), Class: class, Write: write, Remaining: time.Second})
+		if !write {
+			answer(r, p, id, Miss, 5*time.Millisecond)
+		}
+		if p.last() != (sent{id, 4, time.Second}) {
+			t.Fatalf("request %d was not fetched", id)
+		}
+		r.now += took
+		answer(r, p, id, OK, took)
+	}
+	fetch(false, 20*time.Millisecond)
+	before := r.known[4].window
+	for i := range 64 {
+		fetch(true, 450*time.Millisecond)
+		took := 20 * time.Millisecond
+		if i%16 == 0 {
+			took = 450 * time.Millisecond
+		}
+		fetch(false, took)
+	}
+	if w := r.known[4].window; w < before {
+		t.Errorf("slow writes and one slow read in sixteen took the window from %.1f to %.1f", before, w)
+	}
+	for range 4 {
+		fetch(false, 450*time.Millisecond)
+	}
+	if w := r.known[4].window; w >= before {
+		t.Errorf("four late reads in a row left the window of %.1f at %.1f", before, w)
+	}
+}
+
+// One who is refused is told to come back while an answer is still worth something, not after the site's longest wait.
+func TestRefusedComeBackInTime(t *testing.T) {
+	for _, c := range []struct{ aim, most, want time.Duration }{
+		{600 * time.Millisecond, 2 * time.Second, 150 * time.Millisecond},
+		{4 * time.Second, 300 * time.Millisecond, 300 * time.Millisecond},
+		{600 * time.Millisecond, 0, 0}, // no wait is honoured
+	} {
+		set := testSettings()
+		set.MaxRetryAfter, set.Classes[0].Aim = c.most, c.aim
+		r, p := newRouter(set, nil)
+		p.after = -1
+		if r.Request(r.now, Request{ID: 1, Key: 5, Remaining: time.Second}); p.after != c.want {
+			t.Errorf("aim %v, at most %v: told to come back after %v, want %v", c.aim, c.most, p.after, c.want)
+		}
+	}
+}
+
 // Where servers fetch, a key not answered here lately may need the origin. While such reads fail
 // and kept keys do not, most are turned away; connections that break, and failures that kept keys
 // share, say nothing of the origin.
--- a/router.go
+++ b/router.go
@@ -54,6 +54,9 @@
 	originFirst = 2.4  // fetches that may be out at first for each cache, at all balancers
 	originLeast = 4.0  // and at each of them
 	originLate  = 1.5  // how much later a fetch may come than what is kept, and be no sign of a queue
+	lateOver    = 8.0  // fetches over which late ones are counted:
+	lateBorne   = 0.15 // one of them is its own work, a second is a queue
+	comeBack    = 0.25 // part of the aim after which the refused are told to come: two waits and answers fit
 	gateCut     = 0.2  // part of the gate that a bad fetch takes
 	gateGain    = 0.06 // and what a good one adds to it, of what it is
 	gateMend    = 0.01 // what the gate opens by itself, a second
@@ -70,6 +73,7 @@
 	most       int           // out at once since the window was cut
 	heard      time.Duration // last answer of any kind
 	passed     time.Duration // when the latest attempt that has an answer was sent
+	late       float64       // of an origin: part of its latest reads
 	window     float64       // own attempts that may be out before keys pass on
 	cutAt      time.Duration
 	idleAt     time.Duration // end of the last attempt; 0: none since connections were last closed
@@ -467,6 +471,13 @@
 	default:
 		return
 	}
+	if s.origin && q.Write {
+		return // other work than a fetch, of which no window bounds any
+	}
+	if s.origin {
+		s.late += (one(late) - s.late) / lateOver
+		late = late && s.late > lateBorne
+	}
 	if !late {
 		if used >= s.window/2 {
 			s.window += max(windowOwn, windowGain/r.balancers()) / max(s.window, 1)
@@ -777,7 +788,7 @@
 func (r *Router) finish(q *request, refuse bool) {
 	r.withdraw(q)
 	if refuse && r.mayRefuse(q) {
-		r.act.Refuse(q.ID, r.set.MaxRetryAfter)
+		r.act.Refuse(q.ID, min(r.set.MaxRetryAfter, time.Duration(comeBack*float64(q.class.Aim))))
 	} else {
 		r.act.Fail(q.ID)
 	}
--- a/router_test.go
+++ b/router_test.go
@@ -16,6 +16,7 @@
 	watches int
 	closed  []uint32
 	logs    []string
+	after   time.Duration // with the latest refusal
 }
 
 type sent struct {
@@ -29,7 +30,7 @@
 
 func (p *recorder) Send(q, s uint32, t time.Duration)    { p.sends = append(p.sends, sent{q, s, t}) }
 func (p *recorder) Cancel(_ uint32, attempt int)         { p.cancels = append(p.cancels, attempt) }
-func (p *recorder) Refuse(q uint32, _ time.Duration)     { p.refused[q] = true }
+func (p *recorder) Refuse(q uint32, d time.Duration)     { p.refused[q], p.after = true, d }
 func (p *recorder) Fail(q uint32)                        { p.failed[q] = true }
 func (p *recorder) SetTimer(tok uint64, _ time.Duration) { p.timers = append(p.timers, tok) }
 func (p *recorder) FetchList()                           {}
