Tell customers apart on sockets, withdraw silent calls everywhere, and read load reports

The facade carries one call at a time: the copy waited in facade.go (Send, o.step) for the first call's end, was dropped when that was an answer, and the module counted it as out at its server for good (server.out).

Change: the front reads `t` by the settings' names; rescue withdraws wherever that may be and copies only where not, and the facade, which always can, never asks for copies; reports are read, checked and counted (internal/loads, `load_reports`), and dropped where they are torn, unknown, repeated or no figures; contradictions are told in one line.

--- a/api.go
+++ b/api.go
@@ -52,6 +52,7 @@
 // "not stated" and are legal everywhere.
 type Settings struct {
 	Self, Balancers int
+	Places          int // connections that each core of a server accepts, as its operator states; 0: not stated
 	Zone            int
 	Classes         []Class
 	Tenants         []Tenant
--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -10,11 +10,12 @@
 	"hoptiller/internal/figures"
 	"hoptiller/internal/front"
 	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/loads"
 	"hoptiller/internal/relay"
 )
 
 // calls are what operators can ask of this process.
-func calls(life *lifecycle.State, f *front.Front, counts *figures.Counts, r *relay.Relay) map[string]admin.Call {
+func calls(life *lifecycle.State, f *front.Front, counts *figures.Counts, reports *loads.Table, r *relay.Relay) map[string]admin.Call {
 	told := func(e lifecycle.Event) func() (bool, []byte) {
 		return func() (bool, []byte) {
 			yes := life.Tell(e)
@@ -26,6 +27,7 @@
 		"/v1/metrics": {Method: "GET", Do: func() (bool, []byte) {
 			s := counts.Snapshot()
 			s.Members, s.Unavailable = r.Members()
+			s.Reports = reports.Summary()
 			body, err := json.Marshal(s)
 			return err == nil, append(body, '\n')
 		}},
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -22,6 +22,7 @@
 	"hoptiller/internal/front"
 	"hoptiller/internal/guard"
 	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/loads"
 	"hoptiller/internal/logs"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/origin"
@@ -117,10 +118,15 @@
 	if err != nil {
 		return err
 	}
+	if c.Contradicts != "" {
+		slog.Warn("settings contradict themselves", "what", c.Contradicts)
+	}
 	for _, what := range c.Assumed {
 		slog.Info("fleet assumed", "what", what)
 	}
+	reports := loads.New(c.Reports)
 	counts, life := figures.New(c.Classes), lifecycle.New()
+	c.Settings.Places = p.Limits.Places
 	shares := divide(c, &p.Limits)
 	if shares.heap > 0 {
 		debug.SetMemoryLimit(int64(shares.heap))
@@ -129,7 +135,7 @@
 	providers := provider.New(provider.Settings{
 		Share: providerShare, MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
-		Kept: places.Kept(c.Settings.Balancers), Called: counts.Called,
+		Kept: places.Kept(c.Settings.Balancers, p.Limits.Places), Places: p.Limits.Places, Called: counts.Called, Reports: reports,
 	}, provider.Meta{})
 	origins := provider.New(provider.Settings{
 		Share: 1, MostConns: shares.origins, MostCalls: 1, Kept: shares.origins,
@@ -148,7 +154,7 @@
 	fresh := &freshList{Listener: listener, told: make(chan struct{})}
 	dir := directory.NewClient(registry(c), names, fresh, c.Known)
 	f := &front.Front{
-		Classes: c.Classes, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held,
+		Classes: c.Classes, Tenants: c.Tenants, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held,
 		MostOpen: shares.open, Room: room,
 		Linger: linger, Keep: keep(c.Settings.Classes), Rest: closeTime,
 		Life: life, Counts: counts, Server: server,
@@ -189,7 +195,7 @@
 		return f.Serve(ctx, listeners...)
 	})
 	if operators != nil {
-		a := &admin.Server{Places: shares.operators, Calls: calls(life, f, counts, r)}
+		a := &admin.Server{Places: shares.operators, Calls: calls(life, f, counts, reports, r)}
 		group.Go(func() error { return a.Serve(ctx, operators) })
 	}
 	err = group.Wait()
--- a/facade.go
+++ b/facade.go
@@ -86,6 +86,9 @@
 // NewFacade returns a Facade over a new Router. Whenever Tick should be called
 // before the time that it last gave, wake is called.
 func NewFacade(now time.Duration, set Settings, seed uint64, wake func()) *Facade {
+	// An invocation has one call out at a time here: a second copy would wait for the first one's end, and what the
+	// Router holds to be out there would never be. What is silent is withdrawn, which sockets always allow.
+	set.SecondCopies, set.MayCancel = false, true
 	f := &Facade{wake: wake, now: now, open: map[uint32]*open{}}
 	f.router = New(now, set, seed, (*actions)(f))
 	return f
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,20 +18,23 @@
 
 // Config is all that a router is told.
 type Config struct {
-	Name      string
-	Listen    string
-	Discovery string
-	Admin     string // where operators call; empty: nowhere
-	SocketFD  string // the descriptor on which clients' connections come, if the platform holds it
-	Seed      uint64
-	MemoryMB  int64 // 0: no limit stated
-	Sockets   int   // 0: no limit stated
-	Known     directory.Update
-	Peers     []string // one address for each router of the tier, its own included; none: not told
-	Assumed   []string // what was taken for granted of the fleet, where the text does not say it
+	Name        string
+	Listen      string
+	Discovery   string
+	Admin       string // where operators call; empty: nowhere
+	SocketFD    string // the descriptor on which clients' connections come, if the platform holds it
+	Seed        uint64
+	MemoryMB    int64 // 0: no limit stated
+	Sockets     int   // 0: no limit stated
+	Known       directory.Update
+	Peers       []string // one address for each router of the tier, its own included; none: not told
+	Contradicts string   // how the settings contradict themselves; empty: they don't
+	Assumed     []string // what was taken for granted of the fleet, where the text does not say it
 
 	Settings     hoptiller.Settings
 	Classes      []string // names, in the order of the settings
+	Tenants      []string // the same of the customers
+	Reports      []string // names of what load reports in answers carry; none: they carry none
 	Zones, Kinds []string
 	ConnIdle     time.Duration // after which providers close a connection without use
 	MostCalls    int           // that one connection carries at once
@@ -84,6 +87,7 @@
 		MemoryMB: root.Get("limits.memory_mb").Int(), Sockets: int(root.Get("limits.sockets").Int()),
 		Classes: texts(set.Get("classes.#.name")), Zones: texts(set.Get("failureDomains")),
 		Kinds:     texts(set.Get("kinds")),
+		Tenants:   texts(set.Get("accounts.#.name")),
 		ConnIdle:  time.Duration(set.Get("bounds.connIdle").Int()) * time.Microsecond,
 		MostCalls: int(set.Get("bounds.streamsPerConn").Int()),
 	}
@@ -104,6 +108,13 @@
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
+	if len(c.Tenants) != len(c.Settings.Tenants) {
+		return nil, errors.New("settings: an account without a name")
+	}
+	if set.Get("stats.how").String() == "piggyback" {
+		c.Reports = texts(set.Get("stats.columns"))
+	}
+	c.Contradicts = c.contradictions()
 	c.Peers = texts(root.Get("peers"))
 	c.assume(root.Get("peer_listen").String())
 	return c, nil
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -75,3 +75,30 @@
 		}
 	}
 }
+
+// Settings that contradict themselves are told in one line and used as they stand; whole ones, bare ones and those with
+// names that nobody knows say nothing.
+func TestContradictions(t *testing.T) {
+	const classes = `"classes":[{"name":"read","effect":"idempotent","onTime":600000,"deadline":1500000}]`
+	for set, says := range map[string]string{
+		classes: "",
+		classes + `,"future":{"x":[1]},"stats":{"how":"piggyback","columns":["queue"]}`: "",
+		`"classes":[{"name":"read","onTime":2000000,"deadline":1500000}]`:               "class read: answers are wanted within 2s and given up after 1.5s",
+		`"classes":[{"name":"put","effect":"deduplicated"}]`:                            "class put: repeats are dropped for no time",
+		classes + `,"rules":{"coldFrom":1.5}`:                                           "a cold server has 1.5 of its capacity",
+		classes + `,"balancers":2,"selfIndex":2`:                                        "number 2 of 2 routers",
+		classes + `,"failureDomains":["a"],"zone":1`:                                    "zone 1 of 1",
+		classes + `,"familyInfo":{"mode":"aside"}`:                                      "routers fetch, and there is no origin",
+		classes + `,"failureDomains":["a","a"]`:                                         `two of the name zone "a"`,
+		classes + `,"kinds":["c"],"familyInfo":{"originKind":4}`:                        "the origin's kind is 4 of 1",
+	} {
+		c, err := Parse([]byte(`{"listen":"a:2","discovery":"d:1","settings":{` + set + `}}`))
+		if err != nil || c.Contradicts != says {
+			t.Errorf("%s: said %q, %v", set, c.Contradicts, err)
+		}
+	}
+	c, err := Parse([]byte(`{"settings":{` + classes + `,"rules":{"coldFrom":2},"balancers":1,"selfIndex":1}}`))
+	if err != nil || !strings.Contains(c.Contradicts, "; ") || strings.Contains(c.Contradicts, "\n") {
+		t.Errorf("two contradictions: %q, %v", c.Contradicts, err)
+	}
+}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -2,7 +2,11 @@
 // To count takes no lock.
 package figures
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"hoptiller/internal/loads"
+)
 
 // End is how an invocation ended.
 type End uint8
@@ -54,6 +58,7 @@
 	Pending     int64                 `json:"pending"`
 	Members     int                   `json:"members"`
 	Unavailable int                   `json:"members_unavailable"`
+	Reports     *loads.Summary        `json:"load_reports,omitempty"` // of the slot caches
 }
 
 // Snapshot tells the figures as they are; what is known of the fleet is the caller's to add.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,6 +28,7 @@
 // Front serves the clients of a router, who may come by several listeners.
 type Front struct {
 	Classes   []string            // names, by number
+	Tenants   []string            // names, by number; none: all clients are one customer
 	Deadlines []time.Duration     // for an invocation that states none, by class
 	MostConns int                 // client connections at once
 	MostKept  int                 // of those that have asked, beyond which idle ones are ended as others come; 0: no limit
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -220,3 +220,22 @@
 	<-h
 	return relay.Answer{Kind: hoptiller.StepServed, Data: []byte("x")}
 }
+
+// An invocation carries its customer's number, so that each is held to its own share; one who is not known has none,
+// and where there are no customers all are the first.
+func TestTenants(t *testing.T) {
+	for facts, want := range map[string]int{"c=read,t=brno,d=9": 1, "c=read,t=praha": 0, "c=read,t=nobody": -1, "c=read": -1} {
+		f := &Front{Classes: []string{"read"}, Deadlines: []time.Duration{time.Second}, Tenants: []string{"praha", "brno"}}
+		inv := &relay.Invocation{}
+		if fault := f.facts(inv, []byte(facts)); fault != "" || inv.Tenant != want {
+			t.Errorf("%s: customer %d, want %d, %s", facts, inv.Tenant, want, fault)
+		}
+		if f.Tenants = nil; f.facts(inv, []byte(facts)) != "" {
+			t.Fatal(facts)
+		}
+	}
+	inv := &relay.Invocation{}
+	if (&Front{Classes: []string{"read"}, Deadlines: []time.Duration{time.Second}}).facts(inv, []byte("c=read,t=x")); inv.Tenant != 0 {
+		t.Errorf("customer %d where there are none", inv.Tenant)
+	}
+}
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -151,6 +151,10 @@
 		}
 		inv.Remaining = time.Duration(ms) * time.Millisecond
 	}
+	if len(f.Tenants) > 0 { // one that is not known has no share to go beyond
+		tenant, _ := meta.Fact(facts, "t")
+		inv.Tenant = slices.Index(f.Tenants, string(tenant))
+	}
 	retry, _ := meta.Fact(facts, "r")
 	inv.Retry = string(retry) == "1"
 	return ""
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -207,10 +207,11 @@
 
 // Answer is one answer of a provider. Its slices are parts of what was parsed.
 type Answer struct {
-	Kind AnswerKind
-	ID   []byte // empty where the answer carries none
-	Data []byte // the value or the receipt
-	Long int    // the length of a value over MaxValue, which follows the line, and a line's end follows that
+	Kind   AnswerKind
+	Report []byte // what the server tells of its load, if it does
+	ID     []byte // empty where the answer carries none
+	Data   []byte // the value or the receipt
+	Long   int    // the length of a value over MaxValue, which follows the line, and a line's end follows that
 }
 
 // ErrAnswer is the fault of an answer that is none of the protocol.
@@ -243,6 +244,9 @@
 		return a, 0, err
 	}
 	name, rest := word(text)
+	if i := bytes.LastIndexByte(text, ' '); i >= 0 && i+1 < len(text) && text[i+1] == 'L' {
+		a.Report = text[i+2:]
+	}
 	var length []byte
 	switch string(name) {
 	case "VA":
--- a/internal/model/cache.go
+++ b/internal/model/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -22,6 +23,8 @@
 	rand    *rand.Rand
 	errors  float64 // part of calls that fail at once
 	slowed  float64 // part of its speed that a neighbour takes
+	hung    bool    // it takes calls and begins none
+	held    []*Call // that came meanwhile
 	fallen  bool    // pushed over: it stays down
 	cold    []push  // work sent of late, while cold
 	coldSum float64
@@ -74,6 +77,7 @@
 	c.up, c.mute, c.Begun, c.Started = true, false, !before, c.w.Now()
 	c.w.occupants[c.Addr] = &c.host
 	c.errors, c.slowed, c.cold, c.coldSum = 0, 0, nil, 0
+	c.hung, c.held = false, nil
 	c.station.clear()
 	c.store = newStore(float64(c.w.day.Fleet.Memory) * c.weight() / c.w.meanWeight)
 }
@@ -99,6 +103,15 @@
 	if !c.up {
 		return // it has just been pushed over
 	}
+	if c.hung {
+		c.held = append(c.held, call)
+		return
+	}
+	c.admit(call)
+}
+
+// admit has a call worked on, or turns it away.
+func (c *Cache) admit(call *Call) {
 	if c.errors > 0 && c.rand.Float64() < c.errors {
 		call.Conn.finish(call, Failed)
 		return
@@ -135,7 +148,22 @@
 }
 
 // give stops work for which nobody waits.
-func (c *Cache) give(call *Call) { c.w.Waste += c.station.cancel(&call.job) }
+func (c *Cache) give(call *Call) {
+	if i := slices.Index(c.held, call); i >= 0 {
+		c.held = slices.Delete(c.held, i, i+1)
+		return
+	}
+	c.w.Waste += c.station.cancel(&call.job)
+}
+
+// hang has the cache begin nothing more, or go on with what came meanwhile.
+func (c *Cache) hang(on bool) {
+	held := c.held
+	c.hung, c.held = on, nil
+	for _, call := range held {
+		c.admit(call)
+	}
+}
 
 // arrived counts work that has come. A cold cache that is sent too much of it falls over.
 func (c *Cache) arrived(work float64, router int) {
--- a/internal/model/fault.go
+++ b/internal/model/fault.go
@@ -34,6 +34,8 @@
 	"vanish":         {"part of the caches' machines fall silent and come back cold after for", vanish},
 	"errors":         {"part of the caches fail a size of their calls at once", failing},
 	"slow":           {"part of the caches lose a size of their speed to a neighbour", slow},
+	"hang":           {"part of the caches take calls and answer none, and then go on", hang},
+	"void":           {"a size of all kept copies goes void at once", void},
 	"hot_key":        {"count keys draw a size of all traffic", hotKey},
 	"silent":         {"a size of all open connections falls silent each second", silentConns},
 	"resets":         {"size connections are reset a second", resets},
@@ -198,6 +200,21 @@
 	return onSome(w, f.Part, r, func(c *Cache, on bool) { c.errors = when(on, f.Size) })
 }
 
+func hang(w *World, f *Fault, r *rand.Rand) func() {
+	return onSome(w, f.Part, r, func(c *Cache, on bool) { c.hang(on) })
+}
+
+func void(w *World, f *Fault, r *rand.Rand) func() {
+	for _, c := range w.Caches {
+		for _, key := range c.store.keys() {
+			if r.Float64() < f.Size {
+				c.store.void(key)
+			}
+		}
+	}
+	return nil
+}
+
 func slow(w *World, f *Fault, r *rand.Rand) func() {
 	return onSome(w, f.Part, r, func(c *Cache, on bool) { c.slowed = when(on, f.Size) })
 }
--- a/internal/model/store.go
+++ b/internal/model/store.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// keys are those that are kept, the one used last first.
+func (s *store) keys() (all []uint64) {
+	for e := s.order.Front(); e != nil; e = e.Next() {
+		all = append(all, e.Value.(*object).key)
+	}
+	return all
+}
+
 // void drops a key.
 func (s *store) void(key uint64) {
 	if e, ok := s.byKey[key]; ok {
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -405,6 +405,7 @@
 		"open":      func(s *statement) { l.Open = c.count(s, 1, 1e6) },
 		"providers": func(s *statement) { l.Providers = c.count(s, 1, 1e6) },
 		"origin":    func(s *statement) { l.Origin = c.count(s, 1, 1e6) },
+		"places":    func(s *statement) { l.Places = c.count(s, 3, 1e5) },
 
 		"concurrency": func(s *statement) { c.concurrency(s, &l.Concurrency) },
 		"queue":       func(s *statement) { c.queue(s, &l.Queue, &l.QueueFor) },
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -150,7 +151,7 @@
 func (p *Plan) things() map[string][]Field {
 	all := map[string][]Field{
 		"limits": {{"clients", amount(p.Limits.Clients)}, {"open", amount(p.Limits.Open)},
-			{"providers", amount(p.Limits.Providers)}, {"origin", amount(p.Limits.Origin)},
+			{"providers", amount(p.Limits.Providers)}, {"origin", amount(p.Limits.Origin)}, {"places", strconv.Itoa(cmp.Or(p.Limits.Places, 14))},
 			{"concurrency", concurrencyText(p.Limits.Concurrency)}, {"queue", queueText(p.Limits.Queue, p.Limits.QueueFor)}},
 		"log": {{"level", p.Log.Level}, {"format", p.Log.Format}, {"rate", unit.Format(p.Log.Rate, unit.Rate)}},
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -118,6 +118,7 @@
 	Open      int // invocations at once beyond the first of each connection
 	Providers int // connections to slot caches
 	Origin    int // connections to the origin
+	Places    int // connections that each core of a slot cache accepts from all routers
 
 	// All routes share this one, and what has a low priority makes room first.
 	Concurrency Concurrency
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -250,6 +250,9 @@
 			return used, nil, true
 		}
 		used += reply.N
+		if reply.Report != nil && p.set.Reports != nil {
+			p.set.Reports.Take(c.server.ID, reply.Report)
+		}
 		c.calls = c.calls[1:]
 		if s := c.server; out.sent.After(s.passed) {
 			s.passed = out.sent
--- a/internal/provider/protocol.go
+++ b/internal/provider/protocol.go
@@ -22,6 +22,7 @@
 type Reply struct {
 	N      int // bytes that it takes up; 0: it is not whole yet
 	Status hoptiller.Status
+	Report []byte  // what the server tells of its load; nil: nothing
 	Data   []byte  // the value or the receipt
 	Long   Decoder // if set, a long value follows those bytes
 	Length int     // of that; -1: it shows at its end
@@ -75,7 +76,7 @@
 	if err != nil || n == 0 {
 		return Reply{}, err
 	}
-	r := Reply{N: n, Keep: true}
+	r := Reply{N: n, Keep: true, Report: a.Report}
 	switch a.Kind {
 	case meta.Failed:
 		r.Status = hoptiller.ServerError
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"hoptiller"
+	"hoptiller/internal/loads"
 	"hoptiller/internal/places"
 	"hoptiller/internal/relay"
 )
@@ -23,9 +24,11 @@
 	MostTotal      int           // connections to all servers; 0: no limit
 	MostCalls      int           // calls out on one connection at once
 	IdleLimit      time.Duration // connections without use for so long are not used again; 0: no limit
+	Places         int           // connections that each core of a server accepts; 0: not stated
 	Kept           int           // idle connections to a server that stay till then; more are closed sooner
 	ConnectTimeout time.Duration
 	Room           *semaphore.Weighted // bytes of values whose length shows at their end
+	Reports        *loads.Table        // keeps what servers tell of their load; nil: nothing does
 	Called         func()              // told of each call that was written whole; nil: nobody is
 }
 
@@ -83,6 +86,9 @@
 		return false
 	}
 	delete(p.servers, id)
+	if p.set.Reports != nil {
+		p.set.Reports.Forget(id)
+	}
 	return true
 }
 
--- a/internal/provider/reap.go
+++ b/internal/provider/reap.go
@@ -7,7 +7,7 @@
 // the tables have room for, by one timer for the whole pool that runs only while there are such.
 
 // idleFor is how long that is; what may take longer to come up again is not closed for less.
-func (p *Pool) idleFor() time.Duration { return max(p.calls.Idle(), p.set.ConnectTimeout) }
+func (p *Pool) idleFor() time.Duration { return max(p.calls.Idle(p.set.Places), p.set.ConnectTimeout) }
 
 // reapLater has the idle connections to a server looked at in time. p.mu is held.
 func (p *Pool) reapLater(s *server) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,7 @@
 	Long      *buffer.Chain // the same where it is long; nothing may use it once the final answer is known
 	Write     bool
 	Class     int
+	Tenant    int // the customer by number; -1: none that is known
 	Retry     bool
 	Remaining time.Duration // until the client gives up
 
@@ -32,6 +33,14 @@
 	Narrow hoptiller.Narrowing // what an operator forbids it; nil: nothing
 }
 
+// request is what the module is told of it.
+func (inv *Invocation) request(id uint32) hoptiller.Request {
+	return hoptiller.Request{
+		ID: id, Class: inv.Class, Tenant: inv.Tenant, Key: keyNumber(inv.Key), Write: inv.Write, Retry: inv.Retry,
+		Remaining: inv.Remaining, Narrow: inv.Narrow,
+	}
+}
+
 // Length is that of its value.
 func (inv *Invocation) Length() int {
 	if inv.Long != nil {
@@ -197,10 +206,7 @@
 		r.liveMu.Unlock()
 	}()
 
-	step := r.core.Pick(r.now(), hoptiller.Request{
-		ID: id, Class: inv.Class, Key: keyNumber(inv.Key), Write: inv.Write, Retry: inv.Retry,
-		Remaining: inv.Remaining, Narrow: inv.Narrow,
-	})
+	step := r.core.Pick(r.now(), inv.request(id))
 	defer context.AfterFunc(ctx, func() { r.core.Gone(r.now(), id) })()
 	for {
 		r.closeIdle(step.CloseIdle)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -210,3 +210,12 @@
 		t.Error("wrong number")
 	}
 }
+
+// The module is told all that it decides by: also whose request it is, or all would count as the first customer's.
+func TestRequest(t *testing.T) {
+	inv := &Invocation{Key: []byte("00000000000000ff"), Class: 1, Tenant: 3, Write: true, Retry: true, Remaining: time.Second}
+	want := hoptiller.Request{ID: 7, Class: 1, Tenant: 3, Key: 255, Write: true, Retry: true, Remaining: time.Second}
+	if got := inv.request(7); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
--- a/internal/sim/pool.go
+++ b/internal/sim/pool.go
@@ -156,11 +156,11 @@
 	now := world.Now()
 	v.idleAt = now
 	day := p.r.t.day
-	kept := places.Kept(day.Routers)
+	kept := places.Kept(day.Routers, 0)
 	if !day.Fleet.Reap || p.server == 0 || len(p.conns) <= kept {
 		return
 	}
-	world.After(max(p.r.calls.Idle(), day.Fleet.ConnectFor.D()), func() {
+	world.After(max(p.r.calls.Idle(0), day.Fleet.ConnectFor.D()), func() {
 		if !p.r.dead && !v.dead && len(v.calls) == 0 && v.idleAt == now && len(p.conns) > kept {
 			p.r.end(v, hoptiller.Cancelled)
 		}
--- a/internal/sim/settings.go
+++ b/internal/sim/settings.go
@@ -21,7 +21,7 @@
 		set.Cold = max(set.Cold, k.ColdFor.D())
 	}
 	for _, c := range day.Classes {
-		class := hoptiller.Class{Aim: c.Aim.D(), Deadline: c.Deadline.D(), Worth: c.Worth, KeyTTL: c.Window.D()}
+		class := hoptiller.Class{Aim: c.Aim.D(), Deadline: c.Deadline.D(), Worth: c.Worth, LateValue: c.Late, KeyTTL: c.Window.D()}
 		switch c.Effect {
 		case "unsafe":
 			class.Effect = hoptiller.AtMostOnce
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -161,10 +161,11 @@
 	took := op.Served - op.At
 	c.ok++
 	c.times.RecordValue(max(1, took.Microseconds()))
-	if took <= set.Aim.D() {
-		s.served += worth
-		c.served += worth
+	if took > set.Aim.D() {
+		worth *= set.Late
 	}
+	s.served += worth
+	c.served += worth
 }
 
 // Answered takes a router's final answer.
--- a/router.go
+++ b/router.go
@@ -973,9 +973,9 @@
 }
 
 // rescue guards against servers that drop what they get without a word: what is out at one that has not
-// answered for several usual latencies is withdrawn and sent on. A second copy, where those are allowed,
-// goes out only where other outcomes show the server sick and nothing overload: one silent request may
-// be the trouble itself, and copies feed a queue. A withdrawal that the budget makes useless is not made.
+// answered for several usual latencies is withdrawn and sent on. Only where that can't be, and second copies
+// are allowed, one goes out, and only where other outcomes show the server sick and nothing overload: one silent
+// request may be the trouble itself, and copies feed a queue. A withdrawal that the budget makes useless is not made.
 func (r *Router) rescue(q *request) {
 	if q.closed || len(q.tries) == 0 || len(q.tries) >= r.set.MaxAttempts || q.end-r.now < 2*sweepTick {
 		return
@@ -988,23 +988,20 @@
 	if !sick {
 		patience = max(patience, silentAim*q.class.Aim.Seconds())
 	}
-	copies, silent := sick && r.pressure <= 0.5 || !r.set.SecondCopies, r.now-max(t.to.heard, t.at)
+	silent := r.now - max(t.to.heard, t.at)
 	if l, aim := passedAfter*r.usualOf(q), q.class.Aim.Seconds(); t.to.passed > t.at && l < passedAim*aim {
 		silent, patience = r.now-t.at, max(lateAt*aim, l) // its connection may be silent, not the server
 	}
-	if silent.Seconds() <= patience || !copies || !r.mayTry(q) || !q.mayRepeat() {
+	if silent.Seconds() <= patience || !r.mayTry(q) || !q.mayRepeat() {
 		return
 	}
-	if r.set.SecondCopies {
-		if q.Narrow != nil && !q.Narrow.Copies() {
-			return
-		}
+	if r.set.MayCancel {
+		t.withdrawn = true
+		r.act.Cancel(q.ID, len(q.tries)-1)
+	} else if r.set.SecondCopies && sick && r.pressure <= 0.5 && (q.Narrow == nil || q.Narrow.Copies()) {
 		if to := r.choose(q); to != nil && to != t.to && q.spend(r.now) {
 			r.send(q, to)
 		}
-	} else if r.set.MayCancel {
-		t.withdrawn = true
-		r.act.Cancel(q.ID, len(q.tries)-1)
 	}
 }
 
@@ -1033,7 +1030,7 @@
 // near guards against more connections than fit: where no server holds one of each router, a key has a
 // home in each zone, for the routers there. Other zones are next where that is sick, cold or gone.
 func (r *Router) near(zone int) float64 {
-	if zone != r.set.Zone && places.Kept(r.set.Balancers) == 0 {
+	if zone != r.set.Zone && places.Kept(r.set.Balancers, r.set.Places) == 0 {
 		return farWeight
 	}
 	return 1
