--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -203,8 +203,8 @@
 	if c.out--; c.out > 0 {
 		return
 	}
-	if rest := c.front.closing.Load(); rest > 0 && !c.end {
-		c.end, c.restBy = true, time.Now().Add(time.Duration(rest))
+	if rest := c.front.rest(); rest > 0 && !c.end {
+		c.end, c.restBy = true, time.Now().Add(rest)
 	}
 	if !c.part {
 		c.since = time.Now()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -174,6 +174,16 @@
 	}
 }
 
+// rest is how long what has begun has to come whole if connections end once nothing is out on them, and 0 if they
+// don't. A router that was called back serves from that moment on, however late follow hears of it.
+func (f *Front) rest() time.Duration {
+	rest := f.closing.Load()
+	if rest > 0 && f.Life.Phase() == lifecycle.Serving {
+		return 0
+	}
+	return time.Duration(rest)
+}
+
 // crowded tells that a connection may have only one more invocation open, so that those which send
 // hundreds ahead take no places of those which wait for their answers.
 func (f *Front) crowded() bool {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -239,3 +239,22 @@
 		t.Errorf("customer %d where there are none", inv.Tenant)
 	}
 }
+
+// Who is told that the router was called back finds it so: a connection that comes then stays, though the router's own
+// goroutine has not heard yet. A scenario met that on a busy machine, and waited for an answer on a connection that ended.
+func TestCalledBackAtOnce(t *testing.T) {
+	f := &Front{Life: lifecycle.New()}
+	f.closing.Store(int64(time.Second))
+	f.Life.Tell(lifecycle.Drain)
+	if f.rest() != time.Second {
+		t.Error("connections of a drained router stay")
+	}
+	f.Life.Tell(lifecycle.Activate)
+	if f.rest() != 0 {
+		t.Error("connections of a router that was called back end")
+	}
+	f.Life.Tell(lifecycle.Stop)
+	if f.rest() != time.Second {
+		t.Error("connections of a stopping router stay")
+	}
+}
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -32,7 +32,7 @@
 // command takes the command at the start of b, if it is whole. last tells that nothing more is read, full
 // that the command must wait until another one is answered.
 func (c *conn) command(ctx context.Context, b []byte) (used int, last, full bool) {
-	closing := c.front.closing.Load() > 0
+	closing := c.front.rest() > 0
 	if c.full(readAhead) || closing && c.full(1) {
 		return 0, false, true
 	}
