--- a/cmd/hoplab/lab.go
+++ b/cmd/hoplab/lab.go
@@ -14,13 +14,13 @@
 	"time"
 
 	"hoptiller/internal/command"
-	"hoptiller/internal/draw"
-	"hoptiller/internal/experiment"
-	"hoptiller/internal/model"
-	"hoptiller/internal/rival"
-	"hoptiller/internal/sim"
-	"hoptiller/internal/standin"
-	"hoptiller/internal/tally"
+	"hoptiller/internal/lab/draw"
+	"hoptiller/internal/lab/experiment"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rival"
+	"hoptiller/internal/lab/sim"
+	"hoptiller/internal/lab/standin"
+	"hoptiller/internal/lab/tally"
 )
 
 type runCmd struct {
--- a/cmd/hoplab/pick.go
+++ b/cmd/hoplab/pick.go
@@ -7,10 +7,10 @@
 	"text/tabwriter"
 	"time"
 
-	"hoptiller/internal/draw"
-	"hoptiller/internal/experiment"
-	"hoptiller/internal/model"
-	"hoptiller/internal/sim"
+	"hoptiller/internal/lab/draw"
+	"hoptiller/internal/lab/experiment"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/sim"
 )
 
 type pickCmd struct {
--- a/cmd/hoplab/sockets.go
+++ b/cmd/hoplab/sockets.go
@@ -10,12 +10,12 @@
 	"path/filepath"
 	"time"
 
-	"hoptiller/internal/experiment"
-	"hoptiller/internal/load"
-	"hoptiller/internal/model"
-	"hoptiller/internal/speed"
-	"hoptiller/internal/standin"
-	"hoptiller/internal/tally"
+	"hoptiller/internal/lab/experiment"
+	"hoptiller/internal/lab/load"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/speed"
+	"hoptiller/internal/lab/standin"
+	"hoptiller/internal/lab/tally"
 	"hoptiller/internal/unit"
 )
 
--- a/internal/draw/draw.go
+++ b/internal/lab/draw/draw.go
@@ -14,8 +14,8 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 
-	"hoptiller/internal/experiment"
-	"hoptiller/internal/tally"
+	"hoptiller/internal/lab/experiment"
+	"hoptiller/internal/lab/tally"
 )
 
 // palette is Okabe and Ito's, which people with any kind of colour vision can tell apart.
--- a/internal/draw/draw_test.go
+++ b/internal/lab/draw/draw_test.go
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"testing"
 
-	"hoptiller/internal/experiment"
+	"hoptiller/internal/lab/experiment"
 )
 
 // Every kind of plot is drawn from results, with the names that are in them.
--- a/internal/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -17,10 +17,10 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"hoptiller/internal/model"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rival"
+	"hoptiller/internal/lab/sim"
 	"hoptiller/internal/plan"
-	"hoptiller/internal/rival"
-	"hoptiller/internal/sim"
 )
 
 // File is an experiment: days, each played by some policies from some seeds.
--- a/internal/experiment/hunt.go
+++ b/internal/lab/experiment/hunt.go
@@ -10,8 +10,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"hoptiller/internal/model"
-	"hoptiller/internal/tally"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/tally"
 	"hoptiller/internal/unit"
 )
 
--- a/internal/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -16,9 +16,9 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"hoptiller/internal/model"
-	"hoptiller/internal/sim"
-	"hoptiller/internal/tally"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/sim"
+	"hoptiller/internal/lab/tally"
 )
 
 // Record is the result of one run.
--- a/internal/load/load.go
+++ b/internal/lab/load/load.go
@@ -26,7 +26,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"hoptiller/internal/model"
+	"hoptiller/internal/lab/model"
 )
 
 // Class is one class of request.
--- a/internal/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/model"
+	"hoptiller/internal/lab/model"
 )
 
 // The rules by name.
--- a/internal/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/model"
+	"hoptiller/internal/lab/model"
 )
 
 const ms = time.Millisecond
--- a/internal/sim/cold_test.go
+++ b/internal/lab/sim/cold_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"hoptiller/internal/model"
-	"hoptiller/internal/rules"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rules"
 	"hoptiller/internal/unit"
 )
 
--- a/internal/sim/homes.go
+++ b/internal/lab/sim/homes.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/model"
-	"hoptiller/internal/places"
+	"hoptiller/internal/fleet/places"
+	"hoptiller/internal/lab/model"
 )
 
 // Homes tells where a router that decides by policy sends the first request for a key, when all is calm and
--- a/internal/sim/mass_test.go
+++ b/internal/lab/sim/mass_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"hoptiller/internal/model"
+	"hoptiller/internal/lab/model"
 )
 
 // In front of 200 caches 300 routers would hold more connections than the tables take, each of them as few as a
--- a/internal/sim/pool.go
+++ b/internal/lab/sim/pool.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/model"
-	"hoptiller/internal/places"
+	"hoptiller/internal/fleet/places"
+	"hoptiller/internal/lab/model"
 )
 
 // pool is a router's connections to one server, kept by the same rules as the
--- a/internal/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/model"
-	"hoptiller/internal/places"
-	"hoptiller/internal/tally"
+	"hoptiller/internal/fleet/places"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/tally"
 )
 
 // serving is how long a router that was told to stop takes requests, as the real one does.
--- a/internal/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -2,7 +2,7 @@
 
 import (
 	"hoptiller"
-	"hoptiller/internal/model"
+	"hoptiller/internal/lab/model"
 )
 
 // Settings is what a router of a day is told when it starts.
--- a/internal/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/model"
-	"hoptiller/internal/rules"
-	"hoptiller/internal/tally"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rules"
+	"hoptiller/internal/lab/tally"
 )
 
 // Policy makes the decisions of one router that starts at now.
--- a/internal/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/model"
-	"hoptiller/internal/rival"
-	"hoptiller/internal/rules"
-	"hoptiller/internal/tally"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rival"
+	"hoptiller/internal/lab/rules"
+	"hoptiller/internal/lab/tally"
 	"hoptiller/internal/unit"
 )
 
--- a/internal/speed/speed.go
+++ b/internal/lab/speed/speed.go
@@ -18,10 +18,10 @@
 	"path/filepath"
 	"time"
 
-	"hoptiller/internal/load"
+	"hoptiller/internal/lab/load"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/standin"
 	"hoptiller/internal/logs"
-	"hoptiller/internal/model"
-	"hoptiller/internal/standin"
 )
 
 // Options say what is measured and for how long.
--- a/internal/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"hoptiller/internal/model"
+	"hoptiller/internal/lab/model"
 )
 
 // tier is the routers as the model's clients see them; e.mu is held.
--- a/internal/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -17,10 +17,10 @@
 	"sync"
 	"time"
 
-	"hoptiller/internal/model"
-	"hoptiller/internal/rules"
-	"hoptiller/internal/sim"
-	"hoptiller/internal/tally"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rules"
+	"hoptiller/internal/lab/sim"
+	"hoptiller/internal/lab/tally"
 	"hoptiller/internal/unit"
 )
 
--- a/internal/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -16,7 +16,7 @@
 	"syscall"
 	"time"
 
-	"hoptiller/internal/model"
+	"hoptiller/internal/lab/model"
 )
 
 // node is one router and the addresses at which it finds all others.
--- a/internal/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -14,8 +14,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hoptiller"
+	"hoptiller/internal/lab/model"
 	"hoptiller/internal/meta"
-	"hoptiller/internal/model"
 )
 
 // listenServer opens the address at which a router finds a server.
--- a/internal/standin/settings.go
+++ b/internal/lab/standin/settings.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/model"
-	"hoptiller/internal/sim"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/sim"
 )
 
 // SettingsJSON is what sim.Settings tells a router of a day, in the platform's form. Times are in microseconds.
--- a/internal/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -17,9 +17,9 @@
 	"github.com/tidwall/gjson"
 
 	"hoptiller/internal/config"
-	"hoptiller/internal/model"
-	"hoptiller/internal/rules"
-	"hoptiller/internal/sim"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rules"
+	"hoptiller/internal/lab/sim"
 	"hoptiller/internal/testprog"
 	"hoptiller/internal/unit"
 )
--- a/internal/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -2,7 +2,7 @@
 
 import (
 	"hoptiller"
-	"hoptiller/internal/model"
+	"hoptiller/internal/lab/model"
 )
 
 // watcher is the engine's Judge, which also opens addresses for new caches; e.mu is held.
--- a/internal/tally/judge.go
+++ b/internal/lab/tally/judge.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"hoptiller/internal/model"
-	"hoptiller/internal/rules"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rules"
 )
 
 // Judge sees what really happens in a world, whichever engine plays it, and has it counted and held to the
--- a/internal/tally/tally.go
+++ b/internal/lab/tally/tally.go
@@ -11,8 +11,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"hoptiller"
-	"hoptiller/internal/model"
-	"hoptiller/internal/rules"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rules"
 )
 
 // Result is what became of a day. Only what clients asked after the warm-up counts.
--- a/internal/tally/tally_test.go
+++ b/internal/lab/tally/tally_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/model"
-	"hoptiller/internal/rules"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rules"
 	"hoptiller/internal/unit"
 )
 
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -12,8 +12,8 @@
 	"golang.org/x/sync/semaphore"
 
 	"hoptiller"
+	"hoptiller/internal/fleet/places"
 	"hoptiller/internal/loads"
-	"hoptiller/internal/places"
 	"hoptiller/internal/relay"
 )
 
--- a/router.go
+++ b/router.go
@@ -15,7 +15,7 @@
 	"slices"
 	"time"
 
-	"hoptiller/internal/places"
+	"hoptiller/internal/fleet/places"
 )
 
 const (
