Drill processes: pause, kill and cut off routers by a file, and hold them to claims

Claims (rules, alive, never, said, ready, service) are held against one timeline of what each party told by its own clock; a machine that kept the drill from running for 0.4 s has it played again, and after three times told and failed.

Traced through router and stand-in by request id: the router had an answer, "SERVER_ERROR busy", for its first call. It was not that call's: the stand-in answered a call behind it, whose client had gone meanwhile, at once and out of turn (standin/server.go, call). So the fault is the lab's.

The router's own code has not changed.

--- /dev/null
+++ b/cmd/hoplab/drill.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"hoptiller/internal/command"
+	"hoptiller/internal/lab/draw"
+	"hoptiller/internal/lab/drill"
+)
+
+// playsAgain is how often a drill that the machine was too busy for is played before that is told.
+const playsAgain = 3
+
+type drillCmd struct {
+	Files  []string `arg:"" optional:"" help:"Drills." type:"existingfile"`
+	Random bool     `help:"Draw drills instead."`
+	Seeds  int      `help:"How many are drawn." default:"10"`
+	Seed   uint64   `help:"The first one's seed; of files, in place of their own."`
+	Router string   `help:"The router's program." default:"bin/hoptiller" type:"existingfile"`
+	Out    string   `help:"Folder for timelines and pictures, and for drawn drills that break a claim." default:"found/drills" type:"path"`
+}
+
+func (c *drillCmd) Run(ctx context.Context) error {
+	var all []*drill.File
+	for _, path := range c.Files {
+		f, err := drill.Load(path)
+		if err != nil {
+			return err
+		}
+		if c.Seed > 0 {
+			f.Day.Seed = c.Seed
+		}
+		all = append(all, f)
+	}
+	if c.Random {
+		for i := range c.Seeds {
+			all = append(all, drill.Random(max(c.Seed, 1)+uint64(i)))
+		}
+	}
+	if len(all) == 0 {
+		return errors.New("no drill: files, or --random")
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	broken := 0
+	for i, f := range all {
+		holds, err := c.play(ctx, f, i >= len(c.Files))
+		if errors.Is(err, context.Canceled) {
+			fmt.Printf("stopped; %d of %d drills were played\n", i, len(all))
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", f.Name, err)
+		}
+		if !holds {
+			broken++
+		}
+	}
+	fmt.Printf("%d drills, %d with a broken claim\n", len(all), broken)
+	if broken > 0 {
+		return command.ErrFinding
+	}
+	return nil
+}
+
+// play plays a drill until the machine leaves it the time, tells what became of its claims, and keeps the timeline.
+func (c *drillCmd) play(ctx context.Context, f *drill.File, drawn bool) (holds bool, err error) {
+	var r *drill.Report
+	for n := 1; ; n++ {
+		if r, err = drill.Play(ctx, f, drill.Options{Router: c.Router}); err != nil {
+			return false, err
+		}
+		if !r.Busy() {
+			break
+		}
+		fmt.Printf("%s: the machine kept the drill from running for %v: played again\n", f.Name, r.Lag.Round(1e6))
+		if n == playsAgain {
+			return false, fmt.Errorf("the machine was too busy %d times, nothing is shown", n)
+		}
+	}
+	fmt.Printf("%s: %s\n", f.Name, f.Title)
+	for _, v := range r.Verdicts {
+		fmt.Printf("  %-6s %-8s %s\n", map[bool]string{true: "holds", false: "BROKEN"}[v.Holds], v.Claim.Kind, v.Why)
+	}
+	base := filepath.Join(c.Out, f.Name)
+	out, err := os.Create(base + ".jsonl")
+	if err != nil {
+		return false, err
+	}
+	if err := errors.Join(drill.Write(out, r.Events), out.Close()); err != nil {
+		return false, err
+	}
+	if err := draw.Timeline(f.Title, r.Events, f.Day.Routers, r.Result.Series.Service, base+".svg"); err != nil {
+		return false, err
+	}
+	if len(r.Broken()) == 0 {
+		return true, nil
+	}
+	again := fmt.Sprintf("hoplab drill %s --seed %d", f.Name+".toml", f.Day.Seed)
+	if drawn {
+		text, err := drill.Text(f)
+		if err == nil {
+			err = os.WriteFile(base+".toml", text, 0o644)
+		}
+		if err != nil {
+			return false, err
+		}
+		again = fmt.Sprintf("hoplab drill --random --seeds 1 --seed %d", f.Day.Seed)
+	}
+	fmt.Printf("  timeline %s.jsonl, picture %s.svg; again: %s\n", base, base, again)
+	return false, nil
+}
--- a/cmd/hoplab/lab.go
+++ b/cmd/hoplab/lab.go
@@ -15,6 +15,7 @@
 
 	"hoptiller/internal/command"
 	"hoptiller/internal/lab/draw"
+	"hoptiller/internal/lab/drill"
 	"hoptiller/internal/lab/experiment"
 	"hoptiller/internal/lab/model"
 	"hoptiller/internal/lab/rival"
@@ -361,6 +362,15 @@
 	for _, k := range model.FaultKinds() {
 		fmt.Printf("  %-16s%s\n", k[0], k[1])
 	}
+	steps, claims := drill.Kinds()
+	fmt.Println("steps of drills")
+	for _, k := range steps {
+		fmt.Printf("  %-16s%s\n", k[0], k[1])
+	}
+	fmt.Println("claims of drills")
+	for _, k := range claims {
+		fmt.Printf("  %-16s%s\n", k[0], k[1])
+	}
 	fmt.Println("policies")
 	for _, p := range append([]string{"hoptiller"}, rival.Names()...) {
 		fmt.Println("  " + p)
--- /dev/null
+++ b/internal/lab/drill/drill_test.go
@@ -0,0 +1,206 @@
+package drill
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rules"
+	"hoptiller/internal/lab/tally"
+	"hoptiller/internal/testprog"
+)
+
+var router string
+
+func TestMain(m *testing.M) { testprog.Main(m, "hoptiller/cmd/hoptiller", &router) }
+
+const claim = "\n[[claim]]\nkind = \"rules\"\n"
+
+// Whatever is wrong in a file is told by its line and figure, before anything is started.
+func TestParse(t *testing.T) {
+	for text, says := range map[string]string{
+		"title = \"x\"\n":                        "no claim",
+		claim + "[[step]]\nkind = \"explode\"\n": `d.toml:5: step 1: kind is "explode": one of pause, kill`,
+		claim + "[[step]]\nkind = \"pause\"\nat = \"39 s\"\nfor = \"2 s\"\n": "d.toml:6: step 1: it ends 41s after the warm-up",
+		claim + "[[step]]\nkind = \"pause\"\nrouters = [3]\n":                "d.toml:6: step 1: there is no router 3",
+		claim + "[[step]]\nkind = \"pause\"\ndrop = 0.5\n":                   "are for datagrams",
+		claim + "[[step]]\nkind = \"datagrams\"\ndrop = 1.5\n":               "d.toml:6: step 1: drop is 1.5",
+		claim + "[[step]]\nkind = \"datagrams\"\n":                           "nothing goes wrong",
+		claim + "[[step]]\nkind = \"origin\"\n":                              "nothing goes wrong",
+		claim + "[[step]]\nkind = \"kill\"\nstall = true\n":                  "are for TCP: directory, cache, origin, admin",
+		claim + "[[step]]\nkind = \"kill\"\ndelay = \"1 s\"\n":               "delay is for ways",
+		claim + "[[step]]\nkind = \"kill\"\nwhen = 3\n":                      `d.toml:6:1: there is no "step.when"`,
+		"[[claim]]\nkind = \"hope\"\n":                                       `d.toml:2: claim 1: kind is "hope"`,
+		"[[claim]]\nkind = \"never\"\n":                                      "want a text",
+		"[[claim]]\nkind = \"never\"\ntext = \"(\"\n":                        "d.toml:3: claim 1: text is no expression",
+		"[[claim]]\nkind = \"ready\"\n":                                      "want a time",
+		"[[claim]]\nkind = \"service\"\nwithin = \"1 s\"\n":                  "wants a least",
+		claim + "[day]\nrouters = 61\n":                                      "room for 60 processes",
+		claim + "[day]\nrouters = 0\n":                                       "routers is 0",
+	} {
+		if _, err := Parse("d.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want %q", text, err, says)
+		}
+	}
+}
+
+// The drills that are shipped are good files, and a drawn one is read from its text as it was.
+func TestFiles(t *testing.T) {
+	paths, err := filepath.Glob("../../../lab/drills/*.toml")
+	if err != nil || len(paths) == 0 {
+		t.Fatal("no drills", err)
+	}
+	for _, p := range paths {
+		if _, err := Load(p); err != nil {
+			t.Error(err)
+		}
+	}
+	for seed := range uint64(50) {
+		f := Random(seed)
+		text, err := Text(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g, err := Parse(f.Name+".toml", text)
+		if err != nil {
+			t.Fatalf("seed %d: %v\n%s", seed, err, text)
+		}
+		if g.path, g.text = "", nil; !reflect.DeepEqual(f.Steps, g.Steps) || !reflect.DeepEqual(f.Claims, g.Claims) || !reflect.DeepEqual(f.Day, g.Day) {
+			t.Errorf("seed %d is read otherwise:\n%s", seed, text)
+		}
+	}
+}
+
+// Each claim is broken by what breaks it, and by nothing else.
+func TestJudge(t *testing.T) {
+	f := &File{Day: Small(), Steps: []Step{{Kind: "pause", At: span(2), For: span(3), Routers: []int{1}}}}
+	f.Day.Routers = 2
+	up := []Event{{At: -1, From: "watch", Router: 1, Text: "ready"}, {At: -1, From: "watch", Router: 2, Text: "ready"}}
+	good := &tally.Result{Series: &tally.Series{Service: []float64{1, 1, 0, 0, 0, 0.9, 0.95, 1, 1, 1, 1}}}
+	for name, c := range map[string]struct {
+		claim  Claim
+		events []Event
+		result *tally.Result
+		holds  bool
+	}{
+		"rules kept":             {Claim{Kind: "rules"}, nil, good, true},
+		"rule broken":            {Claim{Kind: "rules"}, nil, &tally.Result{Broken: 1, Violations: []rules.Violation{{Rule: "drain"}}}, false},
+		"alive":                  {Claim{Kind: "alive"}, up, good, true},
+		"a process died":         {Claim{Kind: "alive"}, append(up, Event{At: 4, From: "watch", Router: 1, Text: endedByItself + "exit status 2"}), good, false},
+		"never said":             {Claim{Kind: "never", Text: "panic"}, []Event{{From: "drill", Text: "panic"}}, good, true},
+		"said all the same":      {Claim{Kind: "never", Text: "panic"}, []Event{{At: 1, From: "router", Router: 2, Text: "a panic"}}, good, false},
+		"another one said it":    {Claim{Kind: "never", Text: "panic", Routers: []int{0}}, []Event{{At: 1, From: "router", Router: 2, Text: "a panic"}}, good, true},
+		"said by both":           {Claim{Kind: "said", Text: "back", Within: span(2)}, []Event{{At: 3, From: "router", Router: 1, Text: "back"}, {At: 6, From: "router", Router: 2, Text: "back"}}, good, true},
+		"said by one":            {Claim{Kind: "said", Text: "back", Within: span(2)}, []Event{{At: 3, From: "router", Router: 1, Text: "back"}}, good, false},
+		"said too late":          {Claim{Kind: "said", Text: "back", Within: span(2), Routers: []int{0}}, []Event{{At: 7.5, From: "router", Router: 1, Text: "back"}}, good, false},
+		"said before the step":   {Claim{Kind: "said", Text: "back", Within: span(2), Routers: []int{0}}, []Event{{At: 1, From: "router", Router: 1, Text: "back"}}, good, false},
+		"ready":                  {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 3, From: "watch", Router: 2, Text: "not ready"}, Event{At: 5.5, Sure: 0.2, From: "watch", Router: 2, Text: "ready"}), good, true},
+		"ready too late":         {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 3, From: "watch", Router: 2, Text: "not ready"}, Event{At: 6.5, Sure: 0.2, From: "watch", Router: 2, Text: "ready"}), good, false},
+		"ready, and then not":    {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 9, From: "watch", Router: 2, Text: "not ready"}), good, false},
+		"never seen":             {Claim{Kind: "ready", Within: span(1)}, up[:1], good, false},
+		"service comes back":     {Claim{Kind: "service", Least: 0.9, Within: span(1)}, nil, good, true},
+		"service comes too late": {Claim{Kind: "service", Least: 0.94, Within: span(0.5)}, nil, good, false},
+		"service never comes":    {Claim{Kind: "service", Least: 0.9, Within: span(9)}, nil, &tally.Result{Series: &tally.Series{Service: []float64{1, 1, 1, 1, 1, 1, 0.5, 1, 1, 1, 1}}}, false},
+	} {
+		f.Claims = []Claim{c.claim}
+		if v := judge(f, c.events, c.result)[0]; v.Holds != c.holds || v.Why == "" {
+			t.Errorf("%s: holds %v, %s", name, v.Holds, v.Why)
+		}
+	}
+}
+
+// What processes log is put in the order of their own clocks, however late it is read.
+func TestTimeline(t *testing.T) {
+	tl := &Timeline{}
+	from := time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+	a, b := &log{t: tl, router: 0}, &log{t: tl, router: 1}
+	a.Write([]byte("time=2026-12-01T12:00:01.500Z level=INFO msg=se"))
+	b.Write([]byte("time=2026-12-01T12:00:01.250Z level=INFO msg=first\n"))
+	tl.begin(from)
+	a.Write([]byte("cond\ntime=2026-12-01T11:59:59.000Z msg=before\n"))
+	var text bytes.Buffer
+	if err := Write(&text, tl.Events()); err != nil {
+		t.Fatal(err)
+	}
+	want := `{"at":-1,"sure":0.001,"from":"router","router":1,"text":"time=2026-12-01T11:59:59.000Z msg=before"}
+{"at":1.25,"sure":0.001,"from":"router","router":2,"text":"time=2026-12-01T12:00:01.250Z level=INFO msg=first"}
+{"at":1.5,"sure":0.001,"from":"router","router":1,"text":"time=2026-12-01T12:00:01.500Z level=INFO msg=second"}
+`
+	if text.String() != want {
+		t.Errorf("%s", &text)
+	}
+}
+
+// Processes of the program are paused, killed and cut off, and all that is claimed holds again.
+func TestPlay(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes for half a minute")
+	}
+	f := &File{Name: "test", Title: "test", Day: Small(), Steps: []Step{
+		{Kind: "pause", At: span(1), For: span(2), Routers: []int{0}}, // twice as long as a look at it waits
+		{Kind: "kill", At: span(1), For: span(1), Routers: []int{1}},
+		{Kind: "cache", At: span(2), For: span(1), Routers: []int{2}, Stall: true},
+		{Kind: "directory", At: span(1), For: span(2), Refuse: true},
+		{Kind: "datagrams", At: span(1), For: span(2), Cut: true, Both: true},
+	}, Claims: []Claim{{Kind: "rules"}, {Kind: "alive"}, {Kind: "ready", Within: span(5)},
+		{Kind: "said", Text: `msg="server told"`, Within: span(1), Routers: []int{1}}}}
+	f.Day.Length = span(9)
+	for n := 0; ; n++ {
+		r, err := Play(t.Context(), f, Options{Router: router})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Busy() && n < 3 {
+			t.Logf("the machine kept the drill from running for %v: played again", r.Lag)
+			continue
+		}
+		for _, v := range r.Broken() {
+			t.Errorf("%s: %s", v.Claim.Kind, v.Why)
+		}
+		steps, paused := 0, false
+		for _, e := range r.Events {
+			if e.From == "drill" && e.Router == 0 {
+				steps++
+			}
+			paused = paused || e.From == "watch" && e.Router == 1 && e.Text == "not ready"
+		}
+		if steps != 10 || !paused {
+			t.Errorf("%d beginnings and ends of steps, the pause was seen: %v", steps, paused)
+		}
+		return
+	}
+}
+
+// One that is interrupted ends every process that it started, a paused one too.
+func TestInterrupted(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	f := &File{Day: Small(), Steps: []Step{{Kind: "pause", At: span(-3), For: span(9), Routers: []int{0}}}}
+	f.Day.Warm = span(3)
+	f.Day.Load = model.Prairie().Load
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var at []string
+	seen := func(addr string) { at = append(at, addr) }
+	watch := Options{Router: router, listening: seen, begun: cancel}
+	if _, err := Play(ctx, f, watch); !errors.Is(err, context.Canceled) {
+		t.Fatalf("interrupted: %v", err)
+	}
+	if len(at) != f.Day.Routers {
+		t.Fatalf("%d of %d routers were started", len(at), f.Day.Routers)
+	}
+	for _, addr := range at {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			t.Errorf("somebody still listens at %s", addr)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/drill/judge.go
@@ -0,0 +1,133 @@
+package drill
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+
+	"hoptiller/internal/lab/tally"
+)
+
+// Verdict is what became of a claim.
+type Verdict struct {
+	Claim Claim
+	Holds bool
+	Why   string
+}
+
+// inARow is how many seconds must do well one after the other.
+const inARow = 5
+
+// judge holds what happened against the claims.
+func judge(f *File, events []Event, result *tally.Result) (all []Verdict) {
+	for _, c := range f.Claims {
+		why := ""
+		var holds bool
+		switch c.Kind {
+		case "rules":
+			holds = result.Broken == 0
+			why = fmt.Sprintf("%d rules broken", result.Broken)
+			if !holds && len(result.Violations) > 0 {
+				why += ", first " + result.Violations[0].String()
+			}
+		case "alive":
+			holds, why = alive(events)
+		case "never":
+			holds, why = never(c, events)
+		case "said":
+			holds, why = said(f, c, events)
+		case "ready":
+			holds, why = ready(f, c, events)
+		case "service":
+			holds, why = service(f, c, result.Series.Service)
+		}
+		all = append(all, Verdict{c, holds, why})
+	}
+	return all
+}
+
+func (c *Claim) about(router int) bool {
+	return router > 0 && (len(c.Routers) == 0 || slices.Contains(c.Routers, router-1))
+}
+
+// alive looks for processes that have ended by themselves.
+func alive(events []Event) (bool, string) {
+	for _, e := range events {
+		if e.From == "watch" && strings.HasPrefix(e.Text, endedByItself) {
+			return false, fmt.Sprintf("router %d at %.3f s: %s", e.Router-1, e.At, e.Text)
+		}
+	}
+	return true, "no process ended by itself"
+}
+
+func never(c Claim, events []Event) (bool, string) {
+	is := regexp.MustCompile(c.Text)
+	for _, e := range events {
+		if e.From == "router" && c.about(e.Router) && is.MatchString(e.Text) {
+			return false, fmt.Sprintf("router %d at %.3f s: %s", e.Router-1, e.At, e.Text)
+		}
+	}
+	return true, "no line fits"
+}
+
+func said(f *File, c Claim, events []Event) (bool, string) {
+	is := regexp.MustCompile(c.Text)
+	from, to := f.first().Seconds(), (f.calm() + c.Within.D()).Seconds()
+	last := 0.0
+	for i := range f.Day.Routers {
+		if !c.about(i + 1) {
+			continue
+		}
+		at := slices.IndexFunc(events, func(e Event) bool {
+			return e.From == "router" && e.Router == i+1 && e.At+e.Sure >= from && is.MatchString(e.Text)
+		})
+		if at < 0 || events[at].At-events[at].Sure > to {
+			return false, fmt.Sprintf("router %d said nothing of it by %.1f s", i, to)
+		}
+		last = max(last, events[at].At)
+	}
+	return true, fmt.Sprintf("the last at %.3f s", last)
+}
+
+// ready tells whether routers are ready within the time and stay so. When they were seen so is not when they were: the
+// time is held against the earliest that fits what was seen.
+func ready(f *File, c Claim, events []Event) (bool, string) {
+	to, last := (f.calm() + c.Within.D()).Seconds(), 0.0
+	for i := range f.Day.Routers {
+		if !c.about(i + 1) {
+			continue
+		}
+		since, is := 0.0, false
+		for _, e := range events {
+			if e.From == "watch" && e.Router == i+1 {
+				since, is = e.At-e.Sure, e.Text == "ready"
+			}
+		}
+		if !is {
+			return false, fmt.Sprintf("router %d is not ready at the end, since %.1f s", i, since)
+		}
+		if since > to {
+			return false, fmt.Sprintf("router %d is ready from %.1f s on, not from %.1f s", i, since, to)
+		}
+		last = max(last, since)
+	}
+	return true, fmt.Sprintf("the last from %.1f s on, %.1f s after all was calm", last, max(0, last-f.calm().Seconds()))
+}
+
+// service tells whether each second of five in a row does well, of which the first begins within the time.
+func service(f *File, c Claim, seconds []float64) (bool, string) {
+	calm := f.calm().Seconds()
+	from := int(calm + 0.999)
+	best, row := 0.0, 0
+	for i := from; i < len(seconds); i++ {
+		best = max(best, seconds[i])
+		if row++; seconds[i] < c.Least {
+			row = 0
+		}
+		if begun := float64(i + 1 - inARow); row == inARow {
+			return begun <= calm+c.Within.Seconds(), fmt.Sprintf("five seconds of %.2f or more from %.0f s on, %.1f s after all was calm", c.Least, begun, begun-calm)
+		}
+	}
+	return false, fmt.Sprintf("no five seconds of %.2f in a row after %.1f s, the best has %.3f", c.Least, calm, best)
+}
--- /dev/null
+++ b/internal/lab/drill/play.go
@@ -0,0 +1,296 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"hoptiller/internal/lab/standin"
+	"hoptiller/internal/lab/tally"
+	"hoptiller/internal/lab/ways"
+)
+
+// Options say how a drill is played.
+type Options struct {
+	Router string // the router's program
+
+	listening func(admin string) // for tests: told where each router takes operators' calls,
+	begun     func()             // and when the day has begun
+}
+
+// Report is what came of a drill.
+type Report struct {
+	Verdicts []Verdict
+	Events   []Event
+	Lag      time.Duration // the longest time for which the machine kept the drill itself from running
+	Result   *tally.Result
+}
+
+// busy is the lag from which a drill says nothing: a router may have stood still for as long, by no fault of anyone's.
+const busy = 400 * time.Millisecond
+
+// Busy tells whether the machine was too busy for a verdict.
+func (r *Report) Busy() bool { return r.Lag > busy }
+
+// Broken are the claims that don't hold.
+func (r *Report) Broken() (all []Verdict) {
+	for _, v := range r.Verdicts {
+		if !v.Holds {
+			all = append(all, v)
+		}
+	}
+	return all
+}
+
+// player is one drill that is played.
+type player struct {
+	f        *File
+	timeline *Timeline
+	mesh     *ways.Mesh
+	admins   []string // operators' addresses of the routers themselves
+
+	mu    sync.Mutex
+	ways  map[wayKey][]*ways.Way
+	state map[wayKey]ways.Streams // that new ways begin with
+	hand  standin.Control
+}
+
+type wayKey struct {
+	router int
+	to     standin.Party
+}
+
+// admin is the operators' way to a router, which the stand-ins know nothing of.
+const admin standin.Party = "admin"
+
+// endedByItself begins the text of an event that tells of a process that no step and no fault has ended.
+const endedByItself = "ended by itself: "
+
+// host is the address that only one router uses, as the stand-ins have it.
+func host(router int) string { return fmt.Sprintf("127.0.%d.%d", 1+router/250, 1+router%250) }
+
+// Play plays a drill once. When ctx ends, so does every process that it started.
+func Play(ctx context.Context, f *File, opt Options) (*Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := &player{f: f, timeline: &Timeline{}, ways: map[wayKey][]*ways.Way{}, state: map[wayKey]ways.Streams{}}
+	defer p.close()
+	var hosts []string
+	for i := range f.Day.Routers {
+		hosts = append(hosts, host(i))
+		l, err := net.Listen("tcp", net.JoinHostPort(host(i), "0")) // found free, and left to the router
+		if err != nil {
+			return nil, err
+		}
+		p.admins = append(p.admins, l.Addr().String())
+		l.Close()
+		if opt.listening != nil {
+			opt.listening(p.admins[i])
+		}
+		if _, err := p.way(i, admin, p.admins[i]); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if p.mesh, err = ways.NewMesh(hosts, f.Day.Seed); err != nil {
+		return nil, err
+	}
+	day := f.Day
+	o := standin.Options{Router: opt.Router, Series: true, Way: p.way,
+		Logs:  func(i int) io.Writer { return &log{t: p.timeline, router: i} },
+		Peers: func(i int) (string, []string) { return p.mesh.Home(i), p.mesh.Peers(i) },
+		Admin: func(i int) string { return p.admins[i] },
+		Ended: func(i int, how string) {
+			p.timeline.add(time.Now(), 50*time.Millisecond, "watch", i, endedByItself+how)
+		},
+	}
+	for i := range f.Steps {
+		s := &f.Steps[i]
+		o.Steps = append(o.Steps, standin.Step{At: day.Warm.D() + s.At.D(), Do: func() { p.begin(i, s) }})
+		if s.For > 0 {
+			o.Steps = append(o.Steps, standin.Step{At: day.Warm.D() + s.At.D() + s.For.D(), Do: func() { p.end(i, s) }})
+		}
+	}
+	var watch sync.WaitGroup
+	var lag time.Duration
+	o.Begun = func(c standin.Control, at time.Time) {
+		p.mu.Lock()
+		p.hand = c
+		p.mu.Unlock()
+		p.timeline.begin(at.Add(day.Warm.D()))
+		if opt.begun != nil {
+			opt.begun()
+		}
+		for i := range day.Routers {
+			watch.Go(func() { p.watchReady(ctx, i) })
+		}
+		watch.Go(func() { lag = p.watchLag(ctx) })
+	}
+	result, err := standin.Run(ctx, &day, o)
+	cancel()
+	watch.Wait()
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range result.Violations {
+		p.timeline.add(p.timeline.from.Add(v.At-day.Warm.D()), 50*time.Millisecond, "rules", v.Router, v.String())
+	}
+	r := &Report{Events: p.timeline.Events(), Lag: lag, Result: result}
+	r.Verdicts = judge(f, r.Events, result)
+	return r, nil
+}
+
+// way puts a relay before a party.
+func (p *player) way(router int, to standin.Party, addr string) (string, error) {
+	w, err := ways.NewWay(host(router), addr)
+	if err != nil {
+		return "", err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := wayKey{router, to}
+	w.Set(p.state[k])
+	p.ways[k] = append(p.ways[k], w)
+	return w.Addr(), nil
+}
+
+func (p *player) close() {
+	if p.mesh != nil {
+		p.mesh.Close()
+	}
+	for _, list := range p.ways {
+		for _, w := range list {
+			w.Close()
+		}
+	}
+}
+
+func (p *player) say(router int, format string, args ...any) {
+	p.timeline.add(time.Now(), time.Millisecond, "drill", router, fmt.Sprintf(format, args...))
+}
+
+// each calls for the routers that a step is about.
+func (p *player) each(list []int, do func(router int)) {
+	if len(list) == 0 {
+		for i := range p.f.Day.Routers {
+			do(i)
+		}
+		return
+	}
+	for _, i := range list {
+		do(i)
+	}
+}
+
+func (p *player) begin(n int, s *Step) {
+	p.say(-1, "step %d: %s begins", n+1, s.Kind)
+	p.each(s.Routers, func(i int) { p.set(i, s, true) })
+}
+
+func (p *player) end(n int, s *Step) {
+	p.say(-1, "step %d: %s ends", n+1, s.Kind)
+	p.each(s.Routers, func(i int) { p.set(i, s, false) })
+}
+
+// set does a step to one router, or takes it back.
+func (p *player) set(i int, s *Step, on bool) {
+	p.mu.Lock()
+	hand := p.hand
+	p.mu.Unlock()
+	switch s.Kind {
+	case "pause":
+		p.say(i, "paused: %v", on)
+		hand.Signal(i, map[bool]os.Signal{true: syscall.SIGSTOP, false: syscall.SIGCONT}[on])
+	case "kill", "term":
+		switch p.say(i, "%s: %v", s.Kind, on); {
+		case !on:
+			hand.Start(i)
+		case s.Kind == "kill":
+			hand.Kill(i)
+		default:
+			hand.Signal(i, syscall.SIGTERM)
+		}
+	case "datagrams":
+		p.each(s.To, func(j int) {
+			if i == j {
+				return
+			}
+			var d ways.Datagrams
+			if on {
+				d = ways.Datagrams{Drop: s.Drop, Double: s.Double, Spoil: s.Spoil, Late: s.Late, Delay: s.Delay.D(), Jitter: s.Jitter.D(), Cut: s.Cut}
+			}
+			if p.mesh.Set(i, j, d); s.Both {
+				p.mesh.Set(j, i, d)
+			}
+		})
+	default:
+		var x ways.Streams
+		if on {
+			x = ways.Streams{Stall: s.Stall, Refuse: s.Refuse, Cut: s.After, Delay: s.Delay.D(), Rate: s.Rate}
+		}
+		p.mu.Lock()
+		k := wayKey{i, standin.Party(s.Kind)}
+		p.state[k] = x
+		list := p.ways[k]
+		p.mu.Unlock()
+		for _, w := range list {
+			w.Set(x)
+		}
+	}
+}
+
+// watchReady asks a router all the time whether it is ready, and tells of each change. The operators' way is the drill's
+// as well: a router that can't be asked is not ready.
+func (p *player) watchReady(ctx context.Context, i int) {
+	p.mu.Lock()
+	addr := p.ways[wayKey{i, admin}][0].Addr()
+	p.mu.Unlock()
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for last := ""; ; {
+		asked := time.Now()
+		r, err := client.Get("http://" + addr + "/v1/readyz")
+		now := "not ready"
+		if err == nil {
+			if r.Body.Close(); r.StatusCode == http.StatusOK {
+				now = "ready"
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if now != last {
+			half := time.Since(asked)/2 + 50*time.Millisecond
+			p.timeline.add(asked.Add(half-50*time.Millisecond), half, "watch", i, now)
+			last = now
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// watchLag tells the longest time for which a process that wants next to nothing was kept from running.
+func (p *player) watchLag(ctx context.Context) (most time.Duration) {
+	const every = 20 * time.Millisecond
+	for {
+		begun := time.Now()
+		timer := time.NewTimer(every)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return most
+		case <-timer.C:
+		}
+		most = max(most, time.Since(begun)-every)
+	}
+}
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -93,7 +93,7 @@
 		return nil, f.fault("seeds", fmt.Sprintf("seeds is %d: 1 to 100000 is possible", f.Seeds))
 	}
 	if err := f.Day.Check(); err != nil {
-		return nil, f.fault("day."+figure(err), err.Error())
+		return nil, FaultOf(path, text, err)
 	}
 	if len(f.Policies) == 0 {
 		f.Policies = []string{"hoptiller"}
@@ -150,14 +150,36 @@
 
 func decode(text []byte) (*File, error) {
 	f := &File{Day: model.Prairie()}
-	d := toml.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(f); err != nil {
+	if err := strict(text, f); err != nil {
 		return nil, err
 	}
 	return f, nil
 }
 
+func strict(text []byte, into any) error {
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	return d.Decode(into)
+}
+
+// Strict reads the text of a file in the lab's form into a value; what that has no place for is an *Error.
+func Strict(path string, text []byte, into any) error {
+	if err := strict(text, into); err != nil {
+		return locate(path, err)
+	}
+	return nil
+}
+
+// Fault is an *Error about a figure of a file, at the line that sets it: "day.fleet.caches", "step 2: at".
+func Fault(path string, text []byte, figure, what string) error {
+	return &Error{Path: path, Line: lineOf(text, figure), Text: what}
+}
+
+// FaultOf is that for an error of model.Day.Check.
+func FaultOf(path string, text []byte, err error) error {
+	return Fault(path, text, "day."+figure(err), err.Error())
+}
+
 // locate gives a decoder's error its place in the file.
 func locate(path string, err error) error {
 	var unknown *toml.StrictMissingError
@@ -182,7 +204,7 @@
 
 // fault says what is wrong with a figure, and where the file has it.
 func (f *File) fault(name, text string) error {
-	return &Error{Path: f.path, Line: lineOf(f.text, name), Text: text}
+	return Fault(f.path, f.text, name, text)
 }
 
 // lineOf finds the line on which a figure is set, such as "day.fleet.caches" or "day.fault 2: zone"; 0 if none is.
@@ -342,16 +364,22 @@
 
 // Write gives the text of a file whose day differs from model.Prairie as day does.
 func Write(title string, policies []string, day *model.Day) ([]byte, error) {
-	base := model.Prairie()
-	was, err := tree(&base)
+	differs, err := Differing(day)
 	if err != nil {
 		return nil, err
 	}
-	is, err := tree(day)
+	return toml.Marshal(map[string]any{"title": title, "policies": policies, "day": differs})
+}
+
+// Differing is how a day differs from model.Prairie, in the form of a file.
+func Differing(day *model.Day) (map[string]any, error) {
+	base := model.Prairie()
+	was, err := tree(&base)
 	if err != nil {
 		return nil, err
 	}
-	return toml.Marshal(map[string]any{"title": title, "policies": policies, "day": differing(is, was)})
+	is, err := tree(day)
+	return differing(is, was), err
 }
 
 func tree(day *model.Day) (m map[string]any, err error) {
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -26,14 +26,53 @@
 
 // Options say how a day is played.
 type Options struct {
-	Router string    // the router's program; empty for none: the stand-ins wait for routers that others start
-	Dir    string    // where configurations for routers are written then, one for each
-	Series bool      // keep what happens second by second
-	Log    io.Writer // what routers write; nil for none
+	Router string                     // the router's program; empty for none: the stand-ins wait for routers that others start
+	Dir    string                     // where configurations for routers are written then, one for each
+	Series bool                       // keep what happens second by second
+	Log    io.Writer                  // what routers write; nil for none
+	Logs   func(router int) io.Writer // the same for each router by itself; goes before Log
+
+	// Way, if set, gives the address that a router is told in the place of a stand-in's: that of a relay before it. It is
+	// called with the engine's lock held and must not wait.
+	Way func(router int, to Party, addr string) (string, error)
+	// Peers, if set, gives what a router is told of the others: where to listen for them, and an address for each by
+	// number, its own included.
+	Peers func(router int) (listen string, addrs []string)
+	// Admin, if set, gives the address at which a router is to take operators' calls.
+	Admin func(router int) string
+	// Ended, if set, is told of a router's process that has ended though neither a signal nor the day's end was for it.
+	Ended func(router int, how string)
+	// Steps are done beside the day's faults. Begun is called once all routers answer, just before the day begins.
+	Steps []Step
+	Begun func(c Control, at time.Time)
 	// Progress, if set, is called once a second while no step is taken.
 	Progress func(now time.Duration, w *model.World, t *tally.Tally)
 }
 
+// Party is whom a router speaks to.
+type Party string
+
+// The parties.
+const (
+	Directory Party = "directory"
+	Cache     Party = "cache"
+	Origin    Party = "origin"
+)
+
+// Step is something that is done at a time of the day, counted from its beginning, with the warm-up. Do is called with
+// the engine's lock held and must not wait for anything.
+type Step struct {
+	At time.Duration
+	Do func()
+}
+
+// Control has a hand on the routers' processes. Its calls return at once.
+type Control interface {
+	Signal(router int, s os.Signal)
+	Kill(router int)
+	Start(router int)
+}
+
 // slack is what a rule's time limits are longer on sockets: what is seen here is later than what was done.
 const slack = 50 * time.Millisecond
 
@@ -90,6 +129,9 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
+	for _, s := range opt.Steps {
+		e.World.At(s.At, s.Do)
+	}
 	for _, n := range e.nodes {
 		if opt.Router == "" {
 			if err := n.place(); err != nil {
@@ -118,6 +160,9 @@
 	e.mu.Lock()
 	e.begun = time.Now()
 	e.mu.Unlock()
+	if e.opt.Begun != nil {
+		e.opt.Begun((*steward)(e), e.begun)
+	}
 	longest := time.Duration(0)
 	for _, c := range e.day.Classes {
 		longest = max(longest, c.Deadline.D())
@@ -181,7 +226,7 @@
 // router reaches every party at addresses of its own, by which it is known.
 func (e *Engine) listen() error {
 	for i := range e.day.Routers {
-		n := &node{e: e, index: i, servers: map[int]net.Listener{}}
+		n := &node{e: e, index: i, servers: map[int]net.Listener{}, told: map[int]string{}}
 		e.nodes = append(e.nodes, n)
 		if err := n.listenDirectory(); err != nil {
 			return err
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -26,10 +26,12 @@
 	addr      string // at which it serves clients
 	dir       string // of its configuration
 	directory string
-	servers   map[int]net.Listener // by address, guarded by e.mu
+	servers   map[int]net.Listener // by address, guarded by e.mu, as told is
+	told      map[int]string       // the addresses that the router is told of them
 
 	mu      sync.Mutex
 	program *exec.Cmd
+	bidden  bool // to end
 	ended   chan struct{}
 
 	idle []*client // connections of clients without a request, guarded by e.mu
@@ -61,6 +63,12 @@
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":  known, "settings": SettingsJSON(e.day, n.index),
 	}
+	if e.opt.Peers != nil {
+		c["peer_listen"], c["peers"] = e.opt.Peers(n.index)
+	}
+	if e.opt.Admin != nil {
+		c["admin"] = e.opt.Admin(n.index)
+	}
 	text, err := json.Marshal(c)
 	if err != nil {
 		return "", err
@@ -111,14 +119,24 @@
 	}
 	cmd := exec.Command(n.e.opt.Router)
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path)
-	cmd.Stdout, cmd.Stderr = n.e.opt.Log, n.e.opt.Log
+	log := n.e.opt.Log
+	if n.e.opt.Logs != nil {
+		log = n.e.opt.Logs(n.index)
+	}
+	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("starting the router: %w", err)
 	}
 	ended := make(chan struct{})
-	n.program, n.ended = cmd, ended
+	n.program, n.ended, n.bidden = cmd, ended, false
 	go func() {
 		cmd.Wait()
+		n.mu.Lock()
+		alone := !n.bidden
+		n.mu.Unlock()
+		if alone && n.e.opt.Ended != nil {
+			n.e.opt.Ended(n.index, cmd.ProcessState.String())
+		}
 		close(ended)
 	}()
 	return nil
@@ -163,9 +181,13 @@
 func (n *node) signal(s os.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.program != nil {
-		n.program.Process.Signal(s)
+	if n.program == nil {
+		return
+	}
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		n.bidden = true
 	}
+	n.program.Process.Signal(s)
 }
 
 func (n *node) stop() { n.signal(syscall.SIGTERM) }
@@ -185,15 +207,15 @@
 func (n *node) listing(u model.Update) map[string]any {
 	list := []map[string]any{}
 	for _, m := range u.Members {
-		l := n.servers[m.Addr]
-		if l == nil {
+		addr, known := n.told[m.Addr]
+		if !known {
 			continue
 		}
 		kind := "origin"
 		if !m.Origin {
 			kind = n.e.day.Kinds[m.Kind].Name
 		}
-		entry := map[string]any{"id": fmt.Sprintf("s-%08x", m.ID), "addr": l.Addr().String(), "zone": zone(m.Zone),
+		entry := map[string]any{"id": fmt.Sprintf("s-%08x", m.ID), "addr": addr, "zone": zone(m.Zone),
 			"kind": kind, "cell": m.Cell, "weight": m.Weight, "started_ms": 0,
 			"state": [...]string{model.Gone: "left", model.Draining: "leaving", model.Ready: "active"}[m.Phase]}
 		if m.Started > 0 {
@@ -204,6 +226,14 @@
 	return map[string]any{"version": n.e.World.Directory.Version(), "full": u.Full, "servers": list}
 }
 
+// way is the address that the router is told in the place of a listener's.
+func (n *node) way(to Party, l net.Listener) (string, error) {
+	if n.e.opt.Way == nil {
+		return l.Addr().String(), nil
+	}
+	return n.e.opt.Way(n.index, to, l.Addr().String())
+}
+
 func zone(i int) string { return fmt.Sprintf("z%d", i) }
 
 // listenDirectory serves the directory to one router.
@@ -212,7 +242,9 @@
 	if err != nil {
 		return err
 	}
-	n.directory = l.Addr().String()
+	if n.directory, err = n.way(Directory, l); err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", n.serveDirectory)
 	server := &http.Server{Handler: mux}
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -30,6 +30,13 @@
 	if err != nil {
 		return err
 	}
+	party := Cache
+	if server == 0 {
+		party = Origin
+	}
+	if n.told[server], err = n.way(party, l); err != nil {
+		return err
+	}
 	n.servers[server] = l
 	n.e.closers[l] = true
 	n.e.goes(func() {
@@ -55,6 +62,8 @@
 
 	conn  *model.Conn // guarded by e.mu, as is the rest
 	calls map[*model.Call]*request
+	last  *model.Call         // the latest
+	gone  map[*model.Call]int // after it, those whose requests are over: they too are answered in their turn
 	ended bool
 }
 
@@ -67,7 +76,7 @@
 	}
 	defer e.forget(c)
 	l := &link{n: n, server: server, c: c, out: make(chan []byte, mostOut), opened: make(chan struct{}),
-		calls: map[*model.Call]*request{}}
+		calls: map[*model.Call]*request{}, gone: map[*model.Call]int{}}
 	e.goes(func() {
 		for b := range l.out {
 			c.SetWriteDeadline(time.Now().Add(5 * time.Second))
@@ -153,12 +162,16 @@
 			e.Check.Taken(e.World.Now(), l.n.index, r.number, r.try.Op.Class, e.World.Now()+time.Hour)
 		}
 		if r == nil { // its client has gone, and with it what is known of the request
-			l.write([]byte("SERVER_ERROR busy\r\n"), []byte("HTTP/1.1 503 gone\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"))
+			if l.calls[l.last] != nil {
+				l.gone[l.last]++
+			} else {
+				l.turnAway()
+			}
 			return
 		}
 		call := &model.Call{Try: r.try, Attempt: r.calls}
 		r.calls++
-		l.calls[call], r.sent[call] = r, e.World.Now()
+		l.calls[call], r.sent[call], l.last = r, e.World.Now(), call
 		server := e.World.Occupant(l.server)
 		e.Check.Sent(e.World.Now(), l.n.index, r.number, server)
 		l.alone(r, call)
@@ -264,4 +277,13 @@
 		origin = "HTTP/1.1 504 too late\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
 	}
 	l.write([]byte(cache), []byte(origin))
+	for range l.gone[call] {
+		l.turnAway()
+	}
+	delete(l.gone, call)
+}
+
+// turnAway answers a call whose request is over.
+func (l *link) turnAway() {
+	l.write([]byte("SERVER_ERROR busy\r\n"), []byte("HTTP/1.1 503 gone\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"))
 }
--- a/internal/lab/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -159,3 +159,50 @@
 		t.Error("values are alike, too short or too long")
 	}
 }
+
+// A call whose request is over is turned away in its turn, not before the answers to those ahead of it: a router would
+// take it for theirs, and a drill with a paused router did.
+func TestGoneInTurn(t *testing.T) {
+	day := model.Prairie()
+	day.Warm, day.Length, day.Fleet.Caches, day.Routers, day.Load.Level = 0, span(2), 1, 1, 0
+	for i := range day.Classes {
+		day.Classes[i].Deadline = span(2)
+	}
+	lines := make(chan string, 2)
+	var cache string
+	var e *Engine
+	opt := Options{Router: router,
+		Way: func(_ int, to Party, addr string) (string, error) {
+			if to == Cache {
+				cache = addr
+			}
+			return addr, nil
+		},
+		Begun: func(c Control, _ time.Time) { e = (*Engine)(c.(*steward)) },
+		Steps: []Step{{At: 100 * time.Millisecond, Do: func() {
+			r := e.newRequest(&model.Try{Op: &model.Op{Key: 0xaa, Work: 0.2, Size: 1, At: e.World.Now()}, At: e.World.Now()})
+			go func() {
+				defer close(lines)
+				c, err := net.Dial("tcp", cache)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(testprog.Patience))
+				fmt.Fprintf(c, "mg 00000000000000aa v O%s Pc=slot-view,d=1000\r\nmg 00000000000000bb v Offff Pc=slot-view,d=1000\r\n", r.id)
+				answers := bufio.NewReader(c)
+				for range 2 {
+					line, _ := answers.ReadString('\n')
+					lines <- strings.Fields(line + " nothing")[0]
+				}
+			}()
+		}}}}
+	if _, err := Run(context.Background(), &day, opt); err != nil {
+		t.Fatal(err)
+	}
+	first, second := testprog.Await(t, lines, "first answer"), testprog.Await(t, lines, "second answer")
+	if first != "EN" || second != "SERVER_ERROR" {
+		t.Errorf("answers %s and %s", first, second)
+	}
+}
--- a/internal/lab/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"os"
+
 	"hoptiller"
 	"hoptiller/internal/lab/model"
 )
@@ -27,6 +29,9 @@
 	go s.nodes[i].kill()
 }
 
+// Signal implements Control.
+func (s *steward) Signal(i int, sig os.Signal) { s.nodes[i].signal(sig) }
+
 // Stop implements model.Steward.
 func (s *steward) Stop(i int) { s.nodes[i].stop() }
 
