Keep the tests' verdict on a machine whose cores are all busy: two false alarms mended

Beside eight busy loops on six cores the README's command failed 3 of 3 times (61, 55, 47 s): - internal/lab/standin TestDay: "one-answer: router 2, request 1390: a second final answer". It is told only if the router has not been killed since. - cmd/hoptiller TestScenarios/stop, twice: "stop.txt:21: c1 expect VA 1 O01: got "SERVER_ERROR busy 2000"", "stop.txt:20: p1 send y: broken pipe". The scenarios sent an answer's two lines one after the other, and the router holds an answer that stops for 150 ms for spoilt, as it should.

--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -32,6 +32,7 @@
 // o and the directories d and d2, which speak on the connection of the line last read; and the program. To it
 // "close" is SIGTERM, "send" puts d2 into its configuration, or else TEXT in its place, and is SIGHUP; "wait"
 // reads its log and "expect" its exit code. The end of a connection reads as <closed>.
+// An answer of several lines is sent as one, with \r\n between them: one that stops halfway is held for spoilt.
 // In TEXT, {a*9} is nine a's and {p1 active 5} the list entry of p1, active, started at 5 ms.
 // A first line "# list p1 p2" names the providers that the program knows when it starts, or "# operator FILE" the
 // operator's file that it is given, in testdata/operator; "operator send FILE" puts another one in its place, and is SIGHUP.
@@ -248,7 +249,7 @@
 	case a.conn == nil:
 		return errors.New("no connection to speak on")
 	case verb == "send":
-		_, err = a.conn.Write([]byte(text + "\r\n"))
+		_, err = a.conn.Write([]byte(strings.ReplaceAll(text, `\r\n`, "\r\n") + "\r\n"))
 	case verb == "chunk":
 		_, err = fmt.Fprintf(a.conn, "%x\r\n%s\n\r\n", len(text)+1, text)
 	case verb == "close":
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -27,6 +27,7 @@
 	e := (*Engine)(t)
 	n := e.nodes[try.Router]
 	r := e.newRequest(try)
+	r.life = n.life
 	e.Tally.Taken()
 	e.Check.Taken(e.World.Now(), n.index, r.number, try.Op.Class, try.At+try.Remaining)
 	var c *client
@@ -77,7 +78,9 @@
 				delete(e.closers, r.conn.c)
 			}
 		} else {
-			e.Check.Final(e.World.Now(), n.index, r.number, final[f])
+			if r.life == n.life { // else it was killed since: the rules know nothing of what it had taken
+				e.Check.Final(e.World.Now(), n.index, r.number, final[f])
+			}
 			n.idle = append(n.idle, r.conn)
 		}
 		e.Tally.Answered(e.World.Now(), f)
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -102,6 +102,7 @@
 	id     string
 	number uint32 // at its router, for the rules
 	calls  int
+	life   int                           // of its router, when it was sent there
 	out    *model.Call                   // the latest
 	sent   map[*model.Call]time.Duration // when each came
 	ended  map[*model.Call]bool
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -34,6 +34,8 @@
 	bidden  bool // to end
 	ended   chan struct{}
 
+	life int // counts kills, guarded by e.mu
+
 	idle []*client // connections of clients without a request, guarded by e.mu
 }
 
--- a/internal/lab/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -26,6 +26,7 @@
 // Kill implements model.Steward.
 func (s *steward) Kill(i int) {
 	s.Check.Reset(i)
+	s.nodes[i].life++
 	go s.nodes[i].kill()
 }
 
