Have calls wait for a connection that comes up where a server may have no more of them

Seen: cmd/hoptiller TestCallsUnderLoad failed in 3 of 23 runs beside busy loops, and once on a quiet machine: 16 to 18 of 32 clients "SERVER_ERROR busy 2000" within 10 ms of the start, the log "server: 1 of 1 outcomes bad, keeps 6% of its weight".

Cause: find.go, connect. 32 calls come at once to a server to which there is no connection yet: 16 open one each, which is all that it may have, and to the other 16 there is none to share, so that each failed at once as "could not connect", three times over, and the server counted as sick for it. Ruled out: answers held for spoilt after 150 ms (5 s in their place fails as often, 2 of 8).

Change: such a call waits until the next of the connections has come up and shares it, or fails with it if it does not (ConnectTimeout bounds that). The new test fails without it.

--- a/internal/provider/find.go
+++ b/internal/provider/find.go
@@ -25,17 +25,30 @@
 func (p *Pool) connect(ctx context.Context, id uint32) (*conn, hoptiller.Status) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.servers[id]
-	if s == nil || s.Phase != hoptiller.Ready {
-		return nil, hoptiller.Moot
-	}
-	c := p.idle(s)
-	full := len(s.conns)+s.dialing >= p.set.MostConns
-	if c == nil && !full && p.set.MostTotal > 0 && p.total >= p.set.MostTotal {
-		full = !p.makeRoom()
-	}
-	if c == nil {
-		c = s.leastBusy(time.Now(), full)
+	var s *server
+	var c *conn
+	var full bool
+	for {
+		if s = p.servers[id]; s == nil || s.Phase != hoptiller.Ready {
+			return nil, hoptiller.Moot
+		}
+		c = p.idle(s)
+		full = len(s.conns)+s.dialing >= p.set.MostConns
+		if c == nil && !full && p.set.MostTotal > 0 && p.total >= p.set.MostTotal {
+			full = !p.makeRoom()
+		}
+		if c == nil {
+			c = s.leastBusy(time.Now(), full)
+		}
+		if c != nil || !full || s.dialing == 0 {
+			break
+		}
+		// All that may be are still coming up, as when many call a new server at once: none is there to share yet.
+		if err := p.awaitDial(ctx, s); err != nil && errors.Is(ctx.Err(), context.Canceled) {
+			return nil, hoptiller.Moot
+		} else if err != nil {
+			return nil, hoptiller.ConnectFailed
+		}
 	}
 	switch {
 	case full && (c == nil || c.load >= p.set.MostCalls):
@@ -56,6 +69,32 @@
 	return c, hoptiller.OK
 }
 
+// dialEnded takes a connection off those that are being opened, and tells who waits for one. The pool's mu is held.
+func (s *server) dialEnded(err error) {
+	s.dialing--
+	if d := s.dialed; d != nil {
+		s.dialed, d.err = nil, err
+		close(d.done)
+	}
+}
+
+// awaitDial waits until a connection to a server has come up, or tells why it did not: another one would hardly. It
+// takes ConnectTimeout at the most. p.mu is held, but not while it waits.
+func (p *Pool) awaitDial(ctx context.Context, s *server) error {
+	if s.dialed == nil {
+		s.dialed = &dialed{done: make(chan struct{})}
+	}
+	d := s.dialed
+	p.mu.Unlock()
+	defer p.mu.Lock()
+	select {
+	case <-d.done:
+		return d.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // share is how many calls share a connection before another one is opened. While there are long values none do:
 // whatever waits behind one would wait for its client too.
 func (p *Pool) share() int {
@@ -95,10 +134,10 @@
 		reader, err = buffer.NewReader(nc)
 	}
 	p.mu.Lock()
-	s.dialing--
 	if err == nil && (s.Addr != addr || s.Started != started) {
 		err = errMoved
 	}
+	s.dialEnded(err)
 	if err != nil {
 		p.total--
 		if nc != nil {
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -49,10 +49,17 @@
 	relay.Server
 	conns   []*conn // all that are open, those used last at the end
 	dialing int
+	dialed  *dialed       // how the next of those ends; nil: nobody waits for that
 	typical time.Duration // smoothed time from a call to its answer
 	passed  time.Time     // when the latest call that has an answer was sent
 }
 
+// dialed is how a connection that was being opened has ended.
+type dialed struct {
+	done chan struct{} // closed then
+	err  error         // nil: it is up
+}
+
 // New returns a Pool without servers.
 func New(set Settings, proto Protocol) *Pool {
 	return &Pool{set: set, proto: proto, servers: map[uint32]*server{}}
--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -327,3 +327,44 @@
 		t.Errorf("%d connections are left, not 1", n)
 	}
 }
+
+// Calls that find all connections of a server still coming up wait for one: many at once would else fail before the first
+// is there, as clients of a router that has just started did on a busy machine.
+func TestWaitsForADial(t *testing.T) {
+	p := serve(t, answer("EN O01\r\n"))
+	p.set.MostConns = 1
+	p.mu.Lock()
+	s := p.servers[1]
+	s.dialing = 1
+	p.mu.Unlock()
+	called := make(chan relay.Result, 2)
+	for range 2 {
+		go func() { called <- p.Call(t.Context(), 1, read) }()
+	}
+	gone, leave := context.WithCancel(t.Context())
+	until(t, p, "a call waits", func(s *server) bool { return s.dialed != nil })
+	leave()
+	if r := p.Call(gone, 1, read); r.Status != hoptiller.Moot {
+		t.Errorf("one whose client leaves meanwhile ends as %d", r.Status)
+	}
+	p.mu.Lock()
+	s.dialEnded(nil)
+	p.mu.Unlock()
+	for range 2 {
+		if r := testprog.Await(t, called, "end of a call"); r.Status != hoptiller.Miss {
+			t.Errorf("a call that waited for a connection ends as %d", r.Status)
+		}
+	}
+	p.Close()
+	p.mu.Lock()
+	s.dialing = 1
+	p.mu.Unlock()
+	go func() { called <- p.Call(t.Context(), 1, read) }()
+	until(t, p, "a call waits again", func(s *server) bool { return s.dialed != nil })
+	p.mu.Lock()
+	s.dialEnded(errMoved)
+	p.mu.Unlock()
+	if r := testprog.Await(t, called, "end of a call"); r.Status != hoptiller.ConnectFailed {
+		t.Errorf("a call whose connection did not come up ends as %d", r.Status)
+	}
+}
