--- a/internal/lab/drill/drill_test.go
+++ b/internal/lab/drill/drill_test.go
@@ -104,6 +104,7 @@
 		"ready":                  {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 3, From: "watch", Router: 2, Text: "not ready"}, Event{At: 5.5, Sure: 0.2, From: "watch", Router: 2, Text: "ready"}), good, true},
 		"ready too late":         {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 3, From: "watch", Router: 2, Text: "not ready"}, Event{At: 6.5, Sure: 0.2, From: "watch", Router: 2, Text: "ready"}), good, false},
 		"ready, and then not":    {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 9, From: "watch", Router: 2, Text: "not ready"}), good, false},
+		"ended with the day":     {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 24, From: "watch", Router: 2, Text: "not ready"}), good, true},
 		"never seen":             {Claim{Kind: "ready", Within: span(1)}, up[:1], good, false},
 		"service comes back":     {Claim{Kind: "service", Least: 0.9, Within: span(1)}, nil, good, true},
 		"service comes too late": {Claim{Kind: "service", Least: 0.94, Within: span(0.5)}, nil, good, false},
--- a/internal/lab/drill/judge.go
+++ b/internal/lab/drill/judge.go
@@ -91,7 +91,7 @@
 }
 
 // ready tells whether routers are ready within the time and stay so. When they were seen so is not when they were: the
-// time is held against the earliest that fits what was seen.
+// time is held against the earliest that fits what was seen. After the day the drill itself ends the processes.
 func ready(f *File, c Claim, events []Event) (bool, string) {
 	to, last := (f.calm() + c.Within.D()).Seconds(), 0.0
 	for i := range f.Day.Routers {
@@ -100,7 +100,7 @@
 		}
 		since, is := 0.0, false
 		for _, e := range events {
-			if e.From == "watch" && e.Router == i+1 {
+			if e.From == "watch" && e.Router == i+1 && e.At <= f.Day.Length.Seconds() && !strings.HasPrefix(e.Text, endedByItself) {
 				since, is = e.At-e.Sure, e.Text == "ready"
 			}
 		}
