--- a/router.go
+++ b/router.go
@@ -973,9 +973,10 @@
 }
 
 // rescue guards against servers that drop what they get without a word: what is out at one that has not
-// answered for several usual latencies is withdrawn and sent on. Only where that can't be, and second copies
-// are allowed, one goes out, and only where other outcomes show the server sick and nothing overload: one silent
-// request may be the trouble itself, and copies feed a queue. A withdrawal that the budget makes useless is not made.
+// answered for several usual latencies is withdrawn and sent on. Only where that can't be, and second
+// copies are allowed, one goes out, and only where other outcomes show the server sick and nothing overload:
+// one silent request may be the trouble itself, and copies feed a queue. A withdrawal that the budget makes
+// useless is not made.
 func (r *Router) rescue(q *request) {
 	if q.closed || len(q.tries) == 0 || len(q.tries) >= r.set.MaxAttempts || q.end-r.now < 2*sweepTick {
 		return
