--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -72,8 +72,9 @@
 // endedByItself begins the text of an event that tells of a process that no step and no fault has ended.
 const endedByItself = "ended by itself: "
 
-// host is the address that only one router uses, as the stand-ins have it.
-func host(router int) string { return fmt.Sprintf("127.0.%d.%d", 1+router/250, 1+router%250) }
+// host is the address that only one router uses for its peers and operators. It is none of the stand-ins', so that a
+// port that was found free is not taken by one of theirs before the router listens there.
+func host(router int) string { return fmt.Sprintf("127.7.%d.%d", 1+router/250, 1+router%250) }
 
 // Play plays a drill once. When ctx ends, so does every process that it started.
 func Play(ctx context.Context, f *File, opt Options) (*Report, error) {
