Give each process of the lab loopback addresses that no other one has

A router's address was found free, closed, and left to its process; hosts were the same 127.0.x.y for all test programs, which run beside one another and ask for free ports of these hosts by the thousand, and a drill's operators' address shared its host with the drill's own relays. The line of the log was not shown, so the clash itself was not seen.

Ruled out: the machine's load (quiet), the program's build (each test program has its own).

Change: internal/lab/loopback takes a network 127.N for each process (its mark is a listener that is held), and a host for each router and use: what is left to a router is on a host where nobody asks for free ports. An error of a router that ended early now tells its last line.

--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"hoptiller/internal/lab/loopback"
 	"hoptiller/internal/lab/standin"
 	"hoptiller/internal/lab/tally"
 	"hoptiller/internal/lab/ways"
@@ -72,25 +72,18 @@
 // endedByItself begins the text of an event that tells of a process that no step and no fault has ended.
 const endedByItself = "ended by itself: "
 
-// host is the address that only one router uses for its peers and operators. It is none of the stand-ins', so that a
-// port that was found free is not taken by one of theirs before the router listens there.
-func host(router int) string { return fmt.Sprintf("127.7.%d.%d", 1+router/250, 1+router%250) }
-
 // Play plays a drill once. When ctx ends, so does every process that it started.
 func Play(ctx context.Context, f *File, opt Options) (*Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := &player{f: f, timeline: &Timeline{}, ways: map[wayKey][]*ways.Way{}, state: map[wayKey]ways.Streams{}}
 	defer p.close()
-	var hosts []string
 	for i := range f.Day.Routers {
-		hosts = append(hosts, host(i))
-		l, err := net.Listen("tcp", net.JoinHostPort(host(i), "0")) // found free, and left to the router
+		addr, err := loopback.Leave(loopback.Admin, i)
 		if err != nil {
 			return nil, err
 		}
-		p.admins = append(p.admins, l.Addr().String())
-		l.Close()
+		p.admins = append(p.admins, addr)
 		if opt.listening != nil {
 			opt.listening(p.admins[i])
 		}
@@ -99,7 +92,7 @@
 		}
 	}
 	var err error
-	if p.mesh, err = ways.NewMesh(hosts, f.Day.Seed); err != nil {
+	if p.mesh, err = ways.NewMesh(f.Day.Routers, f.Day.Seed); err != nil {
 		return nil, err
 	}
 	day := f.Day
@@ -149,7 +142,11 @@
 
 // way puts a relay before a party.
 func (p *player) way(router int, to standin.Party, addr string) (string, error) {
-	w, err := ways.NewWay(host(router), addr)
+	host, err := loopback.Host(loopback.Parties, router)
+	if err != nil {
+		return "", err
+	}
+	w, err := ways.NewWay(host, addr)
 	if err != nil {
 		return "", err
 	}
--- /dev/null
+++ b/internal/lab/loopback/loopback_test.go
@@ -0,0 +1,64 @@
+package loopback
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+// Another process of the lab, started beside this one, has a network of its own, and no two uses share a host.
+func TestHost(t *testing.T) {
+	if os.Getenv("LOOPBACK_CHILD") != "" {
+		host, err := Host(Serve, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		os.Stdout.WriteString("host=" + host + "\n")
+		return
+	}
+	seen := map[string]bool{}
+	for use := range uses {
+		for _, router := range []int{0, 249, 250, 999} {
+			host, err := Host(use, router)
+			if err != nil || seen[host] || !net.ParseIP(host).IsLoopback() {
+				t.Errorf("use %d, router %d: %s, %v, seen before: %v", use, router, host, err, seen[host])
+			}
+			seen[host] = true
+		}
+	}
+	for _, router := range []int{-1, 1 << 20} {
+		if _, err := Host(Serve, router); err == nil {
+			t.Errorf("router %d has an address", router)
+		}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	child := exec.Command(self, "-test.run=^TestHost$", "-test.v")
+	child.Env = append(os.Environ(), "LOOPBACK_CHILD=1")
+	out, err := child.Output()
+	_, after, found := strings.Cut(string(out), "host=")
+	host, _, _ := strings.Cut(after, "\n")
+	if err != nil || !found || seen[host] {
+		t.Errorf("beside this process another one has %q: %v", out, err)
+	}
+	addr, err := Leave(Serve, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 200 { // whoever asks for free ports all the time is not given it
+		l, err := Listen(Parties, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatalf("what was left to the router is taken: %v", err)
+	}
+	l.Close()
+}
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"hoptiller/internal/lab/loopback"
 	"hoptiller/internal/lab/model"
 )
 
@@ -32,6 +35,7 @@
 	mu      sync.Mutex
 	program *exec.Cmd
 	bidden  bool // to end
+	last    *tail
 	ended   chan struct{}
 
 	life int // counts kills, guarded by e.mu
@@ -39,11 +43,6 @@
 	idle []*client // connections of clients without a request, guarded by e.mu
 }
 
-// loopback listens on a free port of an address that only one router uses.
-func loopback(router int) (net.Listener, error) {
-	return net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", 1+router/250, 1+router%250))
-}
-
 // config writes the file that the router is started with.
 func (n *node) config() (string, error) {
 	e := n.e
@@ -79,17 +78,42 @@
 	return path, os.WriteFile(path, text, 0o600)
 }
 
+// tail passes on what a router writes and keeps the last of it.
+type tail struct {
+	to   io.Writer // nil for none
+	mu   sync.Mutex
+	kept []byte
+}
+
+// Write implements io.Writer.
+func (t *tail) Write(b []byte) (int, error) {
+	const most = 400
+	t.mu.Lock()
+	t.kept = append(t.kept, b...)
+	t.kept = t.kept[max(0, len(t.kept)-most):]
+	t.mu.Unlock()
+	if t.to == nil {
+		return len(b), nil
+	}
+	return t.to.Write(b)
+}
+
+// String is the last line.
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	text := bytes.TrimSpace(t.kept)
+	return string(text[bytes.LastIndexByte(text, '\n')+1:])
+}
+
 // reserve finds an address for the router. It stays the same when the router starts anew.
 func (n *node) reserve() error {
 	if n.addr != "" {
 		return nil
 	}
-	l, err := loopback(n.index)
-	if err != nil {
-		return err
-	}
-	n.addr = l.Addr().String()
-	return l.Close()
+	var err error
+	n.addr, err = loopback.Leave(loopback.Serve, n.index)
+	return err
 }
 
 // place writes the configuration of a router that someone else starts.
@@ -125,7 +149,8 @@
 	if n.e.opt.Logs != nil {
 		log = n.e.opt.Logs(n.index)
 	}
-	cmd.Stdout, cmd.Stderr = log, log
+	n.last = &tail{to: log}
+	cmd.Stdout, cmd.Stderr = n.last, n.last
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("starting the router: %w", err)
 	}
@@ -171,7 +196,7 @@
 		}
 		select {
 		case <-n.ended:
-			return errors.New("the router has ended; see what it logged")
+			return fmt.Errorf("the router has ended: %s", n.last)
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(20 * time.Millisecond):
@@ -240,7 +265,7 @@
 
 // listenDirectory serves the directory to one router.
 func (n *node) listenDirectory() error {
-	l, err := loopback(n.index)
+	l, err := loopback.Listen(loopback.Parties, n.index)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hoptiller"
+	"hoptiller/internal/lab/loopback"
 	"hoptiller/internal/lab/model"
 	"hoptiller/internal/meta"
 )
@@ -26,7 +27,7 @@
 }
 
 func (n *node) listenServerLocked(server int) error {
-	l, err := loopback(n.index)
+	l, err := loopback.Listen(loopback.Parties, n.index)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/ways/mesh.go
+++ b/internal/lab/ways/mesh.go
@@ -5,12 +5,13 @@
 
 import (
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
+
+	"hoptiller/internal/lab/loopback"
 )
 
 // Datagrams is what goes wrong on the way of datagrams from one router to another. Parts are of 1; zero is a good way.
@@ -47,33 +48,31 @@
 	taken  [][]int // of each pair, datagrams whose fate is decided
 }
 
-// NewMesh opens the relays for a number of routers, which are to listen on free ports of the given addresses. Chance is
-// drawn from the seed, for each pair by itself.
-func NewMesh(hosts []string, seed uint64) (*Mesh, error) {
-	n := len(hosts)
+// NewMesh opens the relays for a number of routers. Chance is drawn from the seed, for each pair by itself.
+func NewMesh(n int, seed uint64) (*Mesh, error) {
 	m := &Mesh{homes: make([]netip.AddrPort, n), pairs: square[*net.UDPConn](n), faults: square[Datagrams](n),
 		rands: square[*rand.Rand](n), late: square[[]byte](n), passed: square[int](n), bytes: square[int](n), taken: square[int](n)}
-	for i, host := range hosts {
-		home, err := open(host) // found free, and left to the router
+	for i := range n {
+		home, err := open(loopback.Peers, i) // found free, and left to the router
 		if err != nil {
 			m.Close()
 			return nil, err
 		}
 		m.homes[i] = home.LocalAddr().(*net.UDPAddr).AddrPort()
 		home.Close()
-		for j := range hosts {
+		for j := range n {
 			if i == j {
 				continue
 			}
 			m.rands[i][j] = rand.New(rand.NewPCG(seed, uint64(i)<<32|uint64(j)))
-			if m.pairs[i][j], err = open(host); err != nil {
+			if m.pairs[i][j], err = open(loopback.Parties, i); err != nil {
 				m.Close()
 				return nil, err
 			}
 		}
 	}
-	for i := range hosts {
-		for j := range hosts {
+	for i := range n {
+		for j := range n {
 			if i != j {
 				m.done.Go(func() { m.relay(i, j) })
 			}
@@ -82,12 +81,12 @@
 	return m, nil
 }
 
-func open(host string) (*net.UDPConn, error) {
-	addr, err := netip.ParseAddr(host)
-	if err != nil || !addr.IsLoopback() {
-		return nil, fmt.Errorf("%q is no loopback address", host)
+func open(use loopback.Use, router int) (*net.UDPConn, error) {
+	host, err := loopback.Host(use, router)
+	if err != nil {
+		return nil, err
 	}
-	return net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(addr, 0)))
+	return net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(host)})
 }
 
 func square[T any](n int) [][]T {
--- a/internal/lab/ways/stream.go
+++ b/internal/lab/ways/stream.go
@@ -48,6 +48,9 @@
 	if err != nil || !to.Addr().IsLoopback() {
 		return nil, errors.New(target + " is no loopback address")
 	}
+	if from, err := netip.ParseAddr(host); err != nil || !from.IsLoopback() {
+		return nil, errors.New(host + " is no loopback address")
+	}
 	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return nil, err
--- a/internal/lab/ways/ways_test.go
+++ b/internal/lab/ways/ways_test.go
@@ -62,11 +62,7 @@
 }
 
 func mesh(t *testing.T, n int) *Mesh {
-	var hosts []string
-	for i := range n {
-		hosts = append(hosts, fmt.Sprintf("127.0.9.%d", i+1))
-	}
-	m, err := NewMesh(hosts, 1)
+	m, err := NewMesh(n, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -241,8 +237,8 @@
 
 // Nothing is bound to or sent anywhere but to this machine.
 func TestLoopbackAlone(t *testing.T) {
-	if _, err := NewMesh([]string{"10.0.0.1"}, 1); err == nil {
-		t.Error("a mesh elsewhere")
+	if _, err := NewWay("0.0.0.0", "127.0.0.1:80"); err == nil {
+		t.Error("a way from elsewhere")
 	}
 	if _, err := NewWay("127.0.0.1", "10.0.0.1:80"); err == nil {
 		t.Error("a way elsewhere")
