Ask for the figures again until a call that its receiver has is counted

A call is counted once its last byte is written (internal/provider/conn.go, send), and the origin may read that byte, and the scenario ask for the figures, before the count is one more.

Ruled out: a call that was not sent (pending is 2, the origin has read its head); counting before the write (a write that stalls would be counted whole).

Change: the scenario language has a verb that asks a path again until a line of the answer is as wanted.

--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -26,6 +28,7 @@
 //	chunk TEXT    writes a line as a chunk of an HTTP answer
 //	expect TEXT   reads the next line, which must be TEXT; * stands for any characters
 //	wait TEXT     reads on until a line is TEXT
+//	until PATH TEXT   an operator asks a path, each time on another connection, until a line of the answer is TEXT
 //	close         ends the connection
 //
 // Actors are clients (c1, c2 ...) and operators' calls (a1, a2 ...), each with one connection of its own; the providers p1 and p2, the origin
@@ -238,6 +241,9 @@
 		}
 		return w.program.Process.Signal(syscall.SIGHUP)
 	}
+	if verb == "until" {
+		return w.until(text)
+	}
 	a, err := w.actor(name)
 	switch {
 	case err != nil:
@@ -261,7 +267,6 @@
 }
 
 func (a *actor) expect(want string, skip bool) error {
-	pattern := regexp.MustCompile("^" + strings.ReplaceAll(regexp.QuoteMeta(want), `\*`, ".*") + "$")
 	late, last := time.After(patience), ""
 	for {
 		select {
@@ -272,7 +277,7 @@
 				last = l.text
 			}
 			switch {
-			case pattern.MatchString(l.text):
+			case like(want, l.text):
 				a.conn = l.conn
 				return nil
 			case !skip && l.text != "<closed>": // other connections may end meanwhile
@@ -282,6 +287,36 @@
 	}
 }
 
+// until asks the operators' address for a path until a line of the answer is as wanted.
+func (w *world) until(text string) error {
+	path, want, _ := strings.Cut(text, " ")
+	client := http.Client{Timeout: patience}
+	for late := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		r, err := client.Get("http://" + w.admin + path)
+		if err != nil {
+			return err
+		}
+		body, err := io.ReadAll(r.Body)
+		r.Body.Close()
+		if err != nil {
+			return err
+		}
+		for l := range strings.Lines(string(body)) {
+			if like(want, strings.TrimRight(l, "\r\n")) {
+				return nil
+			}
+		}
+		if time.Now().After(late) {
+			return fmt.Errorf("the last answer was %.300q", body)
+		}
+	}
+}
+
+// like compares a line with a text in which * stands for any characters.
+func like(want, line string) bool {
+	return regexp.MustCompile("^" + strings.ReplaceAll(regexp.QuoteMeta(want), `\*`, ".*") + "$").MatchString(line)
+}
+
 // put puts a file of testdata in the place of the operator's file.
 func (w *world) put(name string) error {
 	text, err := os.ReadFile(filepath.Join("testdata/operator", name))
