Let the routers keep a view of their fleet: SWIM with Lifeguard, in 256 bytes

Why: no router knew that another one lives. internal/fleet/view keeps, without I/O or clock, who lives, in which life and phase, and what each tells (program, settings, rate, slot caches seen gone and back); internal/fleet/peers is its socket and clock. GET /v1/fleet, hoptiller fleet ADDR..., /v1/metrics, events in the log.

--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -8,6 +8,7 @@
 	"hoptiller/internal/admin"
 	"hoptiller/internal/directory"
 	"hoptiller/internal/figures"
+	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/front"
 	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/loads"
@@ -15,25 +16,35 @@
 )
 
 // calls are what operators can ask of this process.
-func calls(life *lifecycle.State, f *front.Front, counts *figures.Counts, reports *loads.Table, r *relay.Relay) map[string]admin.Call {
+func calls(life *lifecycle.State, f *front.Front, counts *figures.Counts, reports *loads.Table, r *relay.Relay, fleet *peers.Peers) map[string]admin.Call {
 	told := func(e lifecycle.Event) func() (bool, []byte) {
 		return func() (bool, []byte) {
 			yes := life.Tell(e)
 			return yes, state(life)
 		}
 	}
-	return map[string]admin.Call{
+	all := map[string]admin.Call{
 		"/v1/readyz": {Method: "GET", Do: func() (bool, []byte) { return f.Ready(), state(life) }},
 		"/v1/metrics": {Method: "GET", Do: func() (bool, []byte) {
 			s := counts.Snapshot()
 			s.Members, s.Unavailable = r.Members()
 			s.Reports = reports.Summary()
+			if fleet != nil {
+				s.Fleet = fleet.Summary()
+			}
 			body, err := json.Marshal(s)
 			return err == nil, append(body, '\n')
 		}},
 		"/v1/router/drain":    {Method: "POST", Do: told(lifecycle.Drain)},
 		"/v1/router/activate": {Method: "POST", Do: told(lifecycle.Activate)},
 	}
+	if fleet != nil {
+		all["/v1/fleet"] = admin.Call{Method: "GET", Do: func() (bool, []byte) {
+			body, err := json.Marshal(fleet.Report())
+			return err == nil, append(body, '\n')
+		}}
+	}
+	return all
 }
 
 func state(life *lifecycle.State) []byte {
--- /dev/null
+++ b/cmd/hoptiller/fleet.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hoptiller/internal/command"
+	"hoptiller/internal/fleet/peers"
+)
+
+type fleetCmd struct {
+	Addrs []string      `arg:"" help:"Operators' addresses of one or more routers."`
+	JSON  bool          `help:"Write all that was answered as JSON."`
+	Watch bool          `short:"w" help:"Ask again and again until interrupted."`
+	Every time.Duration `help:"How often with --watch." default:"2s"`
+}
+
+// Run asks all at once. What one of them does not answer in 3 s is told, and the others count.
+func (c *fleetCmd) Run() error {
+	for _, a := range c.Addrs {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return fmt.Errorf("operators' address: %w", err)
+		}
+	}
+	if c.Every < 100*time.Millisecond {
+		return errors.New("--every wants 100ms at least")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	for {
+		err := c.once(ctx, os.Stdout)
+		if !c.Watch {
+			return err
+		}
+		if err != nil && !errors.Is(err, command.ErrFinding) {
+			fmt.Println(err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(c.Every):
+		}
+	}
+}
+
+func (c *fleetCmd) once(ctx context.Context, w io.Writer) error {
+	all := make([]peers.Asked, len(c.Addrs))
+	var g errgroup.Group
+	for i, addr := range c.Addrs {
+		g.Go(func() error {
+			all[i] = peers.Ask(ctx, addr)
+			return nil
+		})
+	}
+	g.Wait()
+	differences := peers.Differences(all)
+	var failed []string
+	for _, a := range all {
+		if a.Err != "" {
+			failed = append(failed, a.Addr+": "+a.Err)
+		}
+	}
+	if c.JSON {
+		text, err := json.Marshal(map[string]any{"routers": all, "differences": append([]string{}, differences...)})
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "%s\n", text)
+	} else {
+		for _, a := range all {
+			if a.View != nil {
+				table(w, &a)
+				break // the others say the same, or stand among the differences
+			}
+		}
+		for _, d := range differences {
+			fmt.Fprintln(w, "differs:", d)
+		}
+	}
+	switch {
+	case len(failed) == len(all):
+		return errors.New(strings.Join(failed, "; "))
+	case len(failed) > 0:
+		fmt.Fprintln(os.Stderr, "not answered:", strings.Join(failed, "; "))
+	}
+	if len(differences) > 0 {
+		return command.ErrFinding
+	}
+	return nil
+}
+
+// table writes one router's view.
+func table(w io.Writer, a *peers.Asked) {
+	v := a.View
+	fmt.Fprintf(w, "as router %d at %s sees it (sum %s): %d alive, %d suspect, %d dead, %d left, %d never heard of; own health %d\n",
+		v.Self, a.Addr, v.Sum, v.Alive, v.Suspect, v.Dead, v.Left, v.Unknown, v.Health)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "router\tstate\tfor\tphase\tstart\tprogram\tsettings\trequests/s\t")
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.State == "unknown" {
+			fmt.Fprintf(t, "%d\tunknown\t\t\t\t\t\t\t\n", m.Number)
+			continue
+		}
+		note := ""
+		if m.Twice {
+			note = "another router has this number"
+		}
+		fmt.Fprintf(t, "%d\t%s\t%v\t%s\t%s\t%s\t%s\t%d\t%s\n", m.Number, m.State, time.Duration(m.Since*1e9).Round(time.Second), m.Phase,
+			m.Start, m.Version, m.Settings, m.Rate, note)
+	}
+	t.Flush()
+	for _, c := range v.Caches {
+		fmt.Fprintf(w, "slot cache %s was seen %s %.0f s ago\n", c.ID, c.State, c.Age)
+	}
+}
--- a/cmd/hoptiller/reload.go
+++ b/cmd/hoptiller/reload.go
@@ -72,7 +72,7 @@
 func restart(changes []plan.Change) string {
 	var parts []string
 	for _, c := range changes {
-		if strings.HasPrefix(c.Thing, "listener ") {
+		if strings.HasPrefix(c.Thing, "listener ") || c.Thing == "fleet" {
 			parts = append(parts, c.Thing)
 		}
 		if c.Thing != "limits" {
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -20,6 +20,7 @@
 	"hoptiller/internal/directory"
 	"hoptiller/internal/figures"
 	"hoptiller/internal/fleet/places"
+	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/front"
 	"hoptiller/internal/guard"
 	"hoptiller/internal/lifecycle"
@@ -131,11 +132,13 @@
 	if shares.heap > 0 {
 		debug.SetMemoryLimit(int64(shares.heap))
 	}
+	fleet := newFleet(c, p.Fleet.View, counts)
 	room := semaphore.NewWeighted(int64(max(shares.long, meta.MaxLong)))
 	providers := provider.New(provider.Settings{
 		Share: providerShare, MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
 		Kept: places.Kept(c.Settings.Balancers, p.Limits.Places), Places: p.Limits.Places, Called: counts.Called, Reports: reports,
+		Seen: func(id uint32, up bool) { fleet.saw(id, up) },
 	}, provider.Meta{})
 	origins := provider.New(provider.Settings{
 		Share: 1, MostConns: shares.origins, MostCalls: 1, Kept: shares.origins,
@@ -167,6 +170,7 @@
 		f.Deadlines = append(f.Deadlines, class.Deadline)
 	}
 
+	fleet.phase = func() view.Phase { return phase(life.Phase(), f.Ready()) }
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer release()
 	defer context.AfterFunc(stop, func() {
@@ -178,6 +182,9 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.Run(ctx, dir) })
 	group.Go(func() error { return dir.Run(ctx) })
+	if fleet.peers != nil {
+		group.Go(func() error { return fleet.peers.Run(ctx) })
+	}
 	group.Go(func() error {
 		l := &reloader{serve: s, config: c, plan: p, dir: dir, guard: g, log: log}
 		l.run(ctx, hup)
@@ -195,7 +202,7 @@
 		return f.Serve(ctx, listeners...)
 	})
 	if operators != nil {
-		a := &admin.Server{Places: shares.operators, Calls: calls(life, f, counts, reports, r)}
+		a := &admin.Server{Places: shares.operators, Calls: calls(life, f, counts, reports, r, fleet.peers)}
 		group.Go(func() error { return a.Serve(ctx, operators) })
 	}
 	err = group.Wait()
--- a/cmd/hoptiller/shares.go
+++ b/cmd/hoptiller/shares.go
@@ -40,6 +40,9 @@
 		s.heap = memory << 20 / 2
 	}
 	rest := sockets - own
+	if c.MayTell && c.PeerListen != "" { // the view's socket
+		rest--
+	}
 	if c.Admin != "" {
 		s.operators = min(32, max(8, sockets/32))
 		rest -= s.operators + 1
--- /dev/null
+++ b/cmd/hoptiller/together_test.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"hoptiller/internal/command"
+	"hoptiller/internal/config"
+	"hoptiller/internal/figures"
+	"hoptiller/internal/fleet/peers"
+	"hoptiller/internal/fleet/view"
+	"hoptiller/internal/lifecycle"
+)
+
+// The view is on where the platform allows it and nothing speaks against it; a price on datagrams does, a file goes before that.
+func TestNewFleet(t *testing.T) {
+	for name, c := range map[string]struct {
+		config string
+		file   string
+		on     bool
+	}{
+		"allowed":            {`"mayTell":true},"fees":{"peer":0}`, "", true},
+		"not allowed":        {`"mayTell":false}`, "on", false},
+		"not stated":         {`"x":1}`, "on", false},
+		"priced":             {`"mayTell":true},"fees":{"peer":0.01}`, "", false},
+		"priced, and wanted": {`"mayTell":true},"fees":{"peer":0.01}`, "on", true},
+		"not wanted":         {`"mayTell":true}`, "off", false},
+	} {
+		text := `{"peer_listen":"127.0.0.1:9","peers":["127.0.0.1:9","127.0.0.1:10"],"settings":{"selfIndex":0,"balancers":2,
+			"classes":[{"name":"read","effect":"idempotent","onTime":1,"deadline":1,"worth":1}],"bounds":{` + c.config + `}}`
+		conf, err := config.Parse([]byte(text))
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if f := newFleet(conf, c.file, figures.New(conf.Classes)); (f.peers != nil) != c.on {
+			t.Errorf("%s: on %v", name, f.peers != nil)
+		}
+		other, err := config.Parse([]byte(strings.Replace(text, `"selfIndex":0`, `"selfIndex":1`, 1)))
+		if err != nil || other.Digest != conf.Digest || other.Settings.Self != 1 {
+			t.Errorf("%s: another router has other settings: %v", name, err)
+		}
+		if more, err := config.Parse([]byte(strings.Replace(text, `"worth":1`, `"worth":2`, 1))); err != nil || more.Digest == conf.Digest {
+			t.Errorf("%s: other settings have the same digest: %v", name, err)
+		}
+	}
+}
+
+// Others see a router serving only while clients may come.
+func TestPhase(t *testing.T) {
+	for _, c := range []struct {
+		phase lifecycle.Phase
+		ready bool
+		want  view.Phase
+	}{{lifecycle.Serving, false, view.Starting}, {lifecycle.Serving, true, view.Serving}, {lifecycle.Draining, false, view.Draining},
+		{lifecycle.Stopping, true, view.Stopping}, {lifecycle.Leaving, false, view.Stopping}} {
+		if got := phase(c.phase, c.ready); got != c.want {
+			t.Errorf("%v, ready %v: %v", c.phase, c.ready, got)
+		}
+	}
+}
+
+// The command writes one router's view and where others differ, and goes on without those that don't answer.
+func TestFleetCommand(t *testing.T) {
+	serve := func(r *peers.Report) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			if r == nil {
+				http.NotFound(w, q)
+				return
+			}
+			json.NewEncoder(w).Encode(r)
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	members := []peers.Member{{State: "alive", Phase: "serving", Life: "1.0"}, {Number: 1, State: "unknown"}}
+	a, b := serve(&peers.Report{Members: members}), serve(&peers.Report{Members: members[:1]})
+	var out bytes.Buffer
+	ask := func(c *fleetCmd) (string, error) {
+		out.Reset()
+		err := c.once(context.Background(), &out)
+		return out.String(), err
+	}
+	if text, err := ask(&fleetCmd{Addrs: []string{a, serve(nil)}}); err != nil || !strings.Contains(text, "0       alive") || !strings.Contains(text, "1       unknown") {
+		t.Errorf("%v\n%s", err, text)
+	}
+	if text, err := ask(&fleetCmd{Addrs: []string{a, b}}); !errors.Is(err, command.ErrFinding) || !strings.Contains(text, "differs: router 1: not in the list") {
+		t.Errorf("%v\n%s", err, text)
+	}
+	if text, err := ask(&fleetCmd{Addrs: []string{a, b}, JSON: true}); !errors.Is(err, command.ErrFinding) || !json.Valid([]byte(text)) {
+		t.Errorf("%v\n%s", err, text)
+	}
+	if _, err := ask(&fleetCmd{Addrs: []string{serve(nil)}}); err == nil || !strings.Contains(err.Error(), "keeps no view") {
+		t.Errorf("a router without a view: %v", err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
 
 	"hoptiller"
@@ -28,6 +29,10 @@
 	Sockets     int   // 0: no limit stated
 	Known       directory.Update
 	Peers       []string // one address for each router of the tier, its own included; none: not told
+	PeerListen  string   // where datagrams of other routers come; empty: nowhere
+	MayTell     bool     // routers may send each other datagrams
+	PeerFee     float64  // what these are priced at; a price must be earned
+	Digest      uint32   // of the settings, the router's own number aside
 	Contradicts string   // how the settings contradict themselves; empty: they don't
 	Assumed     []string // what was taken for granted of the fleet, where the text does not say it
 
@@ -115,8 +120,10 @@
 		c.Reports = texts(set.Get("stats.columns"))
 	}
 	c.Contradicts = c.contradictions()
-	c.Peers = texts(root.Get("peers"))
-	c.assume(root.Get("peer_listen").String())
+	c.Peers, c.PeerListen = texts(root.Get("peers")), root.Get("peer_listen").String()
+	c.MayTell, c.PeerFee = set.Get("bounds.mayTell").Bool(), set.Get("fees.peer").Float()
+	c.Digest = digest(set)
+	c.assume(c.PeerListen)
 	return c, nil
 }
 
@@ -144,6 +151,18 @@
 	}
 }
 
+// digest is the same for all routers that were told the same settings.
+func digest(set gjson.Result) uint32 {
+	h := xxhash.New()
+	set.ForEach(func(name, value gjson.Result) bool {
+		if name.Str != "selfIndex" && name.Str != "zone" { // these are each router's own
+			h.WriteString(name.Raw + value.Raw)
+		}
+		return true
+	})
+	return uint32(h.Sum64())
+}
+
 func texts(list gjson.Result) []string {
 	var s []string
 	for _, v := range list.Array() {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -5,6 +5,7 @@
 import (
 	"sync/atomic"
 
+	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/loads"
 )
 
@@ -44,6 +45,16 @@
 // Called counts an invoker call that was written whole, to a slot cache or the origin.
 func (c *Counts) Called() { c.upstream.Add(1) }
 
+// Requests is how many invocations have been taken since the start.
+func (c *Counts) Requests() (n int64) {
+	for i := range c.ended {
+		for k := range c.ended[i] {
+			n += c.ended[i][k].Load()
+		}
+	}
+	return n + c.pending.Load()
+}
+
 // Downstream is what became of the invocations of a class.
 type Downstream struct {
 	Completed int64 `json:"completed"`
@@ -58,6 +69,7 @@
 	Pending     int64                 `json:"pending"`
 	Members     int                   `json:"members"`
 	Unavailable int                   `json:"members_unavailable"`
+	Fleet       *peers.Summary        `json:"fleet,omitempty"`        // as the routers see one another
 	Reports     *loads.Summary        `json:"load_reports,omitempty"` // of the slot caches
 }
 
--- /dev/null
+++ b/internal/fleet/peers/peers.go
@@ -0,0 +1,241 @@
+// Package peers carries a router's view of its fleet over datagrams: a socket and a clock round package view.
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hoptiller/internal/fleet/view"
+)
+
+// Settings say whose peers these are.
+type Settings struct {
+	Self   int      // number of this router
+	Listen string   // where datagrams come
+	Addrs  []string // of all routers by number, as this one reaches them, its own included
+	Seed   uint64
+	Phase  func() view.Phase   // asked all the time
+	Tell   func() view.Details // the same
+}
+
+// Peers is the view of one router and its socket.
+type Peers struct {
+	set    Settings
+	addrs  []netip.AddrPort
+	number map[netip.AddrPort]int
+	begun  time.Time
+
+	mu        sync.Mutex
+	view      *view.View
+	conn      *net.UDPConn // nil while the address is not free
+	told      []view.Event // not logged yet
+	sendFails uint64
+
+	sawMu sync.Mutex
+	saw   []view.Sight // not told to the view yet
+}
+
+// New checks the settings. The error says in one line why there can be no view.
+func New(set Settings) (*Peers, error) {
+	if len(set.Addrs) < 2 {
+		return nil, errors.New("no other routers are told")
+	}
+	if len(set.Addrs) > 65535 {
+		return nil, fmt.Errorf("%d routers are too many", len(set.Addrs))
+	}
+	if set.Self < 0 || set.Self >= len(set.Addrs) {
+		return nil, fmt.Errorf("this is router %d, and there are addresses of %d", set.Self, len(set.Addrs))
+	}
+	if _, err := netip.ParseAddrPort(set.Listen); err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	p := &Peers{set: set, number: map[netip.AddrPort]int{}, begun: time.Now()}
+	for i, text := range set.Addrs {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, fmt.Errorf("peers: %w", err)
+		}
+		a = netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+		if other, twice := p.number[a]; twice && i != set.Self && other != set.Self {
+			slog.Warn("two routers have one address", "addr", text, "routers", fmt.Sprintf("%d and %d", other, i))
+		}
+		p.addrs = append(p.addrs, a)
+		p.number[a] = i
+	}
+	p.view = view.New(view.Config{Self: set.Self, Of: len(set.Addrs), Start: p.begun, Seed: set.Seed, Now: 0})
+	return p, nil
+}
+
+// now is the time since the start, by a clock that never steps.
+func (p *Peers) now() time.Duration { return time.Since(p.begun) }
+
+// Again is how often an address that is taken is tried: by the process that this one replaces, for as long as that lives.
+const again = 250 * time.Millisecond
+
+// Run keeps the view until ctx ends, and tells the others then that this router does.
+func (p *Peers) Run(ctx context.Context) error {
+	conn, err := p.open(ctx)
+	if err != nil {
+		return err
+	}
+	if conn == nil { // ended before the address was free
+		return nil
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return p.receive(conn) })
+	g.Go(func() error {
+		p.tick(ctx)
+		p.mu.Lock()
+		p.view.Leave(p.now())
+		p.flush()
+		p.mu.Unlock()
+		return conn.Close()
+	})
+	return g.Wait()
+}
+
+func (p *Peers) open(ctx context.Context) (*net.UDPConn, error) {
+	addr, _ := netip.ParseAddrPort(p.set.Listen)
+	for waits := false; ; {
+		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+		if err == nil {
+			p.mu.Lock()
+			p.conn = conn
+			p.mu.Unlock()
+			slog.Info("listening for routers", "addr", conn.LocalAddr(), "self", p.set.Self, "of", len(p.set.Addrs))
+			return conn, nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			// A router that can't hear others serves its clients all the same.
+			slog.Warn("fleet view off", "why", err)
+			return nil, nil
+		}
+		if !waits {
+			slog.Info("peer_listen is taken, waiting for it", "addr", p.set.Listen)
+			waits = true
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil
+		case <-time.After(again):
+		}
+	}
+}
+
+func (p *Peers) receive(conn *net.UDPConn) error {
+	b := make([]byte, 2*view.MostBytes) // a longer one than is allowed is seen to be that
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil { // what a dead router's machine refuses comes back here
+			continue
+		}
+		who, known := p.number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if !known {
+			who = -1
+		}
+		p.mu.Lock()
+		p.view.Receive(p.now(), who, b[:n])
+		p.flush()
+		p.mu.Unlock()
+	}
+}
+
+// tick lets the view do what is due, until ctx ends.
+func (p *Peers) tick(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		phase, details := p.set.Phase(), p.set.Tell()
+		p.sawMu.Lock()
+		saw := p.saw
+		p.saw = nil
+		p.sawMu.Unlock()
+		p.mu.Lock()
+		p.view.SetPhase(phase)
+		p.view.Tell(details)
+		p.view.Tick(p.now())
+		for _, s := range saw {
+			p.view.Saw(s)
+		}
+		p.flush()
+		due, events := p.view.Next(), p.told
+		p.told = nil
+		p.mu.Unlock()
+		tell(events)
+		timer.Reset(max(time.Millisecond, due-p.now()))
+	}
+}
+
+// flush sends what the view wants sent; p.mu is held. No datagram is waited for: one that can't be sent is lost.
+func (p *Peers) flush() {
+	for _, d := range p.view.Out() {
+		if p.conn == nil {
+			continue
+		}
+		if _, err := p.conn.WriteToUDPAddrPort(d.Body, p.addrs[d.To]); err != nil {
+			p.sendFails++
+		}
+	}
+	p.told = append(p.told, p.view.Events()...)
+}
+
+// tell logs what has changed. When half of the fleet dies at once, that is one line for all.
+func tell(events []view.Event) {
+	const single = 4
+	counts := map[string]int{}
+	said := 0
+	for _, e := range events {
+		what := kindOf(e)
+		if what == "" {
+			continue
+		}
+		if counts[what]++; counts[what] <= single {
+			slog.Info(what, "router", e.Who, "phase", e.After.Phase, "start", time.UnixMilli(e.After.Inc.Start).UTC().Format(time.RFC3339Nano))
+			said++
+		}
+	}
+	for what, n := range counts {
+		if n > single {
+			slog.Info("and more at once", "what", what, "all", n)
+		}
+	}
+}
+
+// kindOf names an event for the log; empty: it is none for it.
+func kindOf(e view.Event) string {
+	a, b := &e.Before, &e.After
+	switch {
+	case b.State == view.Dead && a.State != view.Dead && a.Known():
+		return "router lost"
+	case b.State == view.Left && a.State != view.Left:
+		return "router left"
+	case b.State != view.Alive:
+		return ""
+	case !a.Known():
+		return "router joined"
+	case a.Inc.Start != b.Inc.Start:
+		return "router restarted"
+	case !a.Here():
+		return "router back"
+	case a.Phase != b.Phase:
+		return "router changed phase"
+	}
+	return ""
+}
--- a/internal/lab/drill/drill_test.go
+++ b/internal/lab/drill/drill_test.go
@@ -36,6 +36,8 @@
 		claim + "[[step]]\nkind = \"origin\"\n":                              "nothing goes wrong",
 		claim + "[[step]]\nkind = \"kill\"\nstall = true\n":                  "are for TCP: directory, cache, origin, admin",
 		claim + "[[step]]\nkind = \"kill\"\ndelay = \"1 s\"\n":               "delay is for ways",
+		claim + "[[list]]\nrouter = 0\nswap = [1]\n":                         "list 1: swap wants two routers",
+		"absent = -1\n" + claim:                                              "d.toml:1: absent is -1",
 		claim + "[[step]]\nkind = \"kill\"\nwhen = 3\n":                      `d.toml:6:1: there is no "step.when"`,
 		"[[claim]]\nkind = \"hope\"\n":                                       `d.toml:2: claim 1: kind is "hope"`,
 		"[[claim]]\nkind = \"never\"\n":                                      "want a text",
@@ -83,6 +85,9 @@
 	f := &File{Day: Small(), Steps: []Step{{Kind: "pause", At: span(2), For: span(3), Routers: []int{1}}}}
 	f.Day.Routers = 2
 	up := []Event{{At: -1, From: "watch", Router: 1, Text: "ready"}, {At: -1, From: "watch", Router: 2, Text: "ready"}}
+	seen := func(first, second string) []Event {
+		return []Event{{At: 6, Sure: 0.1, From: "view", Router: 1, Text: first}, {At: 6, Sure: 0.1, From: "view", Router: 2, Text: second}}
+	}
 	good := &tally.Result{Series: &tally.Series{Service: []float64{1, 1, 0, 0, 0, 0.9, 0.95, 1, 1, 1, 1}}}
 	for name, c := range map[string]struct {
 		claim  Claim
@@ -105,6 +110,13 @@
 		"ready too late":         {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 3, From: "watch", Router: 2, Text: "not ready"}, Event{At: 6.5, Sure: 0.2, From: "watch", Router: 2, Text: "ready"}), good, false},
 		"ready, and then not":    {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 9, From: "watch", Router: 2, Text: "not ready"}), good, false},
 		"ended with the day":     {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 24, From: "watch", Router: 2, Text: "not ready"}), good, true},
+		"views agree":            {Claim{Kind: "view", Within: span(2)}, seen("a alive alive", "a alive alive"), good, true},
+		"views agree too late":   {Claim{Kind: "view", Within: span(0.5)}, seen("a alive alive", "a alive alive"), good, false},
+		"one is not seen":        {Claim{Kind: "view", Within: span(2)}, seen("a alive dead", "a alive dead"), good, false},
+		"sums differ":            {Claim{Kind: "view", Within: span(2)}, seen("a alive alive", "b alive alive"), good, false},
+		"one says nothing":       {Claim{Kind: "view", Within: span(2)}, seen("a alive alive", "a alive alive")[:1], good, false},
+		"viewed by both":         {Claim{Kind: "viewed", Text: "; s-1 back", Within: span(2)}, seen("a alive alive; s-1 back", "a alive alive; s-1 back"), good, true},
+		"viewed by one":          {Claim{Kind: "viewed", Text: "; s-1 back", Within: span(2)}, seen("a alive alive; s-1 back", "a alive alive"), good, false},
 		"never seen":             {Claim{Kind: "ready", Within: span(1)}, up[:1], good, false},
 		"service comes back":     {Claim{Kind: "service", Least: 0.9, Within: span(1)}, nil, good, true},
 		"service comes too late": {Claim{Kind: "service", Least: 0.94, Within: span(0.5)}, nil, good, false},
@@ -151,7 +163,8 @@
 		{Kind: "directory", At: span(1), For: span(2), Refuse: true},
 		{Kind: "datagrams", At: span(1), For: span(2), Cut: true, Both: true},
 	}, Claims: []Claim{{Kind: "rules"}, {Kind: "alive"}, {Kind: "ready", Within: span(5)},
-		{Kind: "said", Text: `msg="server told"`, Within: span(1), Routers: []int{1}}}}
+		{Kind: "said", Text: `msg="server told"`, Within: span(1), Routers: []int{1}}, {Kind: "view", Within: span(5)},
+		{Kind: "never", Text: `msg="router lost"`}}}
 	f.Day.Length = span(9)
 	for n := 0; ; n++ {
 		r, err := Play(t.Context(), f, Options{Router: router})
--- a/internal/lab/drill/file.go
+++ b/internal/lab/drill/file.go
@@ -22,7 +22,9 @@
 // File is a drill.
 type File struct {
 	Title  string    `toml:"title"`
-	Day    model.Day `toml:"day"` // what differs from model.Prairie; its faults are played too
+	Day    model.Day `toml:"day"`    // what differs from model.Prairie; its faults are played too
+	Absent int       `toml:"absent"` // routers of which the list tells and that don't exist
+	Lists  []List    `toml:"list"`
 	Steps  []Step    `toml:"step"`
 	Claims []Claim   `toml:"claim"`
 
@@ -31,6 +33,12 @@
 	text []byte
 }
 
+// List is what is wrong with the list of peers that one router is told.
+type List struct {
+	Router int   `toml:"router"`
+	Swap   []int `toml:"swap"` // two routers whose addresses it has the wrong way round
+}
+
 // Step is something that is done to processes, or to the ways between them. All that it sets is taken back after For; a
 // later step on the same way goes before it.
 type Step struct {
@@ -70,7 +78,7 @@
 // Claim is what must hold.
 type Claim struct {
 	Kind    string        `toml:"kind,omitempty"`
-	Text    string        `toml:"text,omitempty"`    // never and said: an expression for lines of the log
+	Text    string        `toml:"text,omitempty"`    // never and said: an expression for lines of the log; viewed: for views
 	Routers []int         `toml:"routers,omitempty"` // whom it is about; none: all
 	Least   float64       `toml:"least,omitempty"`   // service
 	Within  unit.Duration `toml:"within,omitempty"`  // of the end of the last step or fault
@@ -83,6 +91,8 @@
 	{"never", "always: no line of the log fits text"},
 	{"said", "each router has logged a line that fits text since the first step, within the time"},
 	{"ready", "the routers are ready within the time, and stay so"},
+	{"view", "the routers that run say the same of the fleet, and what is so, within the time, and stay so"},
+	{"viewed", "each router's view has fitted text since the first step, within the time"},
 	{"service", "each second of five in a row has a service of least, within the time"},
 }
 
@@ -111,6 +121,14 @@
 	if f.Day.Routers > 60 {
 		return nil, experiment.Fault(path, text, "day.routers", fmt.Sprintf("routers is %d: a machine has room for 60 processes", f.Day.Routers))
 	}
+	if f.Absent < 0 || f.Absent > 1000 {
+		return nil, experiment.Fault(path, text, "absent", fmt.Sprintf("absent is %d: 0 to 1000 is possible", f.Absent))
+	}
+	for i, l := range f.Lists {
+		if why := unknown(append([]int{l.Router}, l.Swap...), &f.Day); why != "" || len(l.Swap) != 2 {
+			return nil, experiment.Fault(path, text, fmt.Sprintf("list %d: swap", i+1), fmt.Sprintf("list %d: swap wants two routers. %s", i+1, why))
+		}
+	}
 	for i, s := range f.Steps {
 		if figure, what := s.wrong(&f.Day); what != "" {
 			return nil, experiment.Fault(path, text, fmt.Sprintf("step %d: %s", i+1, figure), fmt.Sprintf("step %d: %s", i+1, what))
@@ -182,16 +200,16 @@
 }
 
 func (c *Claim) wrong(day *model.Day) (figure, why string) {
-	timed := c.Kind == "said" || c.Kind == "ready" || c.Kind == "service"
+	timed := c.Kind != "rules" && c.Kind != "alive" && c.Kind != "never"
 	switch _, err := regexp.Compile(c.Text); {
 	case !has(claimKinds, c.Kind):
 		return "kind", fmt.Sprintf("kind is %q: one of %s is meant", c.Kind, names(claimKinds))
-	case (c.Kind == "never" || c.Kind == "said") != (c.Text != ""):
-		return "text", "never and said want a text, and no other claim does"
+	case (c.Kind == "never" || c.Kind == "said" || c.Kind == "viewed") != (c.Text != ""):
+		return "text", "never, said and viewed want a text, and no other claim does"
 	case err != nil:
 		return "text", fmt.Sprintf("text is no expression: %v", err)
 	case timed != (c.Within > 0):
-		return "within", "said, ready and service want a time, and no other claim does"
+		return "within", "said, ready, view, viewed and service want a time, and no other claim does"
 	case (c.Kind == "service") != (c.Least > 0) || c.Least > 1:
 		return "least", "service wants a least over 0 and up to 1, and no other claim does"
 	}
@@ -209,6 +227,22 @@
 	return at
 }
 
+// ends is how the others see a router once all is calm: what a step ends without an end of its own stays ended.
+func (f *File) ends(router int) string {
+	for _, s := range f.Steps {
+		if s.For == 0 && (len(s.Routers) == 0 || slices.Contains(s.Routers, router)) {
+			if s.Kind == "kill" {
+				return "dead"
+			} else if s.Kind == "term" {
+				return "left"
+			}
+		}
+	}
+	return "alive"
+}
+
+func (f *File) runs(router int) bool { return f.ends(router) == "alive" }
+
 // first is when the first step or fault begins, after the warm-up.
 func (f *File) first() time.Duration {
 	at := f.Day.Length.D()
--- a/internal/lab/drill/judge.go
+++ b/internal/lab/drill/judge.go
@@ -36,7 +36,11 @@
 		case "never":
 			holds, why = never(c, events)
 		case "said":
-			holds, why = said(f, c, events)
+			holds, why = said(f, c, "router", events)
+		case "viewed":
+			holds, why = said(f, c, "view", events)
+		case "view":
+			holds, why = view(f, c, events)
 		case "ready":
 			holds, why = ready(f, c, events)
 		case "service":
@@ -71,16 +75,16 @@
 	return true, "no line fits"
 }
 
-func said(f *File, c Claim, events []Event) (bool, string) {
+func said(f *File, c Claim, source string, events []Event) (bool, string) {
 	is := regexp.MustCompile(c.Text)
 	from, to := f.first().Seconds(), (f.calm() + c.Within.D()).Seconds()
 	last := 0.0
 	for i := range f.Day.Routers {
-		if !c.about(i + 1) {
+		if !c.about(i+1) || len(c.Routers) == 0 && !f.runs(i) {
 			continue
 		}
 		at := slices.IndexFunc(events, func(e Event) bool {
-			return e.From == "router" && e.Router == i+1 && e.At+e.Sure >= from && is.MatchString(e.Text)
+			return e.From == source && e.Router == i+1 && e.At+e.Sure >= from && is.MatchString(e.Text)
 		})
 		if at < 0 || events[at].At-events[at].Sure > to {
 			return false, fmt.Sprintf("router %d said nothing of it by %.1f s", i, to)
@@ -115,6 +119,47 @@
 	return true, fmt.Sprintf("the last from %.1f s on, %.1f s after all was calm", last, max(0, last-f.calm().Seconds()))
 }
 
+// view tells whether all routers that run say the same, and take exactly these for alive, from a time on. Each view is held to
+// have lasted from when it was first seen, or earlier, until another one was.
+func view(f *File, c Claim, events []Event) (bool, string) {
+	var is []string
+	for i := range f.Day.Routers {
+		is = append(is, f.ends(i))
+	}
+	for range f.Absent {
+		is = append(is, "unknown")
+	}
+	want := strings.Join(is, " ")
+	to, last := (f.calm() + c.Within.D()).Seconds(), 0.0
+	sum := ""
+	for i := range f.Day.Routers {
+		if !c.about(i+1) || !f.runs(i) {
+			continue
+		}
+		since, text := 0.0, "nothing"
+		for _, e := range events {
+			if e.From == "view" && e.Router == i+1 && e.At <= f.Day.Length.Seconds() {
+				since, text = e.At-e.Sure, e.Text
+			}
+		}
+		said, rest, _ := strings.Cut(text, " ")
+		states, _, _ := strings.Cut(rest, ";")
+		if sum == "" {
+			sum = said
+		}
+		switch {
+		case states != want:
+			return false, fmt.Sprintf("router %d says at the end: %s, not %s", i, states, want)
+		case said != sum:
+			return false, fmt.Sprintf("router %d has the sum %s at the end, another one %s", i, said, sum)
+		case since > to:
+			return false, fmt.Sprintf("router %d says so from %.1f s on, not from %.1f s", i, since, to)
+		}
+		last = max(last, since)
+	}
+	return true, fmt.Sprintf("the last from %.1f s on, %.1f s after all was calm", last, max(0, last-f.calm().Seconds()))
+}
+
 // service tells whether each second of five in a row does well, of which the first begins within the time.
 func service(f *File, c Claim, seconds []float64) (bool, string) {
 	calm := f.calm().Seconds()
--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/lab/loopback"
 	"hoptiller/internal/lab/standin"
 	"hoptiller/internal/lab/tally"
@@ -98,7 +101,7 @@
 	day := f.Day
 	o := standin.Options{Router: opt.Router, Series: true, Way: p.way,
 		Logs:  func(i int) io.Writer { return &log{t: p.timeline, router: i} },
-		Peers: func(i int) (string, []string) { return p.mesh.Home(i), p.mesh.Peers(i) },
+		Peers: p.peers,
 		Admin: func(i int) string { return p.admins[i] },
 		Ended: func(i int, how string) {
 			p.timeline.add(time.Now(), 50*time.Millisecond, "watch", i, endedByItself+how)
@@ -123,6 +126,7 @@
 		}
 		for i := range day.Routers {
 			watch.Go(func() { p.watchReady(ctx, i) })
+			watch.Go(func() { p.watchView(ctx, i) })
 		}
 		watch.Go(func() { lag = p.watchLag(ctx) })
 	}
@@ -140,6 +144,24 @@
 	return r, nil
 }
 
+// peers is what a router is told of the others, right or wrong.
+func (p *player) peers(router int) (listen string, addrs []string) {
+	addrs = p.mesh.Peers(router)
+	for _, l := range p.f.Lists {
+		if a, b := l.Swap[0], l.Swap[1]; l.Router == router {
+			addrs[a], addrs[b] = addrs[b], addrs[a]
+		}
+	}
+	for i := range p.f.Absent { // of the host that a router would have, and nobody listens there
+		host, err := loopback.Host(loopback.Peers, p.f.Day.Routers+i)
+		if err != nil {
+			break
+		}
+		addrs = append(addrs, net.JoinHostPort(host, "9"))
+	}
+	return p.mesh.Home(router), addrs
+}
+
 // way puts a relay before a party.
 func (p *player) way(router int, to standin.Party, addr string) (string, error) {
 	host, err := loopback.Host(loopback.Parties, router)
@@ -277,6 +299,44 @@
 	}
 }
 
+// watchView asks a router all the time how it sees the fleet, and tells of each change.
+func (p *player) watchView(ctx context.Context, i int) {
+	p.mu.Lock()
+	addr := p.ways[wayKey{i, admin}][0].Addr()
+	p.mu.Unlock()
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for last := ""; ; {
+		asked := time.Now()
+		if a := peers.Ask(ctx, addr); a.View != nil {
+			now := viewText(a.View)
+			if now != last {
+				half := time.Since(asked)/2 + 100*time.Millisecond
+				p.timeline.add(asked.Add(half-100*time.Millisecond), half, "view", i, now)
+				last = now
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// viewText is a view as the timeline has it: its sum, the state of each router, and what is seen of slot caches.
+func viewText(v *peers.Report) string {
+	var b strings.Builder
+	b.WriteString(v.Sum)
+	for _, m := range v.Members {
+		b.WriteString(" " + m.State)
+	}
+	for i, c := range v.Caches {
+		b.WriteString(map[bool]string{true: "; ", false: ", "}[i == 0] + c.ID + " " + c.State)
+	}
+	return b.String()
+}
+
 // watchLag tells the longest time for which a process that wants next to nothing was kept from running.
 func (p *player) watchLag(ctx context.Context) (most time.Duration) {
 	const every = 20 * time.Millisecond
--- a/internal/lab/standin/settings.go
+++ b/internal/lab/standin/settings.go
@@ -33,7 +33,7 @@
 		"familyInfo": map[string]any{"mode": "aside", "ordered": set.Ordered, "originKind": set.OriginKind},
 		"bounds": map[string]any{"connIdle": us(day.Fleet.IdleFor.D()), "connectTimeout": us(set.ConnTimeout),
 			"mayCancel": set.MayCancel, "mostTries": set.MaxAttempts, "maxRetryAfter": us(set.MaxRetryAfter),
-			"retryAfter": set.RetryAfter, "secondCopies": set.SecondCopies, "streamsPerConn": 100},
+			"mayTell": true, "retryAfter": set.RetryAfter, "secondCopies": set.SecondCopies, "streamsPerConn": 100},
 		"rules": map[string]any{"askWithin": us(set.AskWithin), "cold": us(set.Cold), "coldFrom": set.ColdFrom, "fall": us(set.Fall),
 			"graceToAnswer": us(set.AnswerGrace), "overloadFactor": set.OverloadFactor, "stopSendingWithin": us(set.StopSendingWithin)},
 	}
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -45,9 +45,11 @@
 			c.limits(s)
 		case "log":
 			c.log(s)
+		case "fleet":
+			c.fleet(s)
 		default:
 			c.find(s.at, "statement", fmt.Sprintf("there is no statement %q", s.name),
-				"include, const, listener, limits, log, pool, policy, route")
+				"include, const, fleet, listener, limits, log, pool, policy, route")
 		}
 	}
 	for _, u := range c.uses {
@@ -412,22 +414,31 @@
 	})
 }
 
+func (c *checker) fleet(s *statement) {
+	c.begin(s, false)
+	f := &c.plan.Fleet
+	f.pos = places{}
+	c.block(s, f.pos, map[string]func(*statement){"view": c.word(&f.View, "on", "off")})
+}
+
+// word takes one of some words.
+func (c *checker) word(into *string, words ...string) func(*statement) {
+	return func(s *statement) {
+		if v, ok := c.one(s); ok && slices.Contains(words, v.text) {
+			*into = v.text
+		} else if ok {
+			c.find(v.at, "word", fmt.Sprintf("%s can't be %q", s.name, v.text), strings.Join(words, ", "))
+		}
+	}
+}
+
 func (c *checker) log(s *statement) {
 	c.begin(s, false)
 	l := &c.plan.Log
 	l.pos = places{}
-	word := func(into *string, words ...string) func(*statement) {
-		return func(s *statement) {
-			if v, ok := c.one(s); ok && slices.Contains(words, v.text) {
-				*into = v.text
-			} else if ok {
-				c.find(v.at, "word", fmt.Sprintf("%s can't be %q", s.name, v.text), strings.Join(words, ", "))
-			}
-		}
-	}
 	c.block(s, l.pos, map[string]func(*statement){
-		"level":  word(&l.Level, "debug", "info", "warn", "error"),
-		"format": word(&l.Format, "text", "json"),
+		"level":  c.word(&l.Level, "debug", "info", "warn", "error"),
+		"format": c.word(&l.Format, "text", "json"),
 		"rate":   func(s *statement) { l.Rate = c.number(s, unit.Rate, 0.01, 1000) },
 	})
 }
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -155,6 +155,9 @@
 			{"concurrency", concurrencyText(p.Limits.Concurrency)}, {"queue", queueText(p.Limits.Queue, p.Limits.QueueFor)}},
 		"log": {{"level", p.Log.Level}, {"format", p.Log.Format}, {"rate", unit.Format(p.Log.Rate, unit.Rate)}},
 	}
+	if p.Fleet.View != "" {
+		all["fleet"] = []Field{{"view", p.Fleet.View}}
+	}
 	for name, l := range p.Listeners {
 		all["listener "+name] = []Field{{"address", l.Addr}}
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -135,6 +135,12 @@
 	pos    places
 }
 
+// Fleet says what routers do together.
+type Fleet struct {
+	View string // on or off; empty: as the platform's settings have it
+	pos  places
+}
+
 // Plan is the meaning of a file.
 type Plan struct {
 	Routes    []*Route // in the order of their names
@@ -143,6 +149,7 @@
 	Listeners map[string]*Listener
 	Limits    Limits
 	Log       Log
+	Fleet     Fleet
 
 	platform *Platform
 	table    *Table
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -34,6 +34,7 @@
 	body   *body   // a long value is on its way: until its end nothing behind it can be
 	ending bool    // some call on it was given up: it ends when the others have their answers
 	dead   bool
+	useful bool // something was answered on it
 }
 
 // call is one call that waits for its answer.
@@ -225,9 +226,12 @@
 	defer p.mu.Unlock()
 	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrShortBuffer) {
 		p.spoilt(c)
-	} else {
-		p.drop(c)
+		return
+	}
+	if !c.useful && !c.dead {
+		p.see(c.server, false)
 	}
+	p.drop(c)
 }
 
 // answers hands out the whole answers in b and tells how many bytes they took up, which long value follows
@@ -253,7 +257,8 @@
 		if reply.Report != nil && p.set.Reports != nil {
 			p.set.Reports.Take(c.server.ID, reply.Report)
 		}
-		c.calls = c.calls[1:]
+		c.calls, c.useful = c.calls[1:], true
+		p.see(c.server, true)
 		if s := c.server; out.sent.After(s.passed) {
 			s.passed = out.sent
 		}
--- a/internal/provider/find.go
+++ b/internal/provider/find.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"hoptiller"
@@ -123,6 +124,17 @@
 	return oldest != nil
 }
 
+// see notes that a server has no process, since it refused a connection or ended one before it answered anything, or that it
+// has answered again. p.mu is held.
+func (p *Pool) see(s *server, up bool) {
+	if s.gone != up { // as before
+		return
+	}
+	if s.gone = !up; p.set.Seen != nil {
+		p.set.Seen(s.ID, up)
+	}
+}
+
 // dial opens a connection. p.mu is held, but not while it waits.
 func (p *Pool) dial(ctx context.Context, s *server) (nc net.Conn, reader *buffer.Reader, err error) {
 	addr, started := s.Addr, s.Started
@@ -137,6 +149,9 @@
 	if err == nil && (s.Addr != addr || s.Started != started) {
 		err = errMoved
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.see(s, false)
+	}
 	s.dialEnded(err)
 	if err != nil {
 		p.total--
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -27,9 +27,10 @@
 	Places         int           // connections that each core of a server accepts; 0: not stated
 	Kept           int           // idle connections to a server that stay till then; more are closed sooner
 	ConnectTimeout time.Duration
-	Room           *semaphore.Weighted // bytes of values whose length shows at their end
-	Reports        *loads.Table        // keeps what servers tell of their load; nil: nothing does
-	Called         func()              // told of each call that was written whole; nil: nobody is
+	Room           *semaphore.Weighted      // bytes of values whose length shows at their end
+	Reports        *loads.Table             // keeps what servers tell of their load; nil: nothing does
+	Seen           func(id uint32, up bool) // told of a server that has no process, and that answers again; nil: nobody is
+	Called         func()                   // told of each call that was written whole; nil: nobody is
 }
 
 // Pool has the connections to all servers of a kind. It is a relay.Caller.
@@ -49,6 +50,7 @@
 	relay.Server
 	conns   []*conn // all that are open, those used last at the end
 	dialing int
+	gone    bool          // it has no process, as far as is seen
 	dialed  *dialed       // how the next of those ends; nil: nobody waits for that
 	typical time.Duration // smoothed time from a call to its answer
 	passed  time.Time     // when the latest call that has an answer was sent
--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -368,3 +368,36 @@
 		t.Errorf("a call whose connection did not come up ends as %d", r.Status)
 	}
 }
+
+// A server that ends connections before it answers anything is seen to be gone, once, and to be back with its first answer.
+func TestSeen(t *testing.T) {
+	var gone atomic.Bool
+	p := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for _, err := r.ReadString('\n'); err == nil && !gone.Load(); _, err = r.ReadString('\n') {
+			conn.Write([]byte("EN O01\r\n"))
+		}
+	})
+	seen := make(chan bool, 10)
+	p.set.Seen = func(id uint32, up bool) { seen <- up }
+	ctx, cancel := context.WithTimeout(context.Background(), testprog.Patience)
+	defer cancel()
+	call := func(down bool) {
+		gone.Store(down)
+		p.Call(ctx, 1, read)
+		until(t, p, "no connection that ends", func(s *server) bool { return !down || len(s.conns) == 0 })
+	}
+	call(false)
+	call(true) // on a connection that was of use: a neighbour's end shows nothing
+	if len(seen) > 0 {
+		t.Fatal("seen too early")
+	}
+	call(true)
+	call(true)
+	if up := testprog.Await(t, seen, "its end"); up || len(seen) > 0 {
+		t.Errorf("up %v, and %d more", up, len(seen))
+	}
+	call(false)
+	if up := testprog.Await(t, seen, "its return"); !up || len(seen) > 0 {
+		t.Errorf("up %v, and %d more", up, len(seen))
+	}
+}
