--- a/cmd/hoplab/main.go
+++ b/cmd/hoplab/main.go
@@ -24,6 +24,7 @@
 	Hunt    huntCmd    `cmd:"" help:"Draw random days until one breaks a rule or a rival does better."`
 	Story   storyCmd   `cmd:"" help:"Play one run again and tell the course of one request."`
 	Drill   drillCmd   `cmd:"" help:"Start several routers, put faults on them and between them, and hold what comes of it against claims."`
+	View    viewCmd    `cmd:"" help:"Measure the view of the fleet in virtual time, or search through all orders of events."`
 	Speed   speedCmd   `cmd:"" help:"Measure what the router adds to a request, beside a bare relay."`
 	Pick    pickCmd    `cmd:"" help:"Measure a pick by the size of the fleet, for each policy."`
 	Relay   relayCmd   `cmd:"" hidden:"" help:"The bare relay that speed measures."`
--- /dev/null
+++ b/cmd/hoplab/view.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hoptiller/internal/command"
+	"hoptiller/internal/lab/draw"
+	"hoptiller/internal/lab/flock"
+)
+
+type viewCmd struct {
+	Routers []int         `help:"Sizes of fleets." default:"100,300,1000"`
+	Seeds   int           `help:"Plays of each." default:"3"`
+	Least   time.Duration `help:"The shortest time that a datagram takes." default:"2.5ms"`
+	Most    time.Duration `help:"The longest." default:"39ms"`
+	Short   bool          `help:"Leave out the ten minutes of pauses."`
+	Search  int           `help:"Go through all orders of events of three routers up to this depth instead." placeholder:"DEPTH"`
+	Out     string        `help:"Folder for the table and the plots." default:"found/view" type:"path"`
+}
+
+func (c *viewCmd) Run(ctx context.Context) error {
+	if c.Search > 0 {
+		return c.search()
+	}
+	for _, n := range c.Routers {
+		if n < 4 || n > 4000 {
+			return fmt.Errorf("a fleet of %d: 4 to 4,000 are possible", n)
+		}
+	}
+	if c.Least < 0 || c.Most < c.Least || c.Seeds < 1 {
+		return fmt.Errorf("--least %v, --most %v, --seeds %d: not possible", c.Least, c.Most, c.Seeds)
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	all := make([]*flock.Figures, len(c.Routers)*c.Seeds)
+	var g errgroup.Group
+	g.SetLimit(4)
+	for i := range all {
+		g.Go(func() error {
+			if ctx.Err() == nil {
+				all[i] = flock.Measure(c.Routers[i/c.Seeds], flock.Net{Least: c.Least, Most: c.Most}, uint64(i%c.Seeds+1), c.Short)
+			}
+			return ctx.Err()
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	text, broken := viewTable(all)
+	fmt.Print(text)
+	if err := os.WriteFile(filepath.Join(c.Out, "view.md"), []byte(text), 0o644); err != nil {
+		return err
+	}
+	if err := c.plots(all); err != nil {
+		return err
+	}
+	if broken {
+		return command.ErrFinding
+	}
+	return nil
+}
+
+// viewTable writes the figures, times in seconds.
+func viewTable(all []*flock.Figures) (text string, broken bool) {
+	var b strings.Builder
+	b.WriteString("| routers | seed | all start | join, worst of 20 | crash, mean and worst of 20 | living taken for dead / pauses | halves meet | thirds meet | a third joins | bytes/s calm | at 10% loss | in repair |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, f := range all {
+		fmt.Fprintf(&b, "| %d | %d | %.1f | %.2f | %.1f, %.1f | %d / %d | %.1f | %.1f | %.1f | %.0f | %.0f | %.0f |\n", f.Routers, f.Seed, f.Settle,
+			slices.Max(f.Joins), mean(f.Crashes), slices.Max(f.Crashes), f.FalseDeaths, f.Pauses, f.Halves, f.Thirds, f.Third, f.CalmBytes, f.Bytes, f.RepairBytes)
+		for _, what := range f.Broken {
+			fmt.Fprintf(&b, "\n%d routers, seed %d: %s\n", f.Routers, f.Seed, what)
+			broken = true
+		}
+	}
+	return b.String(), broken
+}
+
+func mean(list []float64) (m float64) {
+	for _, x := range list {
+		m += x / float64(len(list))
+	}
+	return m
+}
+
+// plots draws the worst of all seeds over the size of the fleet.
+func (c *viewCmd) plots(all []*flock.Figures) error {
+	times := []draw.Curve{{Name: "all start"}, {Name: "join"}, {Name: "crash"}, {Name: "halves meet"}, {Name: "thirds meet"}, {Name: "a third joins"}}
+	bytes := []draw.Curve{{Name: "calm"}, {Name: "10% loss"}, {Name: "in repair"}}
+	for i, n := range c.Routers {
+		worst := func(of func(f *flock.Figures) float64) (x float64) {
+			for _, f := range all[i*c.Seeds : (i+1)*c.Seeds] {
+				x = max(x, of(f))
+			}
+			return x
+		}
+		for k, of := range []func(f *flock.Figures) float64{
+			func(f *flock.Figures) float64 { return f.Settle }, func(f *flock.Figures) float64 { return slices.Max(f.Joins) },
+			func(f *flock.Figures) float64 { return slices.Max(f.Crashes) }, func(f *flock.Figures) float64 { return f.Halves },
+			func(f *flock.Figures) float64 { return f.Thirds }, func(f *flock.Figures) float64 { return f.Third },
+		} {
+			times[k].X, times[k].Y = append(times[k].X, float64(n)), append(times[k].Y, worst(of))
+		}
+		for k, of := range []func(f *flock.Figures) float64{
+			func(f *flock.Figures) float64 { return f.CalmBytes }, func(f *flock.Figures) float64 { return f.Bytes },
+			func(f *flock.Figures) float64 { return f.RepairBytes },
+		} {
+			bytes[k].X, bytes[k].Y = append(bytes[k].X, float64(n)), append(bytes[k].Y, worst(of))
+		}
+	}
+	if err := draw.Curves("A view of the fleet: until all know, worst of all seeds", "routers", "seconds", times, filepath.Join(c.Out, "times.svg")); err != nil {
+		return err
+	}
+	return draw.Curves("What a router sends", "routers", "bytes a second", bytes, filepath.Join(c.Out, "bytes.svg"))
+}
+
+func (c *viewCmd) search() error {
+	for _, back := range []bool{false, true} {
+		s := &flock.Search{Routers: 3, Depth: c.Search, Crashes: 2, Waiting: 4, Rewind: back}
+		err := s.Run()
+		fmt.Printf("clocks of new lives set back %v: %d states to a depth of %d, from %d of them all views agreed, %v\n", back, s.States, s.Depth, s.Settled, s.Took.Round(time.Millisecond))
+		if err != nil {
+			fmt.Println(err)
+			return command.ErrFinding
+		}
+	}
+	return nil
+}
