--- a/internal/lab/drill/drill_test.go
+++ b/internal/lab/drill/drill_test.go
@@ -36,7 +36,7 @@
 		claim + "[[step]]\nkind = \"origin\"\n":                              "nothing goes wrong",
 		claim + "[[step]]\nkind = \"kill\"\nstall = true\n":                  "are for TCP: directory, cache, origin, admin",
 		claim + "[[step]]\nkind = \"kill\"\ndelay = \"1 s\"\n":               "delay is for ways",
-		claim + "[[list]]\nrouter = 0\nswap = [1]\n":                         "list 1: swap wants two routers",
+		claim + "[[list]]\nrouter = 0\nswap = [1]\n":                         "list 1: swap wants two routers, or as one",
 		"absent = -1\n" + claim:                                              "d.toml:1: absent is -1",
 		claim + "[[step]]\nkind = \"kill\"\nwhen = 3\n":                      `d.toml:6:1: there is no "step.when"`,
 		"[[claim]]\nkind = \"hope\"\n":                                       `d.toml:2: claim 1: kind is "hope"`,
--- a/internal/lab/drill/file.go
+++ b/internal/lab/drill/file.go
@@ -33,10 +33,11 @@
 	text []byte
 }
 
-// List is what is wrong with the list of peers that one router is told.
+// List is what is wrong with what one router is told of the others.
 type List struct {
 	Router int   `toml:"router"`
-	Swap   []int `toml:"swap"` // two routers whose addresses it has the wrong way round
+	Swap   []int `toml:"swap,omitempty"` // two routers whose addresses it has the wrong way round
+	As     *int  `toml:"as,omitempty"`   // another router, whose number and address it is given
 }
 
 // Step is something that is done to processes, or to the ways between them. All that it sets is taken back after For; a
@@ -125,8 +126,12 @@
 		return nil, experiment.Fault(path, text, "absent", fmt.Sprintf("absent is %d: 0 to 1000 is possible", f.Absent))
 	}
 	for i, l := range f.Lists {
-		if why := unknown(append([]int{l.Router}, l.Swap...), &f.Day); why != "" || len(l.Swap) != 2 {
-			return nil, experiment.Fault(path, text, fmt.Sprintf("list %d: swap", i+1), fmt.Sprintf("list %d: swap wants two routers. %s", i+1, why))
+		about := append([]int{l.Router}, l.Swap...)
+		if l.As != nil {
+			about = append(about, *l.As)
+		}
+		if why := unknown(about, &f.Day); why != "" || len(l.Swap) != 2 && l.As == nil {
+			return nil, experiment.Fault(path, text, fmt.Sprintf("list %d: router", i+1), fmt.Sprintf("list %d: swap wants two routers, or as one. %s", i+1, why))
 		}
 	}
 	for i, s := range f.Steps {
@@ -229,6 +234,9 @@
 
 // ends is how the others see a router once all is calm: what a step ends without an end of its own stays ended.
 func (f *File) ends(router int) string {
+	if f.self(router) != router {
+		return "unknown"
+	}
 	for _, s := range f.Steps {
 		if s.For == 0 && (len(s.Routers) == 0 || slices.Contains(s.Routers, router)) {
 			if s.Kind == "kill" {
@@ -241,6 +249,16 @@
 	return "alive"
 }
 
+// self is the number that a router is told to have.
+func (f *File) self(router int) int {
+	for _, l := range f.Lists {
+		if l.Router == router && l.As != nil {
+			return *l.As
+		}
+	}
+	return router
+}
+
 func (f *File) runs(router int) bool { return f.ends(router) == "alive" }
 
 // first is when the first step or fault begins, after the warm-up.
--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -101,7 +101,7 @@
 	day := f.Day
 	o := standin.Options{Router: opt.Router, Series: true, Way: p.way,
 		Logs:  func(i int) io.Writer { return &log{t: p.timeline, router: i} },
-		Peers: p.peers,
+		Peers: p.peers, Self: f.self,
 		Admin: func(i int) string { return p.admins[i] },
 		Ended: func(i int, how string) {
 			p.timeline.add(time.Now(), 50*time.Millisecond, "watch", i, endedByItself+how)
@@ -146,10 +146,11 @@
 
 // peers is what a router is told of the others, right or wrong.
 func (p *player) peers(router int) (listen string, addrs []string) {
-	addrs = p.mesh.Peers(router)
+	self := p.f.self(router)
+	addrs = p.mesh.Peers(self)
 	for _, l := range p.f.Lists {
-		if a, b := l.Swap[0], l.Swap[1]; l.Router == router {
-			addrs[a], addrs[b] = addrs[b], addrs[a]
+		if l.Router == router && len(l.Swap) == 2 {
+			addrs[l.Swap[0]], addrs[l.Swap[1]] = addrs[l.Swap[1]], addrs[l.Swap[0]]
 		}
 	}
 	for i := range p.f.Absent { // of the host that a router would have, and nobody listens there
@@ -159,7 +160,7 @@
 		}
 		addrs = append(addrs, net.JoinHostPort(host, "9"))
 	}
-	return p.mesh.Home(router), addrs
+	return p.mesh.Home(self), addrs
 }
 
 // way puts a relay before a party.
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -38,6 +38,8 @@
 	// Peers, if set, gives what a router is told of the others: where to listen for them, and an address for each by
 	// number, its own included.
 	Peers func(router int) (listen string, addrs []string)
+	// Self, if set, gives the number that a router is told to have.
+	Self func(router int) int
 	// Admin, if set, gives the address at which a router is to take operators' calls.
 	Admin func(router int) string
 	// Ended, if set, is told of a router's process that has ended though neither a signal nor the day's end was for it.
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -59,10 +59,14 @@
 	known := n.listing(present)
 	e.Check.Told(e.World.Now(), n.index, present)
 	e.mu.Unlock()
+	self := n.index
+	if e.opt.Self != nil {
+		self = e.opt.Self(n.index)
+	}
 	c := map[string]any{
 		"name": fmt.Sprintf("n%d", n.index), "listen": n.addr, "discovery": n.directory, "seed": fmt.Sprintf("%016x", e.day.Seed+uint64(n.index)),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":  known, "settings": SettingsJSON(e.day, n.index),
+		"known":  known, "settings": SettingsJSON(e.day, self),
 	}
 	if e.opt.Peers != nil {
 		c["peer_listen"], c["peers"] = e.opt.Peers(n.index)
