--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -174,8 +174,10 @@
 		r.calls++
 		l.calls[call], r.sent[call], l.last = r, e.World.Now(), call
 		server := e.World.Occupant(l.server)
-		e.Check.Sent(e.World.Now(), l.n.index, r.number, server)
-		l.alone(r, call)
+		if r.life == l.n.life { // else it was killed since: the rules know nothing of what it had taken
+			e.Check.Sent(e.World.Now(), l.n.index, r.number, server)
+			l.alone(r, call)
+		}
 		m := e.World.Member(server)
 		e.Tally.Called(m.Zone != l.n.index%e.day.Zones)
 		l.conn.Send(call)
