--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -107,7 +107,11 @@
 	if _, err := r.Peek(1); err != nil {
 		return
 	}
-	<-l.opened // nothing is read before the handshake is over
+	select {
+	case <-l.opened: // nothing is read before the handshake is over
+	case <-l.n.e.ctx.Done(): // and none is, once the day has ended
+		return
+	}
 	if l.server == 0 {
 		l.readOrigin(r)
 		return
--- a/internal/lab/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -226,3 +226,19 @@
 		t.Errorf("answers %q, broken %v", answers, r.Violations)
 	}
 }
+
+// A connection whose handshake the day's end has overtaken ends too.
+func TestHandshakeAtTheEnd(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	near, far := net.Pipe()
+	defer far.Close()
+	go far.Write([]byte("mn\r\n"))
+	l := &link{n: &node{e: &Engine{ctx: ctx}}, c: near, opened: make(chan struct{})}
+	done := make(chan bool)
+	go func() {
+		l.read()
+		close(done)
+	}()
+	testprog.Await(t, done, "end of the connection")
+}
