Let routers go out by permits that the fleet grants, bounded in the operator's file

POST /v1/fleet/drain asks a majority of electors for a lease, has the router drained once it is granted, and renews it; POST /v1/fleet/activate serves again and gives it back. A router that can't renew serves again 3 s before the lease ends, and one that stood still past the end as soon as it wakes. fleet { out 10% out-zone 2 } in an operator's file; a zone's bound over the fleet's is refused with line and reason. /v1/fleet and hoptiller fleet tell who is out and why an ask was refused. Electors count as out whatever they see dead, left, starting or draining.

Off wherever the view is.

--- a/cmd/hoplab/drill.go
+++ b/cmd/hoplab/drill.go
@@ -21,13 +21,14 @@
 const playsAgain = 3
 
 type drillCmd struct {
-	Files  []string `arg:"" optional:"" help:"Drills." type:"existingfile"`
-	Random bool     `help:"Draw drills instead."`
-	Seeds  int      `help:"How many are drawn." default:"10"`
-	Seed   uint64   `help:"The first one's seed; of files, in place of their own."`
-	AtOnce int      `help:"How many are played at once." default:"1"`
-	Router string   `help:"The router's program." default:"bin/hoptiller" type:"existingfile"`
-	Out    string   `help:"Folder for timelines and pictures, and for drawn drills that break a claim." default:"found/drills" type:"path"`
+	Files   []string `arg:"" optional:"" help:"Drills." type:"existingfile"`
+	Random  bool     `help:"Draw drills instead."`
+	Permits bool     `help:"Draw drills in which all routers ask to go out."`
+	Seeds   int      `help:"How many are drawn." default:"10"`
+	Seed    uint64   `help:"The first one's seed; of files, in place of their own."`
+	AtOnce  int      `help:"How many are played at once." default:"1"`
+	Router  string   `help:"The router's program." default:"bin/hoptiller" type:"existingfile"`
+	Out     string   `help:"Folder for timelines and pictures, and for drawn drills that break a claim." default:"found/drills" type:"path"`
 }
 
 func (c *drillCmd) Run(ctx context.Context) error {
@@ -44,7 +45,11 @@
 	}
 	if c.Random {
 		for i := range c.Seeds {
-			all = append(all, drill.Random(max(c.Seed, 1)+uint64(i)))
+			if c.Permits {
+				all = append(all, drill.RandomPermits(max(c.Seed, 1)+uint64(i)))
+			} else {
+				all = append(all, drill.Random(max(c.Seed, 1)+uint64(i)))
+			}
 		}
 	}
 	if len(all) == 0 {
@@ -136,6 +141,9 @@
 			return false, err
 		}
 		again = fmt.Sprintf("hoplab drill --random --seeds 1 --seed %d", f.Day.Seed)
+		if c.Permits {
+			again += " --permits"
+		}
 	}
 	fmt.Fprintf(w, "  timeline %s.jsonl, picture %s.svg; again: %s\n", base, base, again)
 	return false, nil
--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -43,6 +43,14 @@
 			body, err := json.Marshal(fleet.Report())
 			return err == nil, append(body, '\n')
 		}}
+		out := func(do func() peers.Out) func() (bool, []byte) {
+			return func() (bool, []byte) {
+				body, err := json.Marshal(do())
+				return err == nil, append(body, '\n')
+			}
+		}
+		all["/v1/fleet/drain"] = admin.Call{Method: "POST", Do: out(fleet.GoOut)}
+		all["/v1/fleet/activate"] = admin.Call{Method: "POST", Do: out(fleet.ComeBack)}
 	}
 	return all
 }
--- a/cmd/hoptiller/fleet.go
+++ b/cmd/hoptiller/fleet.go
@@ -122,6 +122,14 @@
 			m.Start, m.Version, m.Settings, m.Rate, note)
 	}
 	t.Flush()
+	if o := v.Out; o != nil {
+		if o.State != "none" {
+			fmt.Fprintf(w, "router %d's permit: %s\n", v.Self, strings.TrimSpace(o.State+" "+o.Why))
+		}
+		for _, h := range o.Holders {
+			fmt.Fprintln(w, "out by permit:", h)
+		}
+	}
 	for _, c := range v.Caches {
 		fmt.Fprintf(w, "slot cache %s was seen %s %.0f s ago\n", c.ID, c.State, c.Age)
 	}
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -132,7 +132,7 @@
 	if shares.heap > 0 {
 		debug.SetMemoryLimit(int64(shares.heap))
 	}
-	fleet := newFleet(c, p.Fleet.View, counts)
+	fleet := newFleet(c, p.Fleet, counts, life)
 	room := semaphore.NewWeighted(int64(max(shares.long, meta.MaxLong)))
 	providers := provider.New(provider.Settings{
 		Share: providerShare, MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
--- a/cmd/hoptiller/together.go
+++ b/cmd/hoptiller/together.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -13,8 +14,10 @@
 	"hoptiller/internal/config"
 	"hoptiller/internal/figures"
 	"hoptiller/internal/fleet/peers"
+	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/plan"
 )
 
 // fleet is this router among the others.
@@ -34,7 +37,7 @@
 
 // newFleet opens the view where the settings and the operator's file, which goes before, have it on. What
 // the platform forbids no file allows.
-func newFleet(c *config.Config, stated string, counts *figures.Counts) *fleet {
+func newFleet(c *config.Config, stated plan.Fleet, counts *figures.Counts, life *lifecycle.State) *fleet {
 	f := &fleet{counts: counts, config: c, at: time.Now()}
 	why := ""
 	switch {
@@ -42,14 +45,23 @@
 		why = "the settings don't allow datagrams between routers"
 	case c.PeerListen == "" || len(c.Peers) < 2:
 		why = "no peers are told"
-	case stated == "off":
+	case stated.View == "off":
 		why = "the operator's file says so"
-	case c.PeerFee > 0 && stated != "on":
+	case c.PeerFee > 0 && stated.View != "on":
 		why = "the settings put a price on datagrams, which the view does not earn; fleet { view on } in the operator's file has it on"
 	}
 	if why == "" {
 		p, err := peers.New(peers.Settings{Self: c.Settings.Self, Listen: c.PeerListen, Addrs: c.Peers, Seed: c.Seed,
-			Phase: func() view.Phase { return f.phase() }, Tell: f.tell})
+			Phase: func() view.Phase { return f.phase() }, Tell: f.tell,
+			Agent: &permit.Agent{Self: c.Settings.Self, Of: len(c.Peers), Zone: c.Settings.Zone, Fleet: bound(stated.Out, 1), PerZone: bound(stated.OutZone, 0),
+				Chance: rand.Uint64},
+			Out: func(out bool) {
+				if out {
+					life.Tell(lifecycle.Drain)
+				} else {
+					life.Tell(lifecycle.Activate)
+				}
+			}})
 		if err == nil {
 			f.peers = p
 			return f
@@ -60,6 +72,14 @@
 	return f
 }
 
+// bound is what a file states, or a number where it states nothing.
+func bound(b plan.Bound, otherwise int) permit.Bound {
+	if b == (plan.Bound{}) {
+		return permit.Bound{Number: otherwise}
+	}
+	return permit.Bound{Number: b.Number, Part: b.Part}
+}
+
 // tell is what this router says of itself.
 func (f *fleet) tell() view.Details {
 	if now := time.Now(); now.Sub(f.at) >= rateTime {
@@ -67,7 +87,8 @@
 		f.rate = float64(n-f.seen) / now.Sub(f.at).Seconds()
 		f.at, f.seen = now, n
 	}
-	return view.Details{Version: build(), Settings: f.config.Digest, Rate: uint16(min(math.Round(f.rate), math.MaxUint16))}
+	return view.Details{Version: build(), Settings: f.config.Digest, Rate: uint16(min(math.Round(f.rate), math.MaxUint16)),
+		Zone: uint8(min(f.config.Settings.Zone+1, 127))}
 }
 
 func (f *fleet) saw(cache uint32, up bool) {
--- a/cmd/hoptiller/together_test.go
+++ b/cmd/hoptiller/together_test.go
@@ -16,6 +16,7 @@
 	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/plan"
 )
 
 // The view is on where the platform allows it and nothing speaks against it; a price on datagrams does, a file goes before that.
@@ -38,7 +39,7 @@
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
-		if f := newFleet(conf, c.file, figures.New(conf.Classes)); (f.peers != nil) != c.on {
+		if f := newFleet(conf, plan.Fleet{View: c.file}, figures.New(conf.Classes), lifecycle.New()); (f.peers != nil) != c.on {
 			t.Errorf("%s: on %v", name, f.peers != nil)
 		}
 		other, err := config.Parse([]byte(strings.Replace(text, `"selfIndex":0`, `"selfIndex":1`, 1)))
--- /dev/null
+++ b/internal/fleet/peers/out.go
@@ -0,0 +1,129 @@
+package peers
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"hoptiller/internal/fleet/permit"
+	"hoptiller/internal/fleet/view"
+)
+
+// A router that can't renew its permit serves again so long before the permit ends.
+const backBefore = 3 * time.Second
+
+// see is the fleet as an elector needs it; p.mu is held.
+func (p *Peers) see() permit.Sight {
+	s := permit.Sight{Down: map[int]bool{}, Zone: func(i int) int { return int(p.view.Members()[i].Details.Zone) - 1 }}
+	for i := range p.view.Members() {
+		m := &p.view.Members()[i]
+		if m.Here() {
+			s.Alive++
+		}
+		if m.Known() && (m.State != view.Alive || m.Phase != view.Serving) {
+			s.Down[i] = true
+		}
+	}
+	return s
+}
+
+// change is what a turn of the permits asks of this router.
+type change int
+
+const (
+	same change = iota
+	goOut
+	comeBack
+)
+
+// turn lets permits go on, and tells what they ask for; p.mu is held.
+func (p *Peers) turn() change {
+	a := p.set.Agent
+	if a == nil {
+		return same
+	}
+	now := p.now()
+	a.Tick(now)
+	held := a.Phase(now) == permit.Holding
+	switch {
+	case held && !p.out:
+		p.out = true
+		return goOut
+	case p.out && (!held || a.Left(now) < backBefore):
+		p.out = false
+		return comeBack
+	}
+	return same
+}
+
+// act does what a turn has asked for. Before a permit that was lost is given back this router serves again.
+func (p *Peers) act(c change) {
+	switch c {
+	case goOut:
+		slog.Info("permit held", "router", p.set.Self)
+		p.set.Out(true)
+	case comeBack:
+		p.set.Out(false)
+		slog.Warn("permit lost, serving again", "router", p.set.Self)
+		p.giveBack()
+	}
+}
+
+func (p *Peers) giveBack() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.set.Agent.Return(p.now())
+	p.flush()
+}
+
+// GoOut asks the fleet that this router may be out, and has it drained once the fleet lets it. It tells how that stands.
+func (p *Peers) GoOut() Out {
+	p.mu.Lock()
+	p.set.Agent.Want(p.now())
+	p.flush()
+	p.mu.Unlock()
+	return p.Out()
+}
+
+// ComeBack has this router serve again, or want no permit any more.
+func (p *Peers) ComeBack() Out {
+	p.acting.Lock()
+	defer p.acting.Unlock()
+	p.mu.Lock()
+	was := p.out
+	p.out = false
+	p.mu.Unlock()
+	if was {
+		p.set.Out(false)
+		slog.Info("permit given back", "router", p.set.Self)
+	}
+	p.giveBack()
+	return p.Out()
+}
+
+// Out is how this router's permit stands, and which others it knows of.
+type Out struct {
+	State   string   `json:"state"` // none, asking, out or ended
+	Left    float64  `json:"left_s,omitempty"`
+	Why     string   `json:"why,omitempty"` // it was refused
+	Elector bool     `json:"elector"`
+	Silent  bool     `json:"silent,omitempty"` // an elector that has just started and grants nothing yet
+	Holders []string `json:"holders,omitempty"`
+}
+
+// Out tells how permits stand here.
+func (p *Peers) Out() Out {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.set.Agent.Status(p.now())
+	o := Out{State: [...]string{permit.Idle: "none", permit.Asking: "asking", permit.Holding: "out", permit.Ended: "ended"}[s.Phase],
+		Left: s.Left.Seconds(), Why: s.Why, Elector: s.Elector, Silent: s.Silent}
+	for _, h := range s.Holders {
+		group := "the fleet"
+		if h.Slot.Group >= permit.FirstZone {
+			group = fmt.Sprintf("zone %d", h.Slot.Group-permit.FirstZone)
+		}
+		o.Holders = append(o.Holders, fmt.Sprintf("router %d has place %d of %s", h.Router, h.Slot.Number, group))
+	}
+	return o
+}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/fleet/view"
 )
 
@@ -25,6 +26,9 @@
 	Seed   uint64
 	Phase  func() view.Phase   // asked all the time
 	Tell   func() view.Details // the same
+
+	Agent *permit.Agent  // this router's side of permits; nil: there are none
+	Out   func(out bool) // has clients sent away, or has them come again; with Agent
 }
 
 // Peers is the view of one router and its socket.
@@ -40,6 +44,9 @@
 	told      []view.Event // not logged yet
 	sendFails uint64
 
+	acting sync.Mutex // held before mu by whoever has this router go out or come back: one after the other
+	out    bool       // this router is out by permit
+
 	sawMu sync.Mutex
 	saw   []view.Sight // not told to the view yet
 }
@@ -71,6 +78,10 @@
 		p.addrs = append(p.addrs, a)
 		p.number[a] = i
 	}
+	if set.Agent != nil {
+		set.Agent.See = p.see
+		set.Agent.Start(0)
+	}
 	p.view = view.New(view.Config{Self: set.Self, Of: len(set.Addrs), Start: p.begun, Seed: set.Seed, Now: 0})
 	return p, nil
 }
@@ -146,7 +157,11 @@
 			who = -1
 		}
 		p.mu.Lock()
-		p.view.Receive(p.now(), who, b[:n])
+		if n > 0 && b[0] == permit.Version && p.set.Agent != nil {
+			p.set.Agent.Receive(p.now(), who, b[:n])
+		} else {
+			p.view.Receive(p.now(), who, b[:n])
+		}
 		p.flush()
 		p.mu.Unlock()
 	}
@@ -167,6 +182,7 @@
 		saw := p.saw
 		p.saw = nil
 		p.sawMu.Unlock()
+		p.acting.Lock()
 		p.mu.Lock()
 		p.view.SetPhase(phase)
 		p.view.Tell(details)
@@ -174,10 +190,13 @@
 		for _, s := range saw {
 			p.view.Saw(s)
 		}
+		change := p.turn()
 		p.flush()
 		due, events := p.view.Next(), p.told
 		p.told = nil
 		p.mu.Unlock()
+		p.act(change)
+		p.acting.Unlock()
 		tell(events)
 		timer.Reset(max(time.Millisecond, due-p.now()))
 	}
@@ -194,6 +213,18 @@
 		}
 	}
 	p.told = append(p.told, p.view.Events()...)
+	if p.set.Agent == nil {
+		return
+	}
+	for all := p.set.Agent.Out(); len(all) > 0; all = p.set.Agent.Out() {
+		for _, d := range all {
+			if d.To == p.set.Self {
+				p.set.Agent.Receive(p.now(), d.To, d.Body)
+			} else if p.conn != nil {
+				p.conn.WriteToUDPAddrPort(d.Body, p.addrs[d.To])
+			}
+		}
+	}
 }
 
 // tell logs what has changed. When half of the fleet dies at once, that is one line for all.
--- a/internal/fleet/peers/report.go
+++ b/internal/fleet/peers/report.go
@@ -34,6 +34,7 @@
 	Sum     string   `json:"sum"` // the same in all views that say the same
 	Members []Member `json:"members"`
 	Caches  []Cache  `json:"caches,omitempty"`
+	Out     *Out     `json:"out,omitempty"` // who is out by permit, as this router knows
 	Summary
 }
 
@@ -84,10 +85,15 @@
 
 // Report is the whole view.
 func (p *Peers) Report() *Report {
+	var out *Out
+	if p.set.Agent != nil {
+		o := p.Out()
+		out = &o
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	r := &Report{Self: p.set.Self, Sum: fmt.Sprintf("%08x", p.view.Sum()), Summary: *p.summary()}
+	r := &Report{Self: p.set.Self, Sum: fmt.Sprintf("%08x", p.view.Sum()), Summary: *p.summary(), Out: out}
 	for i := range p.view.Members() {
 		m := &p.view.Members()[i]
 		if !m.Known() {
--- /dev/null
+++ b/internal/fleet/permit/agent.go
@@ -0,0 +1,270 @@
+package permit
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Electors are the numbers of those of n routers whose majority grants: five, or three or one of a small fleet, the same for
+// all that have the same list.
+func Electors(n int) (list []int) {
+	e := 1
+	switch {
+	case n >= 5:
+		e = 5
+	case n >= 3:
+		e = 3
+	}
+	for i := range e {
+		list = append(list, i*n/e)
+	}
+	return list
+}
+
+// Groups are numbered so.
+const (
+	WholeFleet uint16 = 0
+	FirstZone  uint16 = 1
+)
+
+// Bound is how many routers of a group may be out: a number, or a part of the group.
+type Bound struct {
+	Number int
+	Part   float64 // of 1; 0: Number is meant
+}
+
+// Of is the bound for a group of n. A part is rounded down, but lets one be out where it lets any.
+func (b Bound) Of(n int) int {
+	if b.Part <= 0 {
+		return min(b.Number, math.MaxUint8)
+	}
+	return min(max(1, int(b.Part*float64(n))), n, math.MaxUint8)
+}
+
+// Sight is what an elector sees of the fleet at a moment.
+type Sight struct {
+	Alive int           // routers that live, as far as is seen
+	Down  map[int]bool  // routers that don't serve, whatever the reason, by number
+	Zone  func(int) int // of a router; negative: not known
+}
+
+// Agent is one router's side of permits: an elector, where it is one, and the seeker of its own permit.
+type Agent struct {
+	Self, Of int
+	Zone     int           // of this router
+	Fleet    Bound         // how many routers may be out
+	PerZone  Bound         // and how many of a zone; the zero value: any number
+	See      func() Sight  // asked by electors
+	Chance   func() uint64 // random bits
+
+	electors []int
+	elector  *Elector // nil: another one's task
+	seeker   *Seeker  // nil: nothing is wanted
+	out      []Datagram
+	bad      uint64
+}
+
+// Datagram is one that is to be sent.
+type Datagram struct {
+	To   int
+	Body []byte
+}
+
+// Start begins, by the agent's own clock.
+func (a *Agent) Start(now time.Duration) {
+	a.electors = Electors(a.Of)
+	for _, i := range a.electors {
+		if i == a.Self {
+			a.elector = NewElector(now)
+			a.elector.Allow = a.allow
+		}
+	}
+}
+
+// number of the router that a permit is for.
+func number(permit uint64) int { return int(permit & 0xffff) }
+
+// allow holds a new permit against the bound: what is out by other permits, and what is down without one, uses up places too,
+// so that a fleet in trouble grants no more. An elector that sees less than half of the fleet grants nothing.
+func (a *Agent) allow(permit uint64, s Slot) bool {
+	sight := a.See()
+	if sight.Alive*2 <= a.Of {
+		return false
+	}
+	out := map[int]bool{}
+	for held, l := range a.elector.leases {
+		if held.Group == s.Group {
+			out[number(l.permit)] = true
+		}
+	}
+	for i := range sight.Down {
+		if s.Group == WholeFleet || sight.Zone != nil && sight.Zone(i) == int(s.Group-FirstZone) {
+			out[i] = true
+		}
+	}
+	delete(out, number(permit)) // the seeker itself may be out already
+	return int(s.Number) < a.bound(s.Group) && len(out) < a.bound(s.Group)
+}
+
+func (a *Agent) bound(group uint16) int {
+	if group == WholeFleet {
+		return a.Fleet.Of(a.Of)
+	}
+	if a.PerZone == (Bound{}) {
+		return math.MaxUint8
+	}
+	return a.PerZone.Of(a.Of)
+}
+
+// choose takes the lowest number of each group that is not known to be held.
+func (a *Agent) choose(held map[Slot]uint64) (slots []Slot) {
+	groups := []uint16{WholeFleet}
+	if a.PerZone != (Bound{}) && a.Zone >= 0 {
+		groups = append(groups, FirstZone+uint16(a.Zone))
+	}
+	for _, g := range groups {
+		found := false
+		for n := range a.bound(g) {
+			s := Slot{g, uint8(n)}
+			if held[s] == 0 {
+				slots, found = append(slots, s), true
+				break
+			}
+		}
+		if !found {
+			return nil
+		}
+	}
+	return slots
+}
+
+// Want asks for a permit, and tells whether that is new: one that is asked for or held goes on.
+func (a *Agent) Want(now time.Duration) bool {
+	if a.Wants(now) {
+		return false
+	}
+	id := a.Chance()<<16 | uint64(a.Self)
+	a.seeker = NewSeeker(id, len(a.electors), MostLease)
+	a.seeker.Choose = a.choose
+	r := rand.New(rand.NewPCG(a.Chance(), id))
+	a.seeker.Chance = r.Float64
+	a.seeker.Want(now)
+	a.flush()
+	return true
+}
+
+// Wants tells whether a permit is asked for or held.
+func (a *Agent) Wants(now time.Duration) bool {
+	p := a.Phase(now)
+	return p == Asking || p == Holding
+}
+
+// Phase is where this router's own permit stands.
+func (a *Agent) Phase(now time.Duration) Phase {
+	if a.seeker == nil {
+		return Idle
+	}
+	return a.seeker.Phase(now)
+}
+
+// Left is how long a permit that is held lasts if it isn't renewed.
+func (a *Agent) Left(now time.Duration) time.Duration {
+	if a.Phase(now) != Holding {
+		return 0
+	}
+	return a.seeker.Until() - now
+}
+
+// Return gives the permit back, once this router serves again, or wants it no more.
+func (a *Agent) Return(now time.Duration) {
+	if a.seeker != nil {
+		a.seeker.Return(now)
+		a.flush()
+	}
+}
+
+// Tick does what is due; it wants to be called several times a second.
+func (a *Agent) Tick(now time.Duration) {
+	if a.seeker != nil {
+		a.seeker.Tick(now)
+		a.flush()
+	}
+}
+
+// flush puts what the seeker wants sent into datagrams. An elector is asked by way of the network even by itself: an answer that
+// comes within the asking has no place in a seeker's turns.
+func (a *Agent) flush() {
+	for _, s := range a.seeker.Out() {
+		to := a.electors[s.To]
+		a.out = append(a.out, Datagram{to, AppendAsk(uint16(a.Self), uint16(to), &s.Ask)})
+	}
+}
+
+// Out gives what is to be sent since it was last asked. What is for this router itself is to be handed to Receive.
+func (a *Agent) Out() []Datagram {
+	o := a.out
+	a.out = nil
+	return o
+}
+
+// Receive takes a datagram from a router.
+func (a *Agent) Receive(now time.Duration, from int, b []byte) {
+	m, err := Parse(b)
+	if err != nil || int(m.From) != from || int(m.To) != a.Self {
+		a.bad++
+		return
+	}
+	switch {
+	case m.Ask != nil && number(m.Ask.Permit) != from:
+		a.bad++
+	case m.Ask != nil && a.elector != nil:
+		r := a.elector.Take(now, m.Ask)
+		a.out = append(a.out, Datagram{from, AppendReply(uint16(a.Self), m.From, &r)})
+	case m.Reply != nil && a.seeker != nil:
+		for i, e := range a.electors {
+			if e == from {
+				a.seeker.Take(now, i, m.Reply)
+			}
+		}
+		a.flush()
+	}
+}
+
+// Holder is one that is out by permit, as an elector knows.
+type Holder struct {
+	Router int
+	Slot   Slot
+}
+
+// Status is how things stand, for operators.
+type Status struct {
+	Phase   Phase
+	Left    time.Duration
+	Why     string   // for which it was last refused, while it asks
+	Elector bool     // this router is one
+	Silent  bool     // an elector that has just started
+	Holders []Holder // known to this elector
+	Bad     uint64   // datagrams that were not taken
+}
+
+// Status tells how things stand.
+func (a *Agent) Status(now time.Duration) (s Status) {
+	s = Status{Phase: a.Phase(now), Left: a.Left(now), Elector: a.elector != nil, Bad: a.bad}
+	if a.seeker != nil && s.Phase == Asking {
+		if s.Why = "not answered yet"; a.seeker.Why() != Granted {
+			s.Why = a.seeker.Why().String()
+		}
+		for slot, by := range a.seeker.held {
+			s.Why = fmt.Sprintf("%s: router %d has place %d", Held, number(by), slot.Number)
+		}
+	}
+	if a.elector != nil {
+		s.Silent = now < a.elector.silent
+		for slot, by := range a.elector.Holders(now) {
+			s.Holders = append(s.Holders, Holder{number(by), slot})
+		}
+	}
+	return s
+}
--- a/internal/fleet/permit/elector.go
+++ b/internal/fleet/permit/elector.go
@@ -12,7 +12,7 @@
 import "time"
 
 // MostLease is the longest that a permit lasts without being renewed.
-const MostLease = 30 * time.Second
+const MostLease = 10 * time.Second
 
 // Slot is one place in a group.
 type Slot struct {
@@ -39,7 +39,7 @@
 	Silent  // the elector started less than the longest lease ago, and doesn't know what it granted before
 	Old     // the permit has been asked for or given back later than this
 	Held    // another permit has the slot
-	Bound   // the group lets fewer be out, or too many are out by trouble
+	Full    // the group lets fewer be out, or too many are out by trouble
 	Refused // the ask makes no sense
 )
 
@@ -53,7 +53,7 @@
 	Permit uint64
 	Seq    uint32
 	Why    Why
-	Slot   Slot   // that is Held or out of Bound
+	Slot   Slot   // that is Held, or whose group is Full
 	Holder uint64 // the permit that has it
 }
 
@@ -64,8 +64,8 @@
 	seqs   map[uint64]seen
 	most   time.Duration
 
-	// Allow, if set, tells whether a slot is within its group's bound as this elector sees the fleet now.
-	Allow func(s Slot) bool
+	// Allow, if set, tells whether a permit's slot is within its group's bound as this elector sees the fleet now.
+	Allow func(permit uint64, s Slot) bool
 }
 
 type lease struct {
@@ -131,8 +131,8 @@
 		if l, held := e.leases[s]; held && l.permit != a.Permit {
 			r.Holder = l.permit
 			return Held
-		} else if e.Allow != nil && !held && !e.Allow(s) { // what is out already may stay so to its end
-			return Bound
+		} else if e.Allow != nil && !held && !e.Allow(a.Permit, s) { // what is out already may stay so to its end
+			return Full
 		}
 	}
 	r.Slot = Slot{}
--- a/internal/fleet/view/gossip.go
+++ b/internal/fleet/view/gossip.go
@@ -182,7 +182,7 @@
 // twenty details a second, so that each of n may be renewed every n/10 seconds, and at the most every 2.
 func (v *View) Tell(d Details) {
 	same := d.Version == v.told.Version && d.Settings == v.told.Settings
-	v.told.Version, v.told.Settings, v.told.Rate = d.Version, d.Settings, d.Rate
+	v.told.Version, v.told.Settings, v.told.Rate, v.told.Zone = d.Version, d.Settings, d.Rate, d.Zone
 	if every := max(2*time.Second, time.Duration(v.of)*time.Second/10); v.own.Details.Seq == 0 || !same || v.now-v.toldAt >= every {
 		v.renew()
 	}
--- a/internal/fleet/view/member.go
+++ b/internal/fleet/view/member.go
@@ -69,6 +69,7 @@
 	Version  uint32 // hash of the program's version
 	Settings uint32 // hash of its settings
 	Rate     uint16 // requests a second
+	Zone     uint8  // its zone's number and one more, up to 127; 0: not told
 	Twice    bool   // it has met another router of its number
 }
 
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -190,7 +190,7 @@
 			want.claims = append(want.claims, c)
 		}
 		if rapid.Bool().Draw(t, "detail") {
-			d := detail{5, 77, Details{Seq: 1, Version: 2, Settings: rapid.Uint32().Draw(t, "settings"), Rate: 4, Twice: rapid.Bool().Draw(t, "twice")}}
+			d := detail{5, 77, Details{Seq: 1, Version: 2, Settings: rapid.Uint32().Draw(t, "settings"), Rate: 4, Zone: 127, Twice: rapid.Bool().Draw(t, "twice")}}
 			b = appendDetail(append(b, byte(tagDetails), 1), &d)
 			want.details = append(want.details, d)
 		}
--- a/internal/fleet/view/wire.go
+++ b/internal/fleet/view/wire.go
@@ -160,9 +160,9 @@
 	b = binary.BigEndian.AppendUint32(b, d.Settings)
 	b = binary.BigEndian.AppendUint16(b, d.Rate)
 	if d.Twice {
-		return append(b, 1)
+		return append(b, d.Zone<<1|1)
 	}
-	return append(b, 0)
+	return append(b, d.Zone<<1)
 }
 
 func appendSight(b []byte, s *Sight) []byte {
@@ -225,9 +225,9 @@
 		return c.state == Suspect && c.accusers > 0 || c.accusers == 0 && c.age == 0
 	case tagDetails:
 		d := detail{binary.BigEndian.Uint16(b), readTime(b[2:]), Details{binary.BigEndian.Uint16(b[8:]),
-			binary.BigEndian.Uint32(b[10:]), binary.BigEndian.Uint32(b[14:]), binary.BigEndian.Uint16(b[18:]), b[20] == 1}}
+			binary.BigEndian.Uint32(b[10:]), binary.BigEndian.Uint32(b[14:]), binary.BigEndian.Uint16(b[18:]), b[20] >> 1, b[20]&1 == 1}}
 		m.details = append(m.details, d)
-		return d.Seq > 0 && d.start > 0 && b[20] <= 1
+		return d.Seq > 0 && d.start > 0
 	case tagBits:
 		m.bits = append(m.bits, b[0])
 	case tagSights:
--- a/internal/lab/drill/drill_test.go
+++ b/internal/lab/drill/drill_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -38,6 +40,8 @@
 		claim + "[[step]]\nkind = \"kill\"\ndelay = \"1 s\"\n":               "delay is for ways",
 		claim + "[[list]]\nrouter = 0\nswap = [1]\n":                         "list 1: swap wants two routers, or as one",
 		"absent = -1\n" + claim:                                              "d.toml:1: absent is -1",
+		claim + "[[step]]\nkind = \"call\"\n":                                "call wants a path",
+		"[[claim]]\nkind = \"permits\"\n":                                    "wants a most",
 		claim + "[[step]]\nkind = \"kill\"\nwhen = 3\n":                      `d.toml:6:1: there is no "step.when"`,
 		"[[claim]]\nkind = \"hope\"\n":                                       `d.toml:2: claim 1: kind is "hope"`,
 		"[[claim]]\nkind = \"never\"\n":                                      "want a text",
@@ -80,6 +84,14 @@
 	}
 }
 
+// permitLines is the log of two routers that are out from and to these times, in order.
+func permitLines(from1, to1, from2, to2 float64) []Event {
+	return []Event{{At: from1, From: "router", Router: 1, Text: permitText}, {At: from2, From: "router", Router: 2, Text: permitText},
+		{At: to1, From: "router", Router: 1, Text: `msg="permit given back"`}, {At: to2, From: "router", Router: 2, Text: `msg="permit lost, serving again"`}}
+}
+
+const permitText = `msg="permit held"`
+
 // Each claim is broken by what breaks it, and by nothing else.
 func TestJudge(t *testing.T) {
 	f := &File{Day: Small(), Steps: []Step{{Kind: "pause", At: span(2), For: span(3), Routers: []int{1}}}}
@@ -89,6 +101,7 @@
 		return []Event{{At: 6, Sure: 0.1, From: "view", Router: 1, Text: first}, {At: 6, Sure: 0.1, From: "view", Router: 2, Text: second}}
 	}
 	good := &tally.Result{Series: &tally.Series{Service: []float64{1, 1, 0, 0, 0, 0.9, 0.95, 1, 1, 1, 1}}}
+	byTime := func(a, b Event) int { return cmp.Compare(a.At, b.At) }
 	for name, c := range map[string]struct {
 		claim  Claim
 		events []Event
@@ -110,6 +123,11 @@
 		"ready too late":         {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 3, From: "watch", Router: 2, Text: "not ready"}, Event{At: 6.5, Sure: 0.2, From: "watch", Router: 2, Text: "ready"}), good, false},
 		"ready, and then not":    {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 9, From: "watch", Router: 2, Text: "not ready"}), good, false},
 		"ended with the day":     {Claim{Kind: "ready", Within: span(1)}, append(up, Event{At: 24, From: "watch", Router: 2, Text: "not ready"}), good, true},
+		"one out at a time":      {Claim{Kind: "permits", Most: 1}, permitLines(2, 4, 5, 8), good, true},
+		"two out at once":        {Claim{Kind: "permits", Most: 1}, permitLines(2, 6, 5, 8), good, false},
+		"two may":                {Claim{Kind: "permits", Most: 2}, permitLines(2, 6, 5, 8), good, true},
+		"nobody ever":            {Claim{Kind: "permits", Most: 1}, nil, good, false},
+		"one dies and one goes":  {Claim{Kind: "permits", Most: 1}, append(permitLines(2, 9, 5, 8), Event{At: 4, From: "drill", Router: 1, Text: "kill: true"}), good, true},
 		"views agree":            {Claim{Kind: "view", Within: span(2)}, seen("a alive alive", "a alive alive"), good, true},
 		"views agree too late":   {Claim{Kind: "view", Within: span(0.5)}, seen("a alive alive", "a alive alive"), good, false},
 		"one is not seen":        {Claim{Kind: "view", Within: span(2)}, seen("a alive dead", "a alive dead"), good, false},
@@ -123,6 +141,7 @@
 		"service never comes":    {Claim{Kind: "service", Least: 0.9, Within: span(9)}, nil, &tally.Result{Series: &tally.Series{Service: []float64{1, 1, 1, 1, 1, 1, 0.5, 1, 1, 1, 1}}}, false},
 	} {
 		f.Claims = []Claim{c.claim}
+		slices.SortStableFunc(c.events, byTime)
 		if v := judge(f, c.events, c.result)[0]; v.Holds != c.holds || v.Why == "" {
 			t.Errorf("%s: holds %v, %s", name, v.Holds, v.Why)
 		}
--- a/internal/lab/drill/file.go
+++ b/internal/lab/drill/file.go
@@ -57,6 +57,8 @@
 	Jitter unit.Duration `toml:"jitter,omitempty"` // up to so much more delay
 	Cut    bool          `toml:"cut,omitempty"`    // all are lost
 
+	Path string `toml:"path,omitempty"` // call: what operators post to each router
+
 	Delay  unit.Duration `toml:"delay,omitempty"`  // of each datagram, or of each piece
 	Stall  bool          `toml:"stall,omitempty"`  // TCP: nothing passes, and nobody is told
 	Refuse bool          `toml:"refuse,omitempty"` // TCP: connections are reset
@@ -69,6 +71,7 @@
 	{"pause", "processes stand still (SIGSTOP) and go on after for"},
 	{"kill", "processes are killed and started anew after for"},
 	{"term", "processes are asked to end (SIGTERM), and started anew after for"},
+	{"call", "operators post to path of each router, once"},
 	{"datagrams", "datagrams from routers to others are lost, late, doubled, spoilt or out of order"},
 	{"directory", "the routers' ways to the directory stall, refuse, cut, delay or slow"},
 	{"cache", "the same of their ways to slot caches"},
@@ -82,6 +85,7 @@
 	Text    string        `toml:"text,omitempty"`    // never and said: an expression for lines of the log; viewed: for views
 	Routers []int         `toml:"routers,omitempty"` // whom it is about; none: all
 	Least   float64       `toml:"least,omitempty"`   // service
+	Most    int           `toml:"most,omitempty"`    // permits
 	Within  unit.Duration `toml:"within,omitempty"`  // of the end of the last step or fault
 }
 
@@ -89,6 +93,7 @@
 var claimKinds = [][2]string{
 	{"rules", "always: no rule is broken"},
 	{"alive", "always: no process ends but by a step"},
+	{"permits", "always: no more than most routers are out by permit, and at least one is at some time"},
 	{"never", "always: no line of the log fits text"},
 	{"said", "each router has logged a line that fits text since the first step, within the time"},
 	{"ready", "the routers are ready within the time, and stay so"},
@@ -174,7 +179,9 @@
 	case !grams && (len(s.To) > 0 || s.Both || s.Drop+s.Double+s.Spoil+s.Late > 0 || s.Jitter > 0 || s.Cut):
 		return "kind", "to, both, drop, double, spoil, late, jitter and cut are for datagrams"
 	case !tcp && (s.Stall || s.Refuse || s.After > 0 || s.Rate > 0):
-		return "kind", "stall, refuse, after and rate are for TCP: " + names(stepKinds[4:])
+		return "kind", "stall, refuse, after and rate are for TCP: " + names(stepKinds[5:])
+	case (s.Kind == "call") != (s.Path != "") || s.Path != "" && (s.Path[0] != '/' || s.For > 0):
+		return "path", "call wants a path that begins with /, and no time; no other step has a path"
 	case !tcp && !grams && s.Delay > 0:
 		return "delay", "delay is for ways"
 	case s.After < 0 || s.Rate < 0:
@@ -205,7 +212,7 @@
 }
 
 func (c *Claim) wrong(day *model.Day) (figure, why string) {
-	timed := c.Kind != "rules" && c.Kind != "alive" && c.Kind != "never"
+	timed := c.Kind != "rules" && c.Kind != "alive" && c.Kind != "never" && c.Kind != "permits"
 	switch _, err := regexp.Compile(c.Text); {
 	case !has(claimKinds, c.Kind):
 		return "kind", fmt.Sprintf("kind is %q: one of %s is meant", c.Kind, names(claimKinds))
@@ -215,6 +222,8 @@
 		return "text", fmt.Sprintf("text is no expression: %v", err)
 	case timed != (c.Within > 0):
 		return "within", "said, ready, view, viewed and service want a time, and no other claim does"
+	case (c.Kind == "permits") != (c.Most > 0):
+		return "most", "permits wants a most of 1 or more, and no other claim does"
 	case (c.Kind == "service") != (c.Least > 0) || c.Least > 1:
 		return "least", "service wants a least over 0 and up to 1, and no other claim does"
 	}
--- a/internal/lab/drill/judge.go
+++ b/internal/lab/drill/judge.go
@@ -1,11 +1,13 @@
 package drill
 
 import (
+	"cmp"
 	"fmt"
 	"regexp"
 	"slices"
 	"strings"
 
+	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/lab/tally"
 )
 
@@ -35,6 +37,8 @@
 			holds, why = alive(events)
 		case "never":
 			holds, why = never(c, events)
+		case "permits":
+			holds, why = permits(c, events)
 		case "said":
 			holds, why = said(f, c, "router", events)
 		case "viewed":
@@ -65,6 +69,69 @@
 	return true, "no process ended by itself"
 }
 
+// A permit's lines in the log, and how long one lasts that is not renewed (package permit).
+const (
+	permitHeld = `msg="permit held"`
+	permitGone = `msg="permit (given back|lost, serving again)"`
+)
+
+// permits looks at each instant for how many are out by permit: from the line that says so to the line that says that it is
+// over, or to the end of the process, or to the end of the longest lease after it began to stand still. Where the clocks leave
+// room the claim has it: a permit begins as late, and ends as early, as what was seen allows.
+func permits(c Claim, events []Event) (bool, string) {
+	held, gone := regexp.MustCompile(permitHeld), regexp.MustCompile(permitGone)
+	type edge struct {
+		at    float64
+		delta int
+	}
+	var edges []edge
+	begun := map[int]float64{}
+	end := func(router int, at float64) {
+		if from, out := begun[router]; out && at > from {
+			edges = append(edges, edge{from, 1}, edge{at, -1})
+		}
+		delete(begun, router)
+	}
+	ends := map[int]float64{} // of the leases of those that stand still
+	last := 0.0
+	for _, e := range events {
+		last = max(last, e.At)
+		for router, at := range ends {
+			if e.At >= at {
+				end(router, at)
+				delete(ends, router)
+			}
+		}
+		switch {
+		case e.From == "router" && held.MatchString(e.Text):
+			begun[e.Router] = e.At + e.Sure
+		case e.From == "router" && gone.MatchString(e.Text):
+			delete(ends, e.Router)
+			end(e.Router, e.At-e.Sure)
+		case e.From == "drill" && (e.Text == "kill: true" || e.Text == "term: true"):
+			end(e.Router, e.At-e.Sure)
+		case e.From == "drill" && e.Text == "paused: true":
+			ends[e.Router] = e.At + permit.MostLease.Seconds()
+		}
+	}
+	for router := range begun {
+		end(router, last)
+	}
+	slices.SortFunc(edges, func(a, b edge) int {
+		if a.at != b.at {
+			return cmp.Compare(a.at, b.at)
+		}
+		return a.delta - b.delta
+	})
+	out, most, at := 0, 0, 0.0
+	for _, e := range edges {
+		if out += e.delta; out > most {
+			most, at = out, e.at
+		}
+	}
+	return most <= c.Most && most > 0, fmt.Sprintf("%d out by permit at once at the most, first at %.3f s", most, at)
+}
+
 func never(c Claim, events []Event) (bool, string) {
 	is := regexp.MustCompile(c.Text)
 	for _, e := range events {
--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -237,6 +237,10 @@
 		default:
 			hand.Signal(i, syscall.SIGTERM)
 		}
+	case "call":
+		if on {
+			go p.post(i, s.Path)
+		}
 	case "datagrams":
 		p.each(s.To, func(j int) {
 			if i == j {
@@ -266,6 +270,22 @@
 	}
 }
 
+// post carries out an operators' call, and tells what was answered.
+func (p *player) post(i int, path string) {
+	p.mu.Lock()
+	addr := p.ways[wayKey{i, admin}][0].Addr()
+	p.mu.Unlock()
+	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := client.Post("http://"+addr+path, "", nil)
+	if err != nil {
+		p.say(i, "called %s: %v", path, err)
+		return
+	}
+	defer r.Body.Close()
+	body, _ := io.ReadAll(io.LimitReader(r.Body, 4096))
+	p.say(i, "called %s: %s %s", path, r.Status, strings.TrimSpace(string(body)))
+}
+
 // watchReady asks a router all the time whether it is ready, and tells of each change. The operators' way is the drill's
 // as well: a router that can't be asked is not ready.
 func (p *player) watchReady(ctx context.Context, i int) {
--- a/internal/lab/drill/random.go
+++ b/internal/lab/drill/random.go
@@ -24,6 +24,9 @@
 	return day
 }
 
+// drawn are the kinds of step that are drawn.
+var drawn = []string{"pause", "kill", "term", "datagrams", "directory", "cache", "origin", "admin"}
+
 // Random draws a drill of one to four steps from a seed: the same seed gives the same drill. Each ends, and then all
 // claims are to hold again.
 func Random(seed uint64) *File {
@@ -31,7 +34,7 @@
 	f := &File{Title: fmt.Sprintf("Drawn from seed %d", seed), Name: fmt.Sprintf("random-%d", seed), Day: Small()}
 	f.Day.Seed, f.Day.Routers = seed, 3+r.IntN(3)
 	for range 1 + r.IntN(4) {
-		s := Step{Kind: stepKinds[r.IntN(len(stepKinds))][0], At: span(1 + float64(r.IntN(30))/10), For: span(0.5 + float64(r.IntN(25))/10)}
+		s := Step{Kind: drawn[r.IntN(len(drawn))], At: span(1 + float64(r.IntN(30))/10), For: span(0.5 + float64(r.IntN(25))/10)}
 		for i := range f.Day.Routers {
 			if r.IntN(f.Day.Routers) == 0 {
 				s.Routers = append(s.Routers, i)
@@ -69,6 +72,19 @@
 	return f
 }
 
+// RandomPermits draws a drill in which, beside what Random draws, all routers ask to go out while the fleet lets one.
+func RandomPermits(seed uint64) *File {
+	f := Random(seed)
+	f.Name = fmt.Sprintf("permits-%d", seed)
+	f.Day.Warm, f.Day.Length = span(14), span(30)
+	f.Steps = append(f.Steps, Step{Kind: "call", Path: "/v1/fleet/drain", At: span(0.5)})
+	for i := range f.Day.Routers {
+		f.Steps = append(f.Steps, Step{Kind: "call", Path: "/v1/fleet/activate", At: span(9 + float64(i)*2), Routers: []int{i}})
+	}
+	f.Claims = append(f.Claims, Claim{Kind: "permits", Most: 1})
+	return f
+}
+
 // Text writes a drill as a file that is read as the same.
 func Text(f *File) ([]byte, error) {
 	day, err := experiment.Differing(&f.Day)
--- a/internal/lab/flock/flock_test.go
+++ b/internal/lab/flock/flock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -95,3 +96,27 @@
 		do(i)
 	}
 }
+
+// What a second of a router's view costs in a fleet of 300, the virtual network with it.
+func BenchmarkView(b *testing.B) {
+	for name, loss := range map[string]float64{"calm": 0, "loss": 0.1} {
+		b.Run(name, func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			f := New(300, net, 1)
+			all(f, f.Start)
+			f.Run(10 * time.Second)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			f.Loss = loss
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				f.Run(f.Now() + time.Second)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/300, "ns/router-s")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/300, "B/router")
+		})
+	}
+}
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -418,7 +418,27 @@
 	c.begin(s, false)
 	f := &c.plan.Fleet
 	f.pos = places{}
-	c.block(s, f.pos, map[string]func(*statement){"view": c.word(&f.View, "on", "off")})
+	c.block(s, f.pos, map[string]func(*statement){
+		"view":     c.word(&f.View, "on", "off"),
+		"out":      func(s *statement) { f.Out = c.bound(s) },
+		"out-zone": func(s *statement) { f.OutZone = c.bound(s) },
+	})
+	if zone, all := f.OutZone, f.Out; zone.Number > max(1, all.Number) && all.Part == 0 || zone.Part > all.Part && all.Part > 0 {
+		c.find(f.pos.of("out-zone"), "bounds", fmt.Sprintf("more may be out of one zone (%v) than of the whole fleet (%v)", zone, all), "")
+	}
+	if f.View == "off" && (f.Out != Bound{} || f.OutZone != Bound{}) {
+		c.find(f.pos.of("view"), "bounds", "without a view routers agree on nothing, and the bounds are for that", "on")
+	}
+}
+
+// bound takes a number from 1 to 200, or a percentage.
+func (c *checker) bound(s *statement) (b Bound) {
+	if len(s.values) == 1 && strings.HasSuffix(s.values[0].text, "%") {
+		b.Part = c.number(s, unit.Part, 0.001, 1)
+		return b
+	}
+	b.Number = c.count(s, 1, 200)
+	return b
 }
 
 // word takes one of some words.
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -155,8 +155,8 @@
 			{"concurrency", concurrencyText(p.Limits.Concurrency)}, {"queue", queueText(p.Limits.Queue, p.Limits.QueueFor)}},
 		"log": {{"level", p.Log.Level}, {"format", p.Log.Format}, {"rate", unit.Format(p.Log.Rate, unit.Rate)}},
 	}
-	if p.Fleet.View != "" {
-		all["fleet"] = []Field{{"view", p.Fleet.View}}
+	if f := p.Fleet; f.View != "" || f.Out != (Bound{}) || f.OutZone != (Bound{}) {
+		all["fleet"] = []Field{{"view", f.View}, {"out", f.Out.String()}, {"out-zone", f.OutZone.String()}}
 	}
 	for name, l := range p.Listeners {
 		all["listener "+name] = []Field{{"address", l.Addr}}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -10,10 +10,12 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
 	"hoptiller"
 	"hoptiller/internal/opfile"
+	"hoptiller/internal/unit"
 )
 
 // Platform is what a router is told by its platform, as far as files are checked
@@ -137,8 +139,23 @@
 
 // Fleet says what routers do together.
 type Fleet struct {
-	View string // on or off; empty: as the platform's settings have it
-	pos  places
+	View    string // on or off; empty: as the platform's settings have it
+	Out     Bound  // how many routers may be out by agreement; the zero value: one
+	OutZone Bound  // and how many of a zone; the zero value: as many as of the fleet
+	pos     places
+}
+
+// Bound is a number, or a part of a group.
+type Bound struct {
+	Number int
+	Part   float64 // of 1; 0: the number is meant
+}
+
+func (b Bound) String() string {
+	if b.Part > 0 {
+		return unit.Format(b.Part, unit.Part)
+	}
+	return strconv.Itoa(b.Number)
 }
 
 // Plan is the meaning of a file.
