--- a/cmd/hoptiller/reload.go
+++ b/cmd/hoptiller/reload.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"os"
+	"slices"
 	"strings"
 
 	"hoptiller/internal/config"
@@ -24,6 +25,7 @@
 	dir    *directory.Client
 	guard  *guard.Guard // nil without an operator's file
 	log    *logs.Log
+	fleet  *fleet
 }
 
 func (l *reloader) run(ctx context.Context, hup <-chan os.Signal) {
@@ -60,6 +62,7 @@
 		l.guard.Adopt(p)
 	}
 	l.plan = p
+	l.fleet.adopt(p.Fleet)
 	l.log.Set(options)
 	if c.Discovery != l.config.Discovery {
 		l.dir.Move(registry(c))
@@ -72,9 +75,12 @@
 func restart(changes []plan.Change) string {
 	var parts []string
 	for _, c := range changes {
-		if strings.HasPrefix(c.Thing, "listener ") || c.Thing == "fleet" {
+		if strings.HasPrefix(c.Thing, "listener ") {
 			parts = append(parts, c.Thing)
 		}
+		if c.Thing == "fleet" && slices.ContainsFunc(c.After, func(f plan.Field) bool { return f.Name == "view" }) {
+			parts = append(parts, "fleet view")
+		}
 		if c.Thing != "limits" {
 			continue
 		}
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -186,7 +186,7 @@
 		group.Go(func() error { return fleet.peers.Run(ctx) })
 	}
 	group.Go(func() error {
-		l := &reloader{serve: s, config: c, plan: p, dir: dir, guard: g, log: log}
+		l := &reloader{serve: s, config: c, plan: p, dir: dir, guard: g, log: log, fleet: fleet}
 		l.run(ctx, hup)
 		return nil
 	})
--- a/cmd/hoptiller/together.go
+++ b/cmd/hoptiller/together.go
@@ -53,8 +53,7 @@
 	if why == "" {
 		p, err := peers.New(peers.Settings{Self: c.Settings.Self, Listen: c.PeerListen, Addrs: c.Peers, Seed: c.Seed,
 			Phase: func() view.Phase { return f.phase() }, Tell: f.tell,
-			Agent: &permit.Agent{Self: c.Settings.Self, Of: len(c.Peers), Zone: c.Settings.Zone, Fleet: bound(stated.Out, 1), PerZone: bound(stated.OutZone, 0),
-				Chance: rand.Uint64},
+			Agent: &permit.Agent{Self: c.Settings.Self, Of: len(c.Peers), Zone: c.Settings.Zone, Chance: rand.Uint64},
 			Out: func(out bool) {
 				if out {
 					life.Tell(lifecycle.Drain)
@@ -64,6 +63,7 @@
 			}})
 		if err == nil {
 			f.peers = p
+			f.adopt(stated)
 			return f
 		}
 		why = err.Error()
@@ -72,6 +72,13 @@
 	return f
 }
 
+// adopt takes the bounds of a file; without one a single router may be out.
+func (f *fleet) adopt(stated plan.Fleet) {
+	if f.peers != nil {
+		f.peers.Bounds(bound(stated.Out, 1), bound(stated.OutZone, 0))
+	}
+}
+
 // bound is what a file states, or a number where it states nothing.
 func bound(b plan.Bound, otherwise int) permit.Bound {
 	if b == (plan.Bound{}) {
--- a/cmd/hoptiller/together_test.go
+++ b/cmd/hoptiller/together_test.go
@@ -100,3 +100,32 @@
 		t.Errorf("a router without a view: %v", err)
 	}
 }
+
+// New bounds are taken by a reload; to switch the view wants a restart.
+func TestFleetReload(t *testing.T) {
+	conf, err := config.Parse([]byte(`{"settings":{"classes":[{"name":"read","effect":"idempotent","onTime":1,"deadline":1,"worth":1}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	load := func(text string) *plan.Plan {
+		p, report := plan.Load("x.hop", func(string) ([]byte, error) { return []byte(text), nil }, facts(conf))
+		if p == nil {
+			t.Fatal(report)
+		}
+		return p
+	}
+	empty, bounds, on := load(""), load("fleet {\n\tout 20%\n\tout-zone 10%\n}\n"), load("fleet {\n\tview on\n}\n")
+	for _, c := range []struct {
+		from, to *plan.Plan
+		changes  int
+		restart  string
+	}{{empty, bounds, 1, ""}, {bounds, empty, 1, ""}, {empty, on, 1, "fleet view"}, {bounds, bounds, 0, ""}} {
+		changes := plan.Diff(c.from, c.to)
+		if got := restart(changes); len(changes) != c.changes || got != c.restart {
+			t.Errorf("%v: restart for %q, want %q", changes, got, c.restart)
+		}
+	}
+	if b := bound(bounds.Fleet.Out, 1); b.Of(10) != 2 || b.Of(3) != 1 {
+		t.Errorf("20%% of 10 and 3 are %d and %d", b.Of(10), b.Of(3))
+	}
+}
--- a/internal/fleet/peers/out.go
+++ b/internal/fleet/peers/out.go
@@ -101,6 +101,13 @@
 	return p.Out()
 }
 
+// Bounds changes how many may be out. Who is out by a permit that the new bounds would not give stays so to its end.
+func (p *Peers) Bounds(fleet, zone permit.Bound) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.set.Agent.Fleet, p.set.Agent.PerZone = fleet, zone
+}
+
 // Out is how this router's permit stands, and which others it knows of.
 type Out struct {
 	State   string   `json:"state"` // none, asking, out or ended
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -149,7 +149,8 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil { // what a dead router's machine refuses comes back here
+		if err != nil { // nothing that the sender of one datagram does may end the view, nor keep this from waiting
+			time.Sleep(5 * time.Millisecond)
 			continue
 		}
 		who, known := p.number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -270,11 +270,16 @@
 	}
 }
 
+// operators is where a router takes operators' calls, by way of the relay.
+func (p *player) operators(i int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ways[wayKey{i, admin}][0].Addr()
+}
+
 // post carries out an operators' call, and tells what was answered.
 func (p *player) post(i int, path string) {
-	p.mu.Lock()
-	addr := p.ways[wayKey{i, admin}][0].Addr()
-	p.mu.Unlock()
+	addr := p.operators(i)
 	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	r, err := client.Post("http://"+addr+path, "", nil)
 	if err != nil {
@@ -289,9 +294,7 @@
 // watchReady asks a router all the time whether it is ready, and tells of each change. The operators' way is the drill's
 // as well: a router that can't be asked is not ready.
 func (p *player) watchReady(ctx context.Context, i int) {
-	p.mu.Lock()
-	addr := p.ways[wayKey{i, admin}][0].Addr()
-	p.mu.Unlock()
+	addr := p.operators(i)
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
@@ -322,9 +325,7 @@
 
 // watchView asks a router all the time how it sees the fleet, and tells of each change.
 func (p *player) watchView(ctx context.Context, i int) {
-	p.mu.Lock()
-	addr := p.ways[wayKey{i, admin}][0].Addr()
-	p.mu.Unlock()
+	addr := p.operators(i)
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
 	for last := ""; ; {
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -155,9 +155,8 @@
 			{"concurrency", concurrencyText(p.Limits.Concurrency)}, {"queue", queueText(p.Limits.Queue, p.Limits.QueueFor)}},
 		"log": {{"level", p.Log.Level}, {"format", p.Log.Format}, {"rate", unit.Format(p.Log.Rate, unit.Rate)}},
 	}
-	if f := p.Fleet; f.View != "" || f.Out != (Bound{}) || f.OutZone != (Bound{}) {
-		all["fleet"] = []Field{{"view", f.View}, {"out", f.Out.String()}, {"out-zone", f.OutZone.String()}}
-	}
+	f := p.Fleet
+	all["fleet"] = []Field{{"view", cmp.Or(f.View, "as the settings have it")}, {"out", f.Out.text("1")}, {"out-zone", f.OutZone.text("any")}}
 	for name, l := range p.Listeners {
 		all["listener "+name] = []Field{{"address", l.Addr}}
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -151,6 +151,14 @@
 	Part   float64 // of 1; 0: the number is meant
 }
 
+func (b Bound) text(unstated string) string {
+	if b == (Bound{}) {
+		return unstated
+	}
+	return b.String()
+}
+
+// String implements fmt.Stringer.
 func (b Bound) String() string {
 	if b.Part > 0 {
 		return unit.Format(b.Part, unit.Part)
