--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -89,7 +89,7 @@
 	{"name":"book","effect":"at_most_once","onTime":9000000,"deadline":9000000,"worth":3},
 	{"name":"cancel","effect":"deduplicated","keyTtl":1500000,"onTime":9000000,"deadline":9000000,"worth":2}],
 	"familyInfo":{"mode":"aside","ordered":true,"originKind":1},"kinds":["cache","origin"],"failureDomains":["x"],
-	"membershipMode":"on_request","period":5000,"rules":{"askWithin":1000000,"cold":24000000,"coldFrom":0.12,
+	"membershipMode":"on_request","period":5000,"fees":{"connection":0.04},"rules":{"askWithin":1000000,"cold":24000000,"coldFrom":0.12,
 	"fall":1500000,"overloadFactor":2.5,"stopSendingWithin":500000}}`
 
 // start starts the program in a world where it knows the named providers.
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -34,13 +34,13 @@
 )
 
 const (
-	providerShare = 4                       // calls on a provider connection before another is opened
-	linger        = 700 * time.Millisecond  // for which clients still come after SIGTERM
-	spare         = 300 * time.Millisecond  // between the last answer and SIGKILL
-	replaceTime   = 300 * time.Millisecond  // for which clients are served after SIGTERM where another process accepts them
-	closeTime     = 500 * time.Millisecond  // after that, for the rest of a command
-	restTime      = 2100 * time.Millisecond // the same where there is time for a whole command before SIGKILL
-	freshTime     = 2 * time.Second         // that a new process waits for a fresh list before it takes clients from the old one
+	sharedBy    = 4                       // calls on a provider connection before another is opened, where these cost something
+	linger      = 700 * time.Millisecond  // for which clients still come after SIGTERM
+	spare       = 300 * time.Millisecond  // between the last answer and SIGKILL
+	replaceTime = 300 * time.Millisecond  // for which clients are served after SIGTERM where another process accepts them
+	closeTime   = 500 * time.Millisecond  // after that, for the rest of a command
+	restTime    = 2100 * time.Millisecond // the same where there is time for a whole command before SIGKILL
+	freshTime   = 2 * time.Second         // that a new process waits for a fresh list before it takes clients from the old one
 )
 
 type serveCmd struct {
@@ -135,7 +135,7 @@
 	fleet := newFleet(c, p.Fleet, counts, life)
 	room := semaphore.NewWeighted(int64(max(shares.long, meta.MaxLong)))
 	providers := provider.New(provider.Settings{
-		Share: providerShare, MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
+		Share: sharing(c), MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
 		Kept: places.Kept(c.Settings.Balancers, p.Limits.Places), Places: p.Limits.Places, Called: counts.Called, Reports: reports,
 		Seen: func(id uint32, up bool) { fleet.saw(id, up) },
--- a/cmd/hoptiller/shares.go
+++ b/cmd/hoptiller/shares.go
@@ -19,6 +19,16 @@
 	heap      int // bytes from which garbage is collected harder; 0: never
 }
 
+// sharing is how many calls a connection to a slot cache has before another one is opened. Where connections and handshakes
+// have a price they are shared. Where they have none each call has its own, as far as there are any: a reset, a silent or
+// a spoilt connection costs one call, and one that is withdrawn ends at once, having no neighbours.
+func sharing(c *config.Config) int {
+	if c.ConnFees {
+		return sharedBy
+	}
+	return 1
+}
+
 // own are the descriptors of the program itself: its files, its listeners, the directory's calls and the system's.
 const own = 18
 
--- a/cmd/hoptiller/shares_test.go
+++ b/cmd/hoptiller/shares_test.go
@@ -34,3 +34,17 @@
 		}
 	})
 }
+
+// Connections are shared where they or their handshakes have a price, and only there.
+func TestSharing(t *testing.T) {
+	for fees, want := range map[string]int{``: 1, `,"fees":{"connection":0,"handshake":0,"waste":0.3}`: 1,
+		`,"fees":{"connection":0.04}`: sharedBy, `,"fees":{"handshake":0.01}`: sharedBy} {
+		c, err := config.Parse([]byte(`{"settings":{"classes":[{"name":"read","effect":"idempotent","onTime":1,"deadline":1,"worth":1}]` + fees + `}}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := sharing(c); got != want {
+			t.Errorf("%q: %d calls on a connection, want %d", fees, got, want)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	PeerListen  string   // where datagrams of other routers come; empty: nowhere
 	MayTell     bool     // routers may send each other datagrams
 	PeerFee     float64  // what these are priced at; a price must be earned
+	ConnFees    bool     // connections or handshakes are priced
 	Digest      uint32   // of the settings, the router's own number aside
 	Contradicts string   // how the settings contradict themselves; empty: they don't
 	Assumed     []string // what was taken for granted of the fleet, where the text does not say it
@@ -122,6 +123,7 @@
 	c.Contradicts = c.contradictions()
 	c.Peers, c.PeerListen = texts(root.Get("peers")), root.Get("peer_listen").String()
 	c.MayTell, c.PeerFee = set.Get("bounds.mayTell").Bool(), set.Get("fees.peer").Float()
+	c.ConnFees = set.Get("fees.connection").Float() > 0 || set.Get("fees.handshake").Float() > 0
 	c.Digest = digest(set)
 	c.assume(c.PeerListen)
 	return c, nil
--- a/internal/lab/standin/settings.go
+++ b/internal/lab/standin/settings.go
@@ -34,6 +34,7 @@
 		"bounds": map[string]any{"connIdle": us(day.Fleet.IdleFor.D()), "connectTimeout": us(set.ConnTimeout),
 			"mayCancel": set.MayCancel, "mostTries": set.MaxAttempts, "maxRetryAfter": us(set.MaxRetryAfter),
 			"mayTell": true, "retryAfter": set.RetryAfter, "secondCopies": set.SecondCopies, "streamsPerConn": 100},
+		"fees": map[string]any{"connection": 0.04, "handshake": 0.04}, // the first site's: connections are shared
 		"rules": map[string]any{"askWithin": us(set.AskWithin), "cold": us(set.Cold), "coldFrom": set.ColdFrom, "fall": us(set.Fall),
 			"graceToAnswer": us(set.AnswerGrace), "overloadFactor": set.OverloadFactor, "stopSendingWithin": us(set.StopSendingWithin)},
 	}
