Call a request lost, and not without a route, when its router was killed under it

A stand-in's client whose kept connection ends asks again on a new one, since a router may close an idle one just then; after a kill nobody listens there, and that told the model that there was no route, so that its client asked another router for what had run (internal/lab/standin/client.go, ask).

Ruled out: the routers (each called once; the first was dead when the second was asked), the relays.

Change: nothing is asked again of a router that was killed since.

Checked: TestLostWithARouter fails without the change ("no router there").

--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -52,11 +52,7 @@
 
 // ask carries one request to its end.
 func (n *node) ask(r *request, c *client, left time.Duration) {
-	f, after, err := n.exchange(r, c, left)
-	if err != nil && c != nil { // the router may close an idle connection just then
-		c = nil
-		f, after, err = n.exchange(r, nil, left)
-	}
+	f, after, err := n.carry(r, c, left)
 	e := n.e
 	e.do(func() {
 		if e.tries[r.id] != r { // the client has gone
@@ -88,6 +84,23 @@
 	})
 }
 
+// carry has a request answered on a kept connection, or on a new one where the router closed that just then. One that was killed
+// may have taken what was sent before: then the request is lost, and not without a route, which would let a client ask
+// again for what must not run twice.
+func (n *node) carry(r *request, c *client, left time.Duration) (f model.Final, after time.Duration, err error) {
+	f, after, err = n.exchange(r, c, left)
+	if err == nil || c == nil {
+		return f, after, err
+	}
+	n.e.mu.Lock()
+	killed := r.life != n.life
+	n.e.mu.Unlock()
+	if killed {
+		return f, after, err
+	}
+	return n.exchange(r, nil, left)
+}
+
 var errNoRoute = errors.New("no router there")
 
 // exchange writes a request and reads its answer, on an open connection or a new one.
--- a/internal/lab/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -242,3 +243,24 @@
 	}()
 	testprog.Await(t, done, "end of the connection")
 }
+
+// What was sent to a router that is killed is lost, and not without a route: it may have run.
+func TestLostWithARouter(t *testing.T) {
+	got := make(chan error, 1)
+	byHand(t, func(c Control) {
+		e := (*Engine)(c.(*steward))
+		r := e.newRequest(&model.Try{Op: &model.Op{Key: 0xab, At: e.World.Now()}, At: e.World.Now()})
+		r.life = e.nodes[0].life
+		near, far := net.Pipe()
+		far.Close()
+		c.Kill(0)
+		go func() {
+			<-e.nodes[0].ended
+			_, _, err := e.nodes[0].carry(r, &client{near, bufio.NewReader(near)}, time.Second)
+			got <- err
+		}()
+	})
+	if err := testprog.Await(t, got, "the request's end"); err == nil || errors.Is(err, errNoRoute) {
+		t.Errorf("it ends with %v", err)
+	}
+}
