--- a/cmd/hoplab/main.go
+++ b/cmd/hoplab/main.go
@@ -25,6 +25,7 @@
 	Story   storyCmd   `cmd:"" help:"Play one run again and tell the course of one request."`
 	Drill   drillCmd   `cmd:"" help:"Start several routers, put faults on them and between them, and hold what comes of it against claims."`
 	View    viewCmd    `cmd:"" help:"Measure the view of the fleet in virtual time, or search through all orders of events."`
+	Permits permitsCmd `cmd:"" help:"Search for an order of events in which more go out by permit than may."`
 	Speed   speedCmd   `cmd:"" help:"Measure what the router adds to a request, beside a bare relay."`
 	Pick    pickCmd    `cmd:"" help:"Measure a pick by the size of the fleet, for each policy."`
 	Relay   relayCmd   `cmd:"" hidden:"" help:"The bare relay that speed measures."`
--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -15,6 +15,12 @@
 	"hoptiller/internal/relay"
 )
 
+// metrics are what operators read of this process.
+type metrics struct {
+	figures.Snapshot
+	Fleet *peers.Summary `json:"fleet,omitempty"` // as the routers see one another
+}
+
 // calls are what operators can ask of this process.
 func calls(life *lifecycle.State, f *front.Front, counts *figures.Counts, reports *loads.Table, r *relay.Relay, fleet *peers.Peers) map[string]admin.Call {
 	told := func(e lifecycle.Event) func() (bool, []byte) {
@@ -26,7 +32,7 @@
 	all := map[string]admin.Call{
 		"/v1/readyz": {Method: "GET", Do: func() (bool, []byte) { return f.Ready(), state(life) }},
 		"/v1/metrics": {Method: "GET", Do: func() (bool, []byte) {
-			s := counts.Snapshot()
+			s := metrics{Snapshot: counts.Snapshot()}
 			s.Members, s.Unavailable = r.Members()
 			s.Reports = reports.Summary()
 			if fleet != nil {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -5,7 +5,6 @@
 import (
 	"sync/atomic"
 
-	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/loads"
 )
 
@@ -69,7 +68,6 @@
 	Pending     int64                 `json:"pending"`
 	Members     int                   `json:"members"`
 	Unavailable int                   `json:"members_unavailable"`
-	Fleet       *peers.Summary        `json:"fleet,omitempty"`        // as the routers see one another
 	Reports     *loads.Summary        `json:"load_reports,omitempty"` // of the slot caches
 }
 
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -89,7 +89,7 @@
 // now is the time since the start, by a clock that never steps.
 func (p *Peers) now() time.Duration { return time.Since(p.begun) }
 
-// Again is how often an address that is taken is tried: by the process that this one replaces, for as long as that lives.
+// again is how often an address that is taken is tried: by the process that this one replaces, for as long as that lives.
 const again = 250 * time.Millisecond
 
 // Run keeps the view until ctx ends, and tells the others then that this router does.
--- a/internal/fleet/permit/agent.go
+++ b/internal/fleet/permit/agent.go
@@ -55,7 +55,7 @@
 	Self, Of int
 	Zone     int           // of this router
 	Fleet    Bound         // how many routers may be out
-	PerZone  Bound         // and how many of a zone; the zero value: any number
+	PerZone  Bound         // and how many of a zone, a part of those seen in it; the zero value: any number
 	See      func() Sight  // asked by electors
 	Chance   func() uint64 // random bits
 
@@ -115,7 +115,16 @@
 	if a.PerZone == (Bound{}) {
 		return math.MaxUint8
 	}
-	return a.PerZone.Of(a.Of)
+	if a.PerZone.Part <= 0 {
+		return a.PerZone.Of(a.Of)
+	}
+	sight, n := a.See(), 0
+	for i := range a.Of {
+		if sight.Zone != nil && sight.Zone(i) == int(group-FirstZone) {
+			n++
+		}
+	}
+	return a.PerZone.Of(max(1, n)) // of a zone that nobody has told of yet one may be out
 }
 
 // choose takes the lowest number of each group that is not known to be held.
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -31,7 +31,6 @@
 	Strange                 uint64 // whole, and not from or for whom it should be
 	ProbesFailed            uint64
 	Contradicted            uint64 // said of this router by others, and not so
-	Claims, New             uint64 // said of others, and of these what was new
 	Stalls                  uint64 // of this router: its clock went on without it
 }
 
@@ -101,9 +100,6 @@
 // Sum is the same for two views that say the same of all routers, up to suspicions.
 func (v *View) Sum() uint32 { return v.sum }
 
-// Fresh is how many changes are still being told eagerly.
-func (v *View) Fresh() int { return v.news.hasEager() }
-
 // Twice tells how often another router has spoken in this one's name.
 func (v *View) Twice() int { return v.twice }
 
@@ -249,12 +245,7 @@
 	}
 	for i := range m.claims {
 		if c := &m.claims[i]; int(c.who) < v.of {
-			v.counts.Claims++
-			newer := v.hear(c)
-			if newer {
-				v.counts.New++
-			}
-			if !newer && m.kind == trade && c.inc.Compare(v.members[c.who].Inc) < 0 {
+			if isNew := v.hear(c); !isNew && m.kind == trade && c.inc.Compare(v.members[c.who].Inc) < 0 {
 				v.news.owe(m.from, c.who)
 			}
 		}
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -423,7 +423,7 @@
 		"out":      func(s *statement) { f.Out = c.bound(s) },
 		"out-zone": func(s *statement) { f.OutZone = c.bound(s) },
 	})
-	if zone, all := f.OutZone, f.Out; zone.Number > max(1, all.Number) && all.Part == 0 || zone.Part > all.Part && all.Part > 0 {
+	if zone, all := f.OutZone, f.Out; zone.Number > max(1, all.Number) && all.Part == 0 {
 		c.find(f.pos.of("out-zone"), "bounds", fmt.Sprintf("more may be out of one zone (%v) than of the whole fleet (%v)", zone, all), "")
 	}
 	if f.View == "off" && (f.Out != Bound{} || f.OutZone != Bound{}) {
