Drain slot caches for the whole fleet by permits and notes that are pulled

Why: an operator who takes a slot cache out had to wait for the directory to say so; a script gone wrong could take out all of them.

Change: internal/fleet/notes keeps what one router says and all are to know, as leases: who hears a hint pulls the note, and counts its time from when it asked, so that nobody believes it for longer than its permit lasts. Another router goes on with a note whose owner is gone (internal/fleet/notes/keeper.go). internal/fleet/aside stands between the directory and the module and changes the entries of drained slot caches, at once or by and by. permit.Agent seeks permits that are not its own router's; the operator's file bounds slot caches (caches, caches-zone).

--- a/cmd/hoptiller/fleet.go
+++ b/cmd/hoptiller/fleet.go
@@ -130,6 +130,12 @@
 			fmt.Fprintln(w, "out by permit:", h)
 		}
 	}
+	for _, d := range v.Drains {
+		fmt.Fprintf(w, "slot cache %s: %s, kept by router %d, ends in %v %s\n", d.Cache, d.State, d.Router, time.Duration(d.Ends*1e9).Round(time.Second), d.Why)
+	}
+	if r := v.Release; r != nil {
+		fmt.Fprintf(w, "release %s: %s, run by %s (%s), kept by router %d %s\n", r.ID, r.State, r.By, r.Stage, r.Router, r.Why)
+	}
 	for _, c := range v.Caches {
 		fmt.Fprintf(w, "slot cache %s was seen %s %.0f s ago\n", c.ID, c.State, c.Age)
 	}
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -19,6 +19,7 @@
 	"hoptiller/internal/config"
 	"hoptiller/internal/directory"
 	"hoptiller/internal/figures"
+	"hoptiller/internal/fleet/aside"
 	"hoptiller/internal/fleet/places"
 	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/front"
@@ -132,7 +133,7 @@
 	if shares.heap > 0 {
 		debug.SetMemoryLimit(int64(shares.heap))
 	}
-	fleet := newFleet(c, p.Fleet, counts, life)
+	var fleet *fleet
 	room := semaphore.NewWeighted(int64(max(shares.long, meta.MaxLong)))
 	providers := provider.New(provider.Settings{
 		Share: sharing(c), MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
@@ -153,6 +154,10 @@
 		g = guard.New(r, r, p, func(limit string) { slog.Info("limit hit", "limit", limit) })
 		server, listener = g, g
 	}
+	caches := aside.New(listener)
+	if fleet = newFleet(c, p.Fleet, counts, life, r, caches); fleet.peers != nil {
+		listener = caches
+	}
 	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
 	fresh := &freshList{Listener: listener, told: make(chan struct{})}
 	dir := directory.NewClient(registry(c), names, fresh, c.Known)
--- a/cmd/hoptiller/together.go
+++ b/cmd/hoptiller/together.go
@@ -13,11 +13,13 @@
 
 	"hoptiller/internal/config"
 	"hoptiller/internal/figures"
+	"hoptiller/internal/fleet/aside"
 	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/plan"
+	"hoptiller/internal/relay"
 )
 
 // fleet is this router among the others.
@@ -37,7 +39,7 @@
 
 // newFleet opens the view where the settings and the operator's file, which goes before, have it on. What
 // the platform forbids no file allows.
-func newFleet(c *config.Config, stated plan.Fleet, counts *figures.Counts, life *lifecycle.State) *fleet {
+func newFleet(c *config.Config, stated plan.Fleet, counts *figures.Counts, life *lifecycle.State, r *relay.Relay, caches *aside.Caches) *fleet {
 	f := &fleet{counts: counts, config: c, at: time.Now()}
 	why := ""
 	switch {
@@ -60,7 +62,8 @@
 				} else {
 					life.Tell(lifecycle.Activate)
 				}
-			}})
+			},
+			Caches: r.Caches, Aside: caches})
 		if err == nil {
 			f.peers = p
 			f.adopt(stated)
@@ -72,10 +75,11 @@
 	return f
 }
 
-// adopt takes the bounds of a file; without one a single router may be out.
+// adopt takes the bounds of a file; without one a single router may be out, and a single slot cache.
 func (f *fleet) adopt(stated plan.Fleet) {
 	if f.peers != nil {
-		f.peers.Bounds(bound(stated.Out, 1), bound(stated.OutZone, 0))
+		f.peers.Bound(peers.Bounds{Fleet: bound(stated.Out, 1), Zone: bound(stated.OutZone, 0),
+			Caches: bound(stated.Caches, 1), CacheZone: bound(stated.CachesZone, 0)})
 	}
 }
 
--- a/facade.go
+++ b/facade.go
@@ -184,13 +184,36 @@
 			continue
 		}
 		listed++
-		if s.Phase == Draining || r.health(s)*r.path(s.Zone) < avoidedAt {
+		if r.avoids(s) {
 			avoided++
 		}
 	}
 	return listed, avoided
 }
 
+func (r *Router) avoids(s *server) bool {
+	return s.Phase == Draining || r.health(s)*r.path(s.Zone) < avoidedAt
+}
+
+// CacheState is a slot cache as it is seen here.
+type CacheState struct {
+	ID      uint32
+	Zone    int
+	Avoided bool
+}
+
+// Caches are the slot caches that are listed, in no order. It is for what is asked for seldom.
+func (f *Facade) Caches() (all []CacheState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.router.known {
+		if !s.origin && !s.unlisted && s.Phase != Gone {
+			all = append(all, CacheState{s.ID, s.Zone, f.router.avoids(s)})
+		}
+	}
+	return all
+}
+
 // Knows tells whether a server is listed, or calls to it are out.
 func (f *Facade) Knows(server uint32) bool {
 	f.mu.Lock()
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,6 +9,8 @@
 	"errors"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"sync"
@@ -31,6 +33,9 @@
 	Method string
 	// Do carries the call out. Where it is not yes, the body says why.
 	Do func() (yes bool, body []byte)
+	// Ask is for calls that say more than their path, in its place: it is given what stands behind the question mark, and
+	// answers with a status of HTTP. Only a body of 200 is JSON.
+	Ask func(query url.Values) (status int, body []byte)
 }
 
 // Server answers operators' calls, by path.
@@ -135,13 +140,25 @@
 	case err != nil:
 		return text(400, "Bad Request", "the head can't be read")
 	}
-	call, ok := s.Calls[string(q.Path)]
+	path, asked, _ := strings.Cut(string(q.Path), "?")
+	call, ok := s.Calls[path]
 	if !ok {
 		return text(404, "Not Found", "no such call")
 	}
 	if string(q.Method) != call.Method {
 		return text(405, "Method Not Allowed", "to be called with "+call.Method, http1.Header{Name: "Allow", Value: call.Method})
 	}
+	if call.Ask != nil {
+		query, err := url.ParseQuery(asked)
+		if err != nil {
+			return text(400, "Bad Request", "what stands behind the question mark can't be read")
+		}
+		status, body := call.Ask(query)
+		if status != http.StatusOK {
+			return text(status, http.StatusText(status), string(body))
+		}
+		return http1.AppendAnswer(nil, 200, "OK", body, http1.Header{Name: "Content-Type", Value: "application/json"})
+	}
 	yes, body := call.Do()
 	if !yes {
 		return text(503, "Service Unavailable", string(body))
--- /dev/null
+++ b/internal/fleet/peers/drains.go
@@ -0,0 +1,241 @@
+package peers
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"hoptiller/internal/fleet/aside"
+	"hoptiller/internal/fleet/notes"
+	"hoptiller/internal/fleet/permit"
+)
+
+// Drained is a slot cache that is out by operators' word, or that this router asks to be.
+type Drained struct {
+	Cache  string  `json:"cache"`
+	State  string  `json:"state"` // asking, or out
+	Why    string  `json:"why,omitempty"`
+	Router int     `json:"router"` // that keeps it so
+	Ends   float64 `json:"ends_s"` // by itself, in so many seconds
+}
+
+// MostDrain is the longest that a slot cache may be drained for.
+const MostDrain = 7 * 24 * time.Hour
+
+// A drain's note says over how many ms it comes, and whether it has.
+func drainBody(d aside.Drain) string {
+	b := binary.BigEndian.AppendUint32(nil, uint32(d.Over.Milliseconds()))
+	if d.Whole {
+		return string(append(b, 1))
+	}
+	return string(append(b, 0))
+}
+
+func readDrain(body string) aside.Drain {
+	if len(body) != 5 {
+		return aside.Drain{} // of another version: at once
+	}
+	return aside.Drain{Over: time.Duration(binary.BigEndian.Uint32([]byte(body))) * time.Millisecond, Whole: body[4] == 1}
+}
+
+// drains are the slot caches that are out, and are logged as they change; p.mu is held.
+func (p *Peers) drains() map[uint32]aside.Drain {
+	if p.keeper == nil || p.set.Aside == nil {
+		return nil
+	}
+	now := p.now()
+	out := map[uint32]aside.Drain{}
+	for _, n := range p.keeper.All(now) {
+		if n.Kind != notes.Cache {
+			continue
+		}
+		d := readDrain(n.Body)
+		out[n.ID] = d
+		if p.said[n.ID] == "" {
+			p.said[n.ID] = p.cacheName(n.ID)
+			slog.Info("slot cache drained", "cache", p.said[n.ID], "router", n.Owner, "over", d.Over)
+		}
+		if !d.Whole && p.set.Aside.Whole(n.ID) { // who learns of it from now on need not begin
+			d.Whole = true
+			p.keeper.Change(now, n.Key, drainBody(d)) // no matter if another router keeps it: that one says so
+		}
+	}
+	for id, name := range p.said {
+		if _, still := out[id]; !still {
+			slog.Info("slot cache drained no more", "cache", name)
+			delete(p.said, id)
+		}
+	}
+	return out
+}
+
+func (p *Peers) cacheName(id uint32) string {
+	if name := p.set.Aside.Name(id); name != "" {
+		return name
+	}
+	return fmt.Sprintf("s-%08x", id)
+}
+
+// ErrNoCache says that no slot cache of this name is listed.
+var ErrNoCache = errors.New("no slot cache of this name is listed")
+
+// DrainCache asks the fleet that a slot cache may be out, and has it drained by all routers once the fleet lets it, over a
+// time; it serves again after a time by itself. The error is ErrNoCache, or one of package notes.
+func (p *Peers) DrainCache(name string, last, over time.Duration) error {
+	s, ok := p.set.Aside.Find(name)
+	if !ok {
+		return ErrNoCache
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.flush()
+	key := notes.Key{Kind: notes.Cache, ID: s.ID}
+	return p.keeper.Ask(p.now(), key, p.set.Agent.CacheGroups(s.Zone), drainBody(aside.Drain{Over: over}), last)
+}
+
+// ActivateCache has a slot cache serve again, whichever router was asked to drain it.
+func (p *Peers) ActivateCache(name string) error {
+	s, listed := p.set.Aside.Find(name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.flush()
+	key := notes.Key{Kind: notes.Cache, ID: s.ID}
+	if !listed { // it may be drained still
+		key.ID = 0
+		for id, said := range p.said {
+			if said == name {
+				key.ID = id
+			}
+		}
+		if key.ID == 0 {
+			return ErrNoCache
+		}
+	}
+	return p.keeper.Undo(p.now(), key)
+}
+
+// drained is for the report; p.mu is held.
+func (p *Peers) drained() (list []Drained) {
+	now := p.now()
+	told := map[notes.Key]bool{}
+	for _, n := range p.keeper.All(now) {
+		if n.Kind == notes.Cache {
+			told[n.Key] = true
+			list = append(list, Drained{Cache: p.cacheName(n.ID), State: "out", Router: int(n.Owner), Ends: n.Ends.Seconds()})
+		}
+	}
+	for _, key := range p.keeper.Kept() {
+		if key.Kind == notes.Cache && !told[key] {
+			_, why := p.keeper.Stand(now, key)
+			list = append(list, Drained{Cache: p.cacheName(key.ID), State: "asking", Why: why, Router: p.set.Self})
+		}
+	}
+	return list
+}
+
+// releaseKey is the one of a fleet's release: there is one at a time.
+var releaseKey = notes.Key{Kind: notes.Release, ID: 1}
+
+const (
+	// DriverTime is how long after its last word a release's driver is taken for gone.
+	DriverTime = 15 * time.Second
+	// releaseTime is how long the fleet remembers a release whose driver is gone.
+	releaseTime = 24 * time.Hour
+	mostWord    = 36
+)
+
+// Running is a release that the fleet knows.
+type Running struct {
+	ID     string `json:"id"`
+	By     string `json:"by"`    // the driver
+	Stage  string `json:"stage"` // as the driver said last
+	Router int    `json:"router"`
+	State  string `json:"state"` // asking, or held
+	Why    string `json:"why,omitempty"`
+}
+
+// ErrRuns says that another driver, or another release, has the fleet.
+type ErrRuns struct {
+	Running
+	Known bool // this router keeps it, and knows that its driver has not spoken for long where Gone
+	Gone  bool
+}
+
+// Error implements error.
+func (e *ErrRuns) Error() string {
+	text := fmt.Sprintf("release %s is run by %s (%s), kept by router %d", e.ID, e.By, e.Stage, e.Router)
+	if e.Gone {
+		text += "; its driver is gone: go on with it or end it first"
+	}
+	return text
+}
+
+func releaseBody(id, by, stage string) string {
+	if len(stage) > mostWord {
+		stage = stage[:mostWord]
+	}
+	return id + "\n" + by + "\n" + stage
+}
+
+// GoOnRelease says that a driver runs a release and where it stands, and asks for the fleet's one place for releases if it has it
+// not. It wants to be called more often than every DriverTime. Another driver of the same release takes it over once the former
+// one has not spoken for that long.
+func (p *Peers) GoOnRelease(id, by, stage string) (Running, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.flush()
+	if id == "" || by == "" || len(id) > mostWord || len(by) > mostWord {
+		return Running{}, fmt.Errorf("a release and its driver have names of 1 to %d bytes", mostWord)
+	}
+	now := p.now()
+	body := releaseBody(id, by, stage)
+	was, known := p.running()
+	switch {
+	case !known:
+		if err := p.keeper.Ask(now, releaseKey, []uint16{permit.Releases}, body, releaseTime); err != nil {
+			return Running{}, err
+		}
+	case was.ID == id && was.By == by || was.ID == id && was.Router == p.set.Self && now-p.driverAt > DriverTime:
+		if err := p.keeper.Renew(now, releaseKey, body, releaseTime); err != nil {
+			return Running{}, err
+		}
+	default:
+		here := was.Router == p.set.Self
+		return Running{}, &ErrRuns{Running: was, Known: here, Gone: here && now-p.driverAt > DriverTime}
+	}
+	p.driverAt = now
+	r, _ := p.running()
+	return r, nil
+}
+
+// EndRelease frees the fleet of a release.
+func (p *Peers) EndRelease(id string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.flush()
+	if r, known := p.running(); !known || r.ID != id {
+		return notes.ErrNone
+	}
+	return p.keeper.Undo(p.now(), releaseKey)
+}
+
+// running is the release that is known here; p.mu is held.
+func (p *Peers) running() (r Running, known bool) {
+	now := p.now()
+	n, _, told := p.keeper.Get(now, releaseKey)
+	body, owner, state := n.Body, int(n.Owner), "held"
+	if !told || n.Off {
+		own, asks := p.keeper.Wanted(releaseKey)
+		if !asks {
+			return Running{}, false
+		}
+		body, owner, state = own, p.set.Self, "asking"
+		_, r.Why = p.keeper.Stand(now, releaseKey)
+	}
+	parts := append(strings.SplitN(body, "\n", 3), "", "", "")
+	r.ID, r.By, r.Stage, r.Router, r.State = parts[0], parts[1], parts[2], owner, state
+	return r, true
+}
--- a/internal/fleet/peers/out.go
+++ b/internal/fleet/peers/out.go
@@ -24,6 +24,15 @@
 			s.Down[i] = true
 		}
 	}
+	if p.set.Caches == nil {
+		return s
+	}
+	s.Caches, s.CachesDown = map[uint32]int{}, map[uint32]bool{}
+	for _, c := range p.set.Caches() {
+		if s.Caches[c.ID] = c.Zone; c.Avoided {
+			s.CachesDown[c.ID] = true
+		}
+	}
 	return s
 }
 
@@ -44,6 +53,7 @@
 	}
 	now := p.now()
 	a.Tick(now)
+	p.keeper.Tick(now)
 	held := a.Phase(now) == permit.Holding
 	switch {
 	case held && !p.out:
@@ -101,11 +111,15 @@
 	return p.Out()
 }
 
-// Bounds changes how many may be out. Who is out by a permit that the new bounds would not give stays so to its end.
-func (p *Peers) Bounds(fleet, zone permit.Bound) {
+// Bounds are how many routers and slot caches may be out; a zone's zero value is any number.
+type Bounds struct{ Fleet, Zone, Caches, CacheZone permit.Bound }
+
+// Bound changes how many may be out. Who is out by a permit that the new bounds would not give stays so to its end.
+func (p *Peers) Bound(b Bounds) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.set.Agent.Fleet, p.set.Agent.PerZone = fleet, zone
+	a := p.set.Agent
+	a.Fleet, a.PerZone, a.Caches, a.OfZone = b.Fleet, b.Zone, b.Caches, b.CacheZone
 }
 
 // Out is how this router's permit stands, and which others it knows of.
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -14,6 +14,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"hoptiller"
+	"hoptiller/internal/fleet/aside"
+	"hoptiller/internal/fleet/notes"
 	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/fleet/view"
 )
@@ -29,6 +32,9 @@
 
 	Agent *permit.Agent  // this router's side of permits; nil: there are none
 	Out   func(out bool) // has clients sent away, or has them come again; with Agent
+
+	Caches func() []hoptiller.CacheState // the slot caches as they are seen here; with Agent
+	Aside  *aside.Caches                 // has slot caches get nothing new; with Agent
 }
 
 // Peers is the view of one router and its socket.
@@ -47,6 +53,10 @@
 	acting sync.Mutex // held before mu by whoever has this router go out or come back: one after the other
 	out    bool       // this router is out by permit
 
+	keeper   *notes.Keeper     // with Agent
+	said     map[uint32]string // names of slot caches that were logged as drained
+	driverAt time.Duration     // when a release's driver last spoke to this router
+
 	sawMu sync.Mutex
 	saw   []view.Sight // not told to the view yet
 }
@@ -65,7 +75,7 @@
 	if _, err := netip.ParseAddrPort(set.Listen); err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	p := &Peers{set: set, number: map[netip.AddrPort]int{}, begun: time.Now()}
+	p := &Peers{set: set, number: map[netip.AddrPort]int{}, begun: time.Now(), said: map[uint32]string{}}
 	for i, text := range set.Addrs {
 		a, err := netip.ParseAddrPort(text)
 		if err != nil {
@@ -81,6 +91,7 @@
 	if set.Agent != nil {
 		set.Agent.See = p.see
 		set.Agent.Start(0)
+		p.keeper = notes.NewKeeper(0, set.Agent)
 	}
 	p.view = view.New(view.Config{Self: set.Self, Of: len(set.Addrs), Start: p.begun, Seed: set.Seed, Now: 0})
 	return p, nil
@@ -158,9 +169,13 @@
 			who = -1
 		}
 		p.mu.Lock()
-		if n > 0 && b[0] == permit.Version && p.set.Agent != nil {
+		switch {
+		case n > 0 && b[0] == permit.Version && p.set.Agent != nil:
 			p.set.Agent.Receive(p.now(), who, b[:n])
-		} else {
+		case n > 0 && b[0] == notes.Version && p.set.Agent != nil:
+			p.keeper.Receive(p.now(), who, b[:n])
+			p.keeper.Store.Tick(p.now()) // what is new is passed on at once
+		default:
 			p.view.Receive(p.now(), who, b[:n])
 		}
 		p.flush()
@@ -192,11 +207,15 @@
 			p.view.Saw(s)
 		}
 		change := p.turn()
+		drains := p.drains()
 		p.flush()
 		due, events := p.view.Next(), p.told
 		p.told = nil
 		p.mu.Unlock()
 		p.act(change)
+		if p.set.Aside != nil {
+			p.set.Aside.Set(p.now(), drains)
+		}
 		p.acting.Unlock()
 		tell(events)
 		timer.Reset(max(time.Millisecond, due-p.now()))
@@ -226,6 +245,11 @@
 			}
 		}
 	}
+	for _, d := range p.keeper.Out() {
+		if p.conn != nil {
+			p.conn.WriteToUDPAddrPort(d.Body, p.addrs[d.To])
+		}
+	}
 }
 
 // tell logs what has changed. When half of the fleet dies at once, that is one line for all.
--- a/internal/fleet/peers/report.go
+++ b/internal/fleet/peers/report.go
@@ -28,6 +28,12 @@
 	Age   float64 `json:"age_s"`
 }
 
+// Charges are what operators have asked of the whole fleet.
+type Charges struct {
+	Drains  []Drained `json:"drains,omitempty"` // slot caches that are out
+	Release *Running  `json:"release,omitempty"`
+}
+
 // Report is a router's view as operators read it.
 type Report struct {
 	Self    int      `json:"self"`
@@ -35,6 +41,7 @@
 	Members []Member `json:"members"`
 	Caches  []Cache  `json:"caches,omitempty"`
 	Out     *Out     `json:"out,omitempty"` // who is out by permit, as this router knows
+	Charges
 	Summary
 }
 
@@ -94,6 +101,14 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	r := &Report{Self: p.set.Self, Sum: fmt.Sprintf("%08x", p.view.Sum()), Summary: *p.summary(), Out: out}
+	if p.keeper != nil {
+		if p.set.Aside != nil {
+			r.Drains = p.drained()
+		}
+		if running, known := p.running(); known {
+			r.Release = &running
+		}
+	}
 	for i := range p.view.Members() {
 		m := &p.view.Members()[i]
 		if !m.Known() {
--- a/internal/fleet/permit/agent.go
+++ b/internal/fleet/permit/agent.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -23,12 +24,18 @@
 	return list
 }
 
-// Groups are numbered so.
+// Groups are numbered so: of routers, of slot caches, and the one place of a release.
 const (
-	WholeFleet uint16 = 0
-	FirstZone  uint16 = 1
+	WholeFleet     uint16 = 0
+	FirstZone      uint16 = 1
+	AllCaches      uint16 = 0x4000
+	FirstCacheZone uint16 = 0x4001
+	Releases       uint16 = 0x8000
 )
 
+// ofRouters tells whether a group's permits are those of routers, each asked for by that router alone.
+func ofRouters(group uint16) bool { return group < AllCaches }
+
 // Bound is how many routers of a group may be out: a number, or a part of the group.
 type Bound struct {
 	Number int
@@ -48,6 +55,9 @@
 	Alive int           // routers that live, as far as is seen
 	Down  map[int]bool  // routers that don't serve, whatever the reason, by number
 	Zone  func(int) int // of a router; negative: not known
+
+	Caches     map[uint32]int  // slot caches that are listed, with their zones
+	CachesDown map[uint32]bool // and those of them that don't serve
 }
 
 // Agent is one router's side of permits: an elector, where it is one, and the seeker of its own permit.
@@ -56,12 +66,15 @@
 	Zone     int           // of this router
 	Fleet    Bound         // how many routers may be out
 	PerZone  Bound         // and how many of a zone, a part of those seen in it; the zero value: any number
+	Caches   Bound         // how many slot caches may be out
+	OfZone   Bound         // and how many of a zone; the zero value: any number
 	See      func() Sight  // asked by electors
 	Chance   func() uint64 // random bits
 
 	electors []int
-	elector  *Elector // nil: another one's task
-	seeker   *Seeker  // nil: nothing is wanted
+	elector  *Elector           // nil: another one's task
+	seeker   *Seeker            // nil: nothing is wanted
+	others   map[uint64]*Seeker // of permits that are not this router's own, by permit
 	out      []Datagram
 	bad      uint64
 }
@@ -83,15 +96,20 @@
 	}
 }
 
-// number of the router that a permit is for.
+// number of the router that a permit is for, or that has asked for it first.
 func number(permit uint64) int { return int(permit & 0xffff) }
 
 // allow holds a new permit against the bound: what is out by other permits, and what is down without one, uses up places too,
 // so that a fleet in trouble grants no more. An elector that sees less than half of the fleet grants nothing.
 func (a *Agent) allow(permit uint64, s Slot) bool {
 	sight := a.See()
-	if sight.Alive*2 <= a.Of {
+	switch {
+	case sight.Alive*2 <= a.Of:
 		return false
+	case s.Group == Releases:
+		return s.Number == 0
+	case !ofRouters(s.Group):
+		return a.allowCache(&sight, permit, s)
 	}
 	out := map[int]bool{}
 	for held, l := range a.elector.leases {
@@ -109,6 +127,10 @@
 }
 
 func (a *Agent) bound(group uint16) int {
+	if !ofRouters(group) {
+		sight := a.See()
+		return a.boundCaches(&sight, group)
+	}
 	if group == WholeFleet {
 		return a.Fleet.Of(a.Of)
 	}
@@ -127,12 +149,16 @@
 	return a.PerZone.Of(max(1, n)) // of a zone that nobody has told of yet one may be out
 }
 
-// choose takes the lowest number of each group that is not known to be held.
+// choose takes the lowest number of each of this router's groups that is not known to be held.
 func (a *Agent) choose(held map[Slot]uint64) (slots []Slot) {
 	groups := []uint16{WholeFleet}
 	if a.PerZone != (Bound{}) && a.Zone >= 0 {
 		groups = append(groups, FirstZone+uint16(a.Zone))
 	}
+	return a.lowest(groups, held)
+}
+
+func (a *Agent) lowest(groups []uint16, held map[Slot]uint64) (slots []Slot) {
 	for _, g := range groups {
 		found := false
 		for n := range a.bound(g) {
@@ -198,14 +224,26 @@
 func (a *Agent) Tick(now time.Duration) {
 	if a.seeker != nil {
 		a.seeker.Tick(now)
-		a.flush()
 	}
+	for _, s := range a.others {
+		s.Tick(now)
+	}
+	a.flush()
 }
 
-// flush puts what the seeker wants sent into datagrams. An elector is asked by way of the network even by itself: an answer that
+// flush puts what the seekers want sent into datagrams. An elector is asked by way of the network even by itself: an answer that
 // comes within the asking has no place in a seeker's turns.
 func (a *Agent) flush() {
-	for _, s := range a.seeker.Out() {
+	if a.seeker != nil {
+		a.send(a.seeker)
+	}
+	for _, s := range a.others {
+		a.send(s)
+	}
+}
+
+func (a *Agent) send(k *Seeker) {
+	for _, s := range k.Out() {
 		to := a.electors[s.To]
 		a.out = append(a.out, Datagram{to, AppendAsk(uint16(a.Self), uint16(to), &s.Ask)})
 	}
@@ -226,18 +264,21 @@
 		return
 	}
 	switch {
-	case m.Ask != nil && number(m.Ask.Permit) != from:
-		a.bad++
+	case m.Ask != nil && number(m.Ask.Permit) != from && (len(m.Ask.Slots) == 0 || slices.ContainsFunc(m.Ask.Slots,
+		func(s Slot) bool { return ofRouters(s.Group) })):
+		a.bad++ // a router's permit is asked for and given back by itself alone
 	case m.Ask != nil && a.elector != nil:
 		r := a.elector.Take(now, m.Ask)
 		a.out = append(a.out, Datagram{from, AppendReply(uint16(a.Self), m.From, &r)})
-	case m.Reply != nil && a.seeker != nil:
-		for i, e := range a.electors {
-			if e == from {
-				a.seeker.Take(now, i, m.Reply)
-			}
+	case m.Reply != nil:
+		k := a.seeker
+		if other := a.others[m.Reply.Permit]; other != nil {
+			k = other
+		}
+		if i := slices.Index(a.electors, from); i >= 0 && k != nil {
+			k.Take(now, i, m.Reply)
+			a.flush()
 		}
-		a.flush()
 	}
 }
 
@@ -258,16 +299,26 @@
 	Bad     uint64   // datagrams that were not taken
 }
 
+// why tells for what a seeker that asks was last refused.
+func why(k *Seeker) string {
+	text := "not answered yet"
+	if k.Why() != Granted {
+		text = k.Why().String()
+	}
+	for slot, by := range k.held {
+		text = fmt.Sprintf("%s: router %d has place %d", Held, number(by), slot.Number)
+		if !ofRouters(slot.Group) && slot.Group != Releases {
+			text = fmt.Sprintf("%s: slot cache s-%08x has place %d", Held, CacheOf(by), slot.Number)
+		}
+	}
+	return text
+}
+
 // Status tells how things stand.
 func (a *Agent) Status(now time.Duration) (s Status) {
 	s = Status{Phase: a.Phase(now), Left: a.Left(now), Elector: a.elector != nil, Bad: a.bad}
 	if a.seeker != nil && s.Phase == Asking {
-		if s.Why = "not answered yet"; a.seeker.Why() != Granted {
-			s.Why = a.seeker.Why().String()
-		}
-		for slot, by := range a.seeker.held {
-			s.Why = fmt.Sprintf("%s: router %d has place %d", Held, number(by), slot.Number)
-		}
+		s.Why = why(a.seeker)
 	}
 	if a.elector != nil {
 		s.Silent = now < a.elector.silent
--- a/internal/fleet/permit/agent_test.go
+++ b/internal/fleet/permit/agent_test.go
@@ -27,7 +27,7 @@
 	seed := uint64(0)
 	for i := range n {
 		a := &Agent{Self: i, Of: n, Zone: i % 2, Fleet: fleet, PerZone: zone,
-			See:    func() Sight { return Sight{r.alive, r.down, func(i int) int { return i % 2 }} },
+			See:    func() Sight { return Sight{Alive: r.alive, Down: r.down, Zone: func(i int) int { return i % 2 }} },
 			Chance: func() uint64 { seed += 0x9e3779b97f4a7c15; return seed }}
 		a.Start(0)
 		r.agents = append(r.agents, a)
--- a/internal/fleet/permit/seeker.go
+++ b/internal/fleet/permit/seeker.go
@@ -36,6 +36,7 @@
 	// Chance is drawn for the wait before another try, at least 0 and less than 1.
 	Chance func() float64
 	Drift  float64 // Drift, or another figure for a search
+	Keeps  bool    // nothing is ever given back, not even what a part of the electors grants: others go by it
 
 	electors int
 	phase    Phase
@@ -114,6 +115,9 @@
 
 // giveBack tells all electors that what was asked for before is free.
 func (s *Seeker) giveBack() {
+	if s.Keeps {
+		return
+	}
 	for i := range s.electors {
 		s.out = append(s.out, Send{i, Ask{Permit: s.Permit, Seq: s.seq, Release: true}})
 	}
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -422,11 +422,16 @@
 		"view":     c.word(&f.View, "on", "off"),
 		"out":      func(s *statement) { f.Out = c.bound(s) },
 		"out-zone": func(s *statement) { f.OutZone = c.bound(s) },
+
+		"caches":      func(s *statement) { f.Caches = c.bound(s) },
+		"caches-zone": func(s *statement) { f.CachesZone = c.bound(s) },
 	})
-	if zone, all := f.OutZone, f.Out; zone.Number > max(1, all.Number) && all.Part == 0 {
-		c.find(f.pos.of("out-zone"), "bounds", fmt.Sprintf("more may be out of one zone (%v) than of the whole fleet (%v)", zone, all), "")
+	for name, b := range map[string][2]Bound{"out-zone": {f.OutZone, f.Out}, "caches-zone": {f.CachesZone, f.Caches}} {
+		if zone, all := b[0], b[1]; zone.Number > max(1, all.Number) && all.Part == 0 {
+			c.find(f.pos.of(name), "bounds", fmt.Sprintf("more may be out of one zone (%v) than of the whole fleet (%v)", zone, all), "")
+		}
 	}
-	if f.View == "off" && (f.Out != Bound{} || f.OutZone != Bound{}) {
+	if f.View == "off" && (f.Out != Bound{} || f.OutZone != Bound{} || f.Caches != Bound{} || f.CachesZone != Bound{}) {
 		c.find(f.pos.of("view"), "bounds", "without a view routers agree on nothing, and the bounds are for that", "on")
 	}
 }
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -156,7 +156,8 @@
 		"log": {{"level", p.Log.Level}, {"format", p.Log.Format}, {"rate", unit.Format(p.Log.Rate, unit.Rate)}},
 	}
 	f := p.Fleet
-	all["fleet"] = []Field{{"view", cmp.Or(f.View, "as the settings have it")}, {"out", f.Out.text("1")}, {"out-zone", f.OutZone.text("any")}}
+	all["fleet"] = []Field{{"view", cmp.Or(f.View, "as the settings have it")}, {"out", f.Out.text("1")}, {"out-zone", f.OutZone.text("any")},
+		{"caches", f.Caches.text("1")}, {"caches-zone", f.CachesZone.text("any")}}
 	for name, l := range p.Listeners {
 		all["listener "+name] = []Field{{"address", l.Addr}}
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -142,7 +142,10 @@
 	View    string // on or off; empty: as the platform's settings have it
 	Out     Bound  // how many routers may be out by agreement; the zero value: one
 	OutZone Bound  // and how many of a zone; the zero value: as many as of the fleet
-	pos     places
+
+	Caches     Bound // the same of slot caches
+	CachesZone Bound
+	pos        places
 }
 
 // Bound is a number, or a part of a group.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -150,6 +150,9 @@
 // Members tells how many slot caches are listed, and how many of them are avoided now.
 func (r *Relay) Members() (listed, avoided int) { return r.core.Members() }
 
+// Caches are the slot caches that are listed, as they are seen here.
+func (r *Relay) Caches() []hoptiller.CacheState { return r.core.Caches() }
+
 // Run carries out the orders that belong to no invocation, until ctx ends.
 func (r *Relay) Run(ctx context.Context, dir Directory) error {
 	timer := time.NewTimer(0)
