--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -140,8 +140,7 @@
 	case err != nil:
 		return text(400, "Bad Request", "the head can't be read")
 	}
-	path, asked, _ := strings.Cut(string(q.Path), "?")
-	call, ok := s.Calls[path]
+	call, ok := s.Calls[string(q.Path)]
 	if !ok {
 		return text(404, "Not Found", "no such call")
 	}
@@ -149,7 +148,7 @@
 		return text(405, "Method Not Allowed", "to be called with "+call.Method, http1.Header{Name: "Allow", Value: call.Method})
 	}
 	if call.Ask != nil {
-		query, err := url.ParseQuery(asked)
+		query, err := url.ParseQuery(string(q.Query))
 		if err != nil {
 			return text(400, "Bad Request", "what stands behind the question mark can't be read")
 		}
--- a/internal/fleet/peers/drains.go
+++ b/internal/fleet/peers/drains.go
@@ -41,7 +41,14 @@
 	return aside.Drain{Over: time.Duration(binary.BigEndian.Uint32([]byte(body))) * time.Millisecond, Whole: body[4] == 1}
 }
 
-// drains are the slot caches that are out, and are logged as they change; p.mu is held.
+// saidOf is what was logged of a slot cache that is drained.
+type saidOf struct {
+	name  string
+	whole bool
+}
+
+// drains are the slot caches that are out, and are logged as they change; p.mu is held. The name stands in the event's kind, which
+// is what the log bounds: each slot cache's drain is told, however many there are.
 func (p *Peers) drains() map[uint32]aside.Drain {
 	if p.keeper == nil || p.set.Aside == nil {
 		return nil
@@ -54,18 +61,22 @@
 		}
 		d := readDrain(n.Body)
 		out[n.ID] = d
-		if p.said[n.ID] == "" {
-			p.said[n.ID] = p.cacheName(n.ID)
-			slog.Info("slot cache drained", "cache", p.said[n.ID], "router", n.Owner, "over", d.Over)
+		s := p.said[n.ID]
+		if s == nil {
+			s = &saidOf{name: p.cacheName(n.ID)}
+			p.said[n.ID] = s
+			slog.Info("slot cache "+s.name+" drained", "router", n.Owner, "over", d.Over)
 		}
-		if !d.Whole && p.set.Aside.Whole(n.ID) { // who learns of it from now on need not begin
-			d.Whole = true
+		if whole := p.set.Aside.Whole(n.ID); whole && !s.whole {
+			s.whole = true
+			slog.Info("slot cache " + s.name + " gets nothing new")
+			d.Whole = true                            // who learns of it from now on need not begin
 			p.keeper.Change(now, n.Key, drainBody(d)) // no matter if another router keeps it: that one says so
 		}
 	}
-	for id, name := range p.said {
+	for id, s := range p.said {
 		if _, still := out[id]; !still {
-			slog.Info("slot cache drained no more", "cache", name)
+			slog.Info("slot cache " + s.name + " drained no more")
 			delete(p.said, id)
 		}
 	}
@@ -106,7 +117,7 @@
 	if !listed { // it may be drained still
 		key.ID = 0
 		for id, said := range p.said {
-			if said == name {
+			if said.name == name {
 				key.ID = id
 			}
 		}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -53,9 +53,9 @@
 	acting sync.Mutex // held before mu by whoever has this router go out or come back: one after the other
 	out    bool       // this router is out by permit
 
-	keeper   *notes.Keeper     // with Agent
-	said     map[uint32]string // names of slot caches that were logged as drained
-	driverAt time.Duration     // when a release's driver last spoke to this router
+	keeper   *notes.Keeper      // with Agent
+	said     map[uint32]*saidOf // slot caches that were logged as drained
+	driverAt time.Duration      // when a release's driver last spoke to this router
 
 	sawMu sync.Mutex
 	saw   []view.Sight // not told to the view yet
@@ -75,7 +75,7 @@
 	if _, err := netip.ParseAddrPort(set.Listen); err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	p := &Peers{set: set, number: map[netip.AddrPort]int{}, begun: time.Now(), said: map[uint32]string{}}
+	p := &Peers{set: set, number: map[netip.AddrPort]int{}, begun: time.Now(), said: map[uint32]*saidOf{}}
 	for i, text := range set.Addrs {
 		a, err := netip.ParseAddrPort(text)
 		if err != nil {
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -14,7 +14,8 @@
 
 // Request is the head of a request, as far as it matters. Its slices are parts of what was parsed.
 type Request struct {
-	Method, Path []byte // the path without a query
+	Method, Path []byte // the path without the query
+	Query        []byte // behind the question mark, as it is
 }
 
 // ParseRequest reads a request's head and tells how many bytes it takes up: 0 without an error means that
@@ -54,8 +55,8 @@
 		bytes.ContainsFunc(line, func(r rune) bool { return r < ' ' || r == 0x7f }) {
 		return Request{}, ErrRequest
 	}
-	path, _, _ := bytes.Cut(part[1], []byte("?"))
-	return Request{Method: part[0], Path: path}, nil
+	path, query, _ := bytes.Cut(part[1], []byte("?"))
+	return Request{Method: part[0], Path: path, Query: query}, nil
 }
 
 // AppendAnswer writes an answer, after which the connection ends.
--- a/internal/lab/drill/file.go
+++ b/internal/lab/drill/file.go
@@ -71,7 +71,7 @@
 	{"pause", "processes stand still (SIGSTOP) and go on after for"},
 	{"kill", "processes are killed and started anew after for"},
 	{"term", "processes are asked to end (SIGTERM), and started anew after for"},
-	{"call", "operators post to path of each router, once"},
+	{"call", "operators post to path of each router, once; {cache 2} stands for the name of the third slot cache"},
 	{"datagrams", "datagrams from routers to others are lost, late, doubled, spoilt or out of order"},
 	{"directory", "the routers' ways to the directory stall, refuse, cut, delay or slow"},
 	{"cache", "the same of their ways to slot caches"},
@@ -85,7 +85,7 @@
 	Text    string        `toml:"text,omitempty"`    // never and said: an expression for lines of the log; viewed: for views
 	Routers []int         `toml:"routers,omitempty"` // whom it is about; none: all
 	Least   float64       `toml:"least,omitempty"`   // service
-	Most    int           `toml:"most,omitempty"`    // permits
+	Most    int           `toml:"most,omitempty"`    // permits and drains
 	Within  unit.Duration `toml:"within,omitempty"`  // of the end of the last step or fault
 }
 
@@ -94,6 +94,7 @@
 	{"rules", "always: no rule is broken"},
 	{"alive", "always: no process ends but by a step"},
 	{"permits", "always: no more than most routers are out by permit, and at least one is at some time"},
+	{"drains", "always: no more than most slot caches are drained by operators' word as any router has it, and at least one is at some time"},
 	{"never", "always: no line of the log fits text"},
 	{"said", "each router has logged a line that fits text since the first step, within the time"},
 	{"ready", "the routers are ready within the time, and stay so"},
@@ -212,7 +213,7 @@
 }
 
 func (c *Claim) wrong(day *model.Day) (figure, why string) {
-	timed := c.Kind != "rules" && c.Kind != "alive" && c.Kind != "never" && c.Kind != "permits"
+	timed := c.Kind != "rules" && c.Kind != "alive" && c.Kind != "never" && c.Kind != "permits" && c.Kind != "drains"
 	switch _, err := regexp.Compile(c.Text); {
 	case !has(claimKinds, c.Kind):
 		return "kind", fmt.Sprintf("kind is %q: one of %s is meant", c.Kind, names(claimKinds))
@@ -222,8 +223,8 @@
 		return "text", fmt.Sprintf("text is no expression: %v", err)
 	case timed != (c.Within > 0):
 		return "within", "said, ready, view, viewed and service want a time, and no other claim does"
-	case (c.Kind == "permits") != (c.Most > 0):
-		return "most", "permits wants a most of 1 or more, and no other claim does"
+	case (c.Kind == "permits" || c.Kind == "drains") != (c.Most > 0):
+		return "most", "permits and drains want a most of 1 or more, and no other claim does"
 	case (c.Kind == "service") != (c.Least > 0) || c.Least > 1:
 		return "least", "service wants a least over 0 and up to 1, and no other claim does"
 	}
--- a/internal/lab/drill/judge.go
+++ b/internal/lab/drill/judge.go
@@ -1,10 +1,10 @@
 package drill
 
 import (
-	"cmp"
 	"fmt"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"hoptiller/internal/fleet/permit"
@@ -39,6 +39,8 @@
 			holds, why = never(c, events)
 		case "permits":
 			holds, why = permits(c, events)
+		case "drains":
+			holds, why = drains(c, events)
 		case "said":
 			holds, why = said(f, c, "router", events)
 		case "viewed":
@@ -69,69 +71,116 @@
 	return true, "no process ended by itself"
 }
 
-// A permit's lines in the log, and how long one lasts that is not renewed (package permit).
+// Lines in the log that begin and end being out, and how long is out who is not heard of any more (package permit).
 const (
 	permitHeld = `msg="permit held"`
 	permitGone = `msg="permit (given back|lost, serving again)"`
 )
 
-// permits looks at each instant for how many are out by permit: from the line that says so to the line that says that it is
-// over, or to the end of the process, or to the end of the longest lease after it began to stand still. Where the clocks leave
-// room the claim has it: a permit begins as late, and ends as early, as what was seen allows.
-func permits(c Claim, events []Event) (bool, string) {
-	held, gone := regexp.MustCompile(permitHeld), regexp.MustCompile(permitGone)
-	type edge struct {
-		at    float64
-		delta int
+// What a router says of a slot cache: that it is drained, gets nothing new from here on, or is drained no more.
+var cacheSaid = regexp.MustCompile(`msg="slot cache (\S+) (drained|gets nothing new|drained no more)"`)
+
+// saidOfCache takes such a line apart.
+func saidOfCache(line string) (cache, what string) {
+	if m := cacheSaid.FindStringSubmatch(line); m != nil {
+		return m[1], m[2]
 	}
-	var edges []edge
-	begun := map[int]float64{}
-	end := func(router int, at float64) {
-		if from, out := begun[router]; out && at > from {
-			edges = append(edges, edge{from, 1}, edge{at, -1})
+	return "", ""
+}
+
+// outFor is how long something is out by one router's word.
+type outFor struct {
+	what     string
+	from, to float64
+}
+
+// spans are from the line that says that something is out to the line that says that it is over, or to the end of the process, or
+// to the end of the longest lease after it began to stand still. Where the clocks leave room the claim has it: it begins as late,
+// and ends as early, as what was seen allows.
+func spans(events []Event, is func(e Event) (what string, begins, ends bool)) (all []outFor) {
+	type key struct {
+		router int
+		what   string
+	}
+	begun := map[key]float64{}
+	end := func(k key, at float64) {
+		if from, out := begun[k]; out && at > from {
+			all = append(all, outFor{k.what, from, at})
+		}
+		delete(begun, k)
+	}
+	endAll := func(router int, at float64) {
+		for k := range begun {
+			if k.router == router {
+				end(k, at)
+			}
 		}
-		delete(begun, router)
 	}
-	ends := map[int]float64{} // of the leases of those that stand still
+	lapse := map[int]float64{} // of the leases of those that stand still
 	last := 0.0
 	for _, e := range events {
 		last = max(last, e.At)
-		for router, at := range ends {
+		for router, at := range lapse {
 			if e.At >= at {
-				end(router, at)
-				delete(ends, router)
+				endAll(router, at)
+				delete(lapse, router)
 			}
 		}
 		switch {
-		case e.From == "router" && held.MatchString(e.Text):
-			begun[e.Router] = e.At + e.Sure
-		case e.From == "router" && gone.MatchString(e.Text):
-			delete(ends, e.Router)
-			end(e.Router, e.At-e.Sure)
+		case e.From == "router":
+			what, begins, ends := is(e)
+			if begins {
+				begun[key{e.Router, what}] = e.At + e.Sure
+			} else if ends {
+				delete(lapse, e.Router)
+				end(key{e.Router, what}, e.At-e.Sure)
+			}
 		case e.From == "drill" && (e.Text == "kill: true" || e.Text == "term: true"):
-			end(e.Router, e.At-e.Sure)
+			endAll(e.Router, e.At-e.Sure)
 		case e.From == "drill" && e.Text == "paused: true":
-			ends[e.Router] = e.At + permit.MostLease.Seconds()
+			lapse[e.Router] = e.At + permit.MostLease.Seconds()
 		}
 	}
-	for router := range begun {
-		end(router, last)
+	for k := range begun {
+		end(k, last)
 	}
-	slices.SortFunc(edges, func(a, b edge) int {
-		if a.at != b.at {
-			return cmp.Compare(a.at, b.at)
+	return all
+}
+
+// atOnce is how many things are out at one instant at the most, and when first. One that several say to be out counts once.
+func atOnce(all []outFor) (most int, at float64) {
+	for _, s := range all { // the number only grows where something begins
+		out := map[string]bool{}
+		for _, o := range all {
+			if o.from <= s.from && s.from < o.to {
+				out[o.what] = true
+			}
 		}
-		return a.delta - b.delta
-	})
-	out, most, at := 0, 0, 0.0
-	for _, e := range edges {
-		if out += e.delta; out > most {
-			most, at = out, e.at
+		if len(out) > most || len(out) == most && s.from < at {
+			most, at = len(out), s.from
 		}
 	}
+	return most, at
+}
+
+// permits looks at each instant for how many routers are out by permit.
+func permits(c Claim, events []Event) (bool, string) {
+	held, gone := regexp.MustCompile(permitHeld), regexp.MustCompile(permitGone)
+	most, at := atOnce(spans(events, func(e Event) (string, bool, bool) {
+		return strconv.Itoa(e.Router), held.MatchString(e.Text), gone.MatchString(e.Text)
+	}))
 	return most <= c.Most && most > 0, fmt.Sprintf("%d out by permit at once at the most, first at %.3f s", most, at)
 }
 
+// drains looks at each instant for how many slot caches are drained as any router has it.
+func drains(c Claim, events []Event) (bool, string) {
+	most, at := atOnce(spans(events, func(e Event) (string, bool, bool) {
+		cache, what := saidOfCache(e.Text)
+		return cache, what == "drained", what == "drained no more"
+	}))
+	return most <= c.Most && most > 0, fmt.Sprintf("%d slot caches drained at once at the most, first at %.3f s", most, at)
+}
+
 func never(c Claim, events []Event) (bool, string) {
 	is := regexp.MustCompile(c.Text)
 	for _, e := range events {
--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -100,7 +102,7 @@
 	}
 	day := f.Day
 	o := standin.Options{Router: opt.Router, Series: true, Way: p.way,
-		Logs:  func(i int) io.Writer { return &log{t: p.timeline, router: i} },
+		Logs:  func(i int) io.Writer { return &log{t: p.timeline, router: i, heard: p.heard} },
 		Peers: p.peers, Self: f.self,
 		Admin: func(i int) string { return p.admins[i] },
 		Ended: func(i int, how string) {
@@ -239,7 +241,7 @@
 		}
 	case "call":
 		if on {
-			go p.post(i, s.Path)
+			go p.post(i, place(s.Path, hand.Cache))
 		}
 	case "datagrams":
 		p.each(s.To, func(j int) {
@@ -270,6 +272,32 @@
 	}
 }
 
+// heard holds a router to what it says of slot caches that it sends nothing new.
+func (p *player) heard(router int, line string) {
+	p.mu.Lock()
+	hand := p.hand
+	p.mu.Unlock()
+	if hand == nil {
+		return
+	}
+	switch cache, what := saidOfCache(line); what {
+	case "gets nothing new":
+		hand.Aside(router, cache, true)
+	case "drained no more":
+		hand.Aside(router, cache, false)
+	}
+}
+
+// cachePlace is what stands in a path for the name of a slot cache, by its number.
+var cachePlace = regexp.MustCompile(`\{cache (\d{1,4})\}`)
+
+func place(path string, cache func(n int) string) string {
+	return cachePlace.ReplaceAllStringFunc(path, func(x string) string {
+		n, _ := strconv.Atoi(cachePlace.FindStringSubmatch(x)[1])
+		return cache(n)
+	})
+}
+
 // operators is where a router takes operators' calls, by way of the relay.
 func (p *player) operators(i int) string {
 	p.mu.Lock()
--- a/internal/lab/drill/timeline.go
+++ b/internal/lab/drill/timeline.go
@@ -86,6 +86,7 @@
 type log struct {
 	t      *Timeline
 	router int
+	heard  func(router int, line string) // if set, told of each line
 	part   []byte
 }
 
@@ -107,5 +108,8 @@
 			}
 		}
 		l.t.add(at, sure, "router", l.router, text)
+		if l.heard != nil {
+			l.heard(l.router, text)
+		}
 	}
 }
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -54,6 +54,7 @@
 type routerState struct {
 	requests map[uint32]*request
 	left     map[int]time.Duration // servers told to drain or gone, since when
+	aside    map[int]time.Duration // and those that it says to send nothing more, since when
 	named    map[int]bool
 	starts   map[int]time.Duration // the start that was told last
 	asked    time.Duration         // last call or word of the directory
@@ -84,7 +85,7 @@
 
 // Reset forgets what a router held, since it has died.
 func (c *Checker) Reset(router int) {
-	c.routers[router] = routerState{requests: map[uint32]*request{}, left: map[int]time.Duration{}, named: map[int]bool{},
+	c.routers[router] = routerState{requests: map[uint32]*request{}, left: map[int]time.Duration{}, aside: map[int]time.Duration{}, named: map[int]bool{},
 		starts: map[int]time.Duration{}}
 }
 
@@ -130,9 +131,21 @@
 		c.breach(Drain, now, router, id, "a call to server %d, %v after the router was told that it drains or is gone",
 			server, now-since)
 	}
+	if since, over := s.aside[server]; over && now-since > c.day.Rules.Drain.D() {
+		c.breach(Drain, now, router, id, "a call to server %d, %v after the router had said that it gets nothing new", server, now-since)
+	}
 	q.tries = append(q.tries, try{at: now, open: true, ran: true})
 }
 
+// Aside tells that a router says to send a server nothing new, because operators want it so, or that it does again.
+func (c *Checker) Aside(now time.Duration, router, server int, yes bool) {
+	if !yes {
+		delete(c.routers[router].aside, server)
+	} else if _, already := c.routers[router].aside[server]; !already {
+		c.routers[router].aside[server] = now
+	}
+}
+
 // leftSince tells since when a router is held to know that a server drains or is gone.
 func (c *Checker) leftSince(router, server int) (time.Duration, bool) {
 	s := &c.routers[router]
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -68,11 +68,15 @@
 	Do func()
 }
 
-// Control has a hand on the routers' processes. Its calls return at once.
+// Control has a hand on the routers' processes. Its calls return at once, and but for Aside are for steps.
 type Control interface {
 	Signal(router int, s os.Signal)
 	Kill(router int)
 	Start(router int)
+	// Cache is the name of a slot cache as the directory has it, by number from 0.
+	Cache(n int) string
+	// Aside tells that a router has said to send a slot cache nothing new, or that it does again.
+	Aside(router int, cache string, yes bool)
 }
 
 // slack is what a rule's time limits are longer on sockets: what is seen here is later than what was done.
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,11 +33,12 @@
 	servers   map[int]net.Listener // by address, guarded by e.mu, as told is
 	told      map[int]string       // the addresses that the router is told of them
 
-	mu      sync.Mutex
-	program *exec.Cmd
-	bidden  bool // to end
-	last    *tail
-	ended   chan struct{}
+	process atomic.Pointer[os.Process]
+	bidden  atomic.Bool // to end
+
+	mu    sync.Mutex // held while the process is started; whoever has it may wait for e.mu
+	last  *tail
+	ended chan struct{}
 
 	life int // counts kills, guarded by e.mu
 
@@ -159,13 +161,12 @@
 		return fmt.Errorf("starting the router: %w", err)
 	}
 	ended := make(chan struct{})
-	n.program, n.ended, n.bidden = cmd, ended, false
+	n.ended = ended
+	n.bidden.Store(false)
+	n.process.Store(cmd.Process)
 	go func() {
 		cmd.Wait()
-		n.mu.Lock()
-		alone := !n.bidden
-		n.mu.Unlock()
-		if alone && n.e.opt.Ended != nil {
+		if !n.bidden.Load() && n.e.opt.Ended != nil {
 			n.e.opt.Ended(n.index, cmd.ProcessState.String())
 		}
 		close(ended)
@@ -209,16 +210,16 @@
 	return errors.New("the router does not answer")
 }
 
+// signal waits for nothing.
 func (n *node) signal(s os.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.program == nil {
+	p := n.process.Load()
+	if p == nil {
 		return
 	}
 	if s == syscall.SIGTERM || s == syscall.SIGKILL {
-		n.bidden = true
+		n.bidden.Store(true)
 	}
-	n.program.Process.Signal(s)
+	p.Signal(s)
 }
 
 func (n *node) stop() { n.signal(syscall.SIGTERM) }
@@ -246,7 +247,7 @@
 		if !m.Origin {
 			kind = n.e.day.Kinds[m.Kind].Name
 		}
-		entry := map[string]any{"id": fmt.Sprintf("s-%08x", m.ID), "addr": addr, "zone": zone(m.Zone),
+		entry := map[string]any{"id": name(m.ID), "addr": addr, "zone": zone(m.Zone),
 			"kind": kind, "cell": m.Cell, "weight": m.Weight, "started_ms": 0,
 			"state": [...]string{model.Gone: "left", model.Draining: "leaving", model.Ready: "active"}[m.Phase]}
 		if m.Started > 0 {
--- a/internal/lab/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -228,6 +228,19 @@
 	}
 }
 
+// A process that is killed has got its signal before what the rules know of it is forgotten: what it would send in between would
+// be held against a life that was told of no server. It did under load.
+func TestKilledBeforeForgotten(t *testing.T) {
+	byHand(t, func(c Control) {
+		n := (*Engine)(c.(*steward)).nodes[0]
+		n.mu.Lock() // whoever starts processes has this and waits for the world: to wait for it here never ends
+		defer n.mu.Unlock()
+		if c.Kill(0); !n.bidden.Load() {
+			t.Error("killed later")
+		}
+	})
+}
+
 // A connection whose handshake the day's end has overtaken ends too.
 func TestHandshakeAtTheEnd(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/lab/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"os"
 
 	"hoptiller"
@@ -23,11 +24,12 @@
 // steward starts and ends routers' processes; e.mu is held.
 type steward Engine
 
-// Kill implements model.Steward.
+// Kill implements model.Steward. The process is killed before anything of it is forgotten: what it took in between would be
+// held against a life that was told of nothing.
 func (s *steward) Kill(i int) {
+	s.nodes[i].signal(os.Kill)
 	s.Check.Reset(i)
 	s.nodes[i].life++
-	go s.nodes[i].kill()
 }
 
 // Signal implements Control.
@@ -42,3 +44,30 @@
 // final maps what a client is told.
 var final = map[model.Final]hoptiller.StepKind{model.Value: hoptiller.StepServed, model.Refused: hoptiller.StepReject,
 	model.Failure: hoptiller.StepFail}
+
+// Cache implements Control.
+func (s *steward) Cache(n int) string {
+	for _, m := range s.World.Directory.Present() {
+		if m.Origin {
+			continue
+		}
+		if n--; n < 0 {
+			return name(m.ID)
+		}
+	}
+	return ""
+}
+
+// Aside implements Control.
+func (s *steward) Aside(router int, cache string, yes bool) {
+	e := (*Engine)(s)
+	e.do(func() {
+		for _, m := range e.World.Directory.Present() {
+			if name(m.ID) == cache {
+				e.Check.Aside(e.World.Now(), router, m.Index, yes)
+			}
+		}
+	})
+}
+
+func name(id uint32) string { return fmt.Sprintf("s-%08x", id) }
