Drive releases from the command line, with what must not be forgotten on disk first

Change: internal/fleet/drive asks the routers, runs the operator's commands and keeps each record on disk before it acts on it; a command runs in a session of its own, tells by a file that it has begun and by a lock that it runs, so that a driver that is killed is followed by one that neither runs it twice nor forgets it. bin/hoptiller release plan, start, status, halt, resume, back. A second driver is refused by the fleet's one place for releases and told who holds it. /v1/metrics tells late answers where there are some (late_requests).

--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -96,7 +96,7 @@
 	})
 	call("/v1/fleet/caches/activate", func(q url.Values) error { return fleet.ActivateCache(q.Get("cache")) })
 	call("/v1/fleet/release", func(q url.Values) error {
-		_, err := fleet.GoOnRelease(q.Get("id"), q.Get("by"), q.Get("stage"))
+		_, err := fleet.GoOnRelease(q.Get("id"), q.Get("by"), q.Get("stage"), q.Get("only") != "")
 		return err
 	})
 	call("/v1/fleet/release/end", func(q url.Values) error { return fleet.EndRelease(q.Get("id")) })
--- a/cmd/hoptiller/main.go
+++ b/cmd/hoptiller/main.go
@@ -24,6 +24,7 @@
 	Diff       diffCmd       `cmd:"" help:"Tell what two operator's files do differently; exit code 3 if anything."`
 	Explain    explainCmd    `cmd:"" help:"Tell which route, pool and policy a request gets, and why."`
 	Fleet      fleetCmd      `cmd:"" help:"Ask routers how they see the fleet, and tell where their views differ; exit code 3 if they do."`
+	Release    releaseCmd    `cmd:"" help:"Take a release through the fleet by a plan: plan, start, status, halt, resume, back; exit code 3 if it halts."`
 	Version    versionCmd    `cmd:"" help:"Say what this was built from."`
 	Completion completionCmd `cmd:"" help:"Write a completion script for a shell."`
 }
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -173,6 +173,7 @@
 	}
 	for _, class := range c.Settings.Classes {
 		f.Deadlines = append(f.Deadlines, class.Deadline)
+		f.Aims = append(f.Aims, class.Aim)
 	}
 
 	fleet.phase = func() view.Phase { return phase(life.Phase(), f.Ready()) }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -23,13 +23,14 @@
 type Counts struct {
 	classes  []string
 	ended    []([ends]atomic.Int64) // by class
+	late     []atomic.Int64         // of those completed
 	pending  atomic.Int64
 	upstream atomic.Int64
 }
 
 // New returns Counts for classes, by number.
 func New(classes []string) *Counts {
-	return &Counts{classes: classes, ended: make([][ends]atomic.Int64, len(classes))}
+	return &Counts{classes: classes, ended: make([][ends]atomic.Int64, len(classes)), late: make([]atomic.Int64, len(classes))}
 }
 
 // Taken counts an invocation that has been taken.
@@ -41,6 +42,9 @@
 	c.pending.Add(-1)
 }
 
+// Late counts one that was completed after the time that its class aims at.
+func (c *Counts) Late(class int) { c.late[class].Add(1) }
+
 // Called counts an invoker call that was written whole, to a slot cache or the origin.
 func (c *Counts) Called() { c.upstream.Add(1) }
 
@@ -64,6 +68,7 @@
 // Snapshot is what operators read.
 type Snapshot struct {
 	Downstream  map[string]Downstream `json:"downstream_requests"`
+	Late        map[string]int64      `json:"late_requests,omitempty"` // completed after the time that the class aims at
 	Upstream    int64                 `json:"upstream_requests"`
 	Pending     int64                 `json:"pending"`
 	Members     int                   `json:"members"`
@@ -77,6 +82,12 @@
 	for i, name := range c.classes {
 		e := &c.ended[i]
 		s.Downstream[name] = Downstream{e[Completed].Load(), e[Rejected].Load(), e[Failed].Load()}
+		if n := c.late[i].Load(); n > 0 {
+			if s.Late == nil {
+				s.Late = map[string]int64{}
+			}
+			s.Late[name] = n
+		}
 	}
 	return s
 }
--- a/internal/fleet/peers/drains.go
+++ b/internal/fleet/peers/drains.go
@@ -155,7 +155,11 @@
 	DriverTime = 15 * time.Second
 	// releaseTime is how long the fleet remembers a release whose driver is gone.
 	releaseTime = 24 * time.Hour
-	mostWord    = 36
+
+	// Names of releases and drivers, and what a driver says of where it stands, have so many bytes at the most.
+	MostName  = 24
+	MostBy    = 28
+	MostStage = 64
 )
 
 // Running is a release that the fleet knows.
@@ -185,26 +189,28 @@
 }
 
 func releaseBody(id, by, stage string) string {
-	if len(stage) > mostWord {
-		stage = stage[:mostWord]
+	if len(stage) > MostStage {
+		stage = stage[:MostStage]
 	}
 	return id + "\n" + by + "\n" + stage
 }
 
 // GoOnRelease says that a driver runs a release and where it stands, and asks for the fleet's one place for releases if it has it
 // not. It wants to be called more often than every DriverTime. Another driver of the same release takes it over once the former
-// one has not spoken for that long.
-func (p *Peers) GoOnRelease(id, by, stage string) (Running, error) {
+// one has not spoken for that long. With only, nothing is asked for anew: what was ended stays so.
+func (p *Peers) GoOnRelease(id, by, stage string, only bool) (Running, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer p.flush()
-	if id == "" || by == "" || len(id) > mostWord || len(by) > mostWord {
-		return Running{}, fmt.Errorf("a release and its driver have names of 1 to %d bytes", mostWord)
+	if id == "" || by == "" || len(id) > MostName || len(by) > MostBy || strings.Contains(id+by+stage, "\n") {
+		return Running{}, fmt.Errorf("a release has a name of 1 to %d bytes, and its driver one of 1 to %d", MostName, MostBy)
 	}
 	now := p.now()
 	body := releaseBody(id, by, stage)
 	was, known := p.running()
 	switch {
+	case !known && only:
+		return Running{}, notes.ErrNone
 	case !known:
 		if err := p.keeper.Ask(now, releaseKey, []uint16{permit.Releases}, body, releaseTime); err != nil {
 			return Running{}, err
--- a/internal/fleet/peers/out.go
+++ b/internal/fleet/peers/out.go
@@ -127,6 +127,7 @@
 	State   string   `json:"state"` // none, asking, out or ended
 	Left    float64  `json:"left_s,omitempty"`
 	Why     string   `json:"why,omitempty"` // it was refused
+	Most    int      `json:"most"`          // routers that may be out at once
 	Elector bool     `json:"elector"`
 	Silent  bool     `json:"silent,omitempty"` // an elector that has just started and grants nothing yet
 	Holders []string `json:"holders,omitempty"`
@@ -138,7 +139,7 @@
 	defer p.mu.Unlock()
 	s := p.set.Agent.Status(p.now())
 	o := Out{State: [...]string{permit.Idle: "none", permit.Asking: "asking", permit.Holding: "out", permit.Ended: "ended"}[s.Phase],
-		Left: s.Left.Seconds(), Why: s.Why, Elector: s.Elector, Silent: s.Silent}
+		Left: s.Left.Seconds(), Why: s.Why, Most: p.set.Agent.Fleet.Of(p.set.Agent.Of), Elector: s.Elector, Silent: s.Silent}
 	for _, h := range s.Holders {
 		group := "the fleet"
 		if h.Slot.Group >= permit.FirstZone {
--- a/internal/fleet/peers/report.go
+++ b/internal/fleet/peers/report.go
@@ -18,6 +18,7 @@
 	Version  string  `json:"version,omitempty"`
 	Settings string  `json:"settings,omitempty"`
 	Rate     int     `json:"requests_per_s"`
+	Zone     *int    `json:"zone,omitempty"` // its number, if it is told
 	Twice    bool    `json:"number_taken_twice,omitempty"`
 }
 
@@ -118,6 +119,10 @@
 		x := Member{Number: i, State: m.State.String(), Phase: m.Phase.String(), Since: (now - m.Since).Seconds(),
 			Start: time.UnixMilli(m.Inc.Start).UTC().Format(time.RFC3339Nano), Life: fmt.Sprintf("%d.%d", m.Inc.Start, m.Inc.Count)}
 		if d := &m.Details; d.Seq != 0 {
+			if d.Zone > 0 {
+				zone := int(d.Zone) - 1
+				x.Zone = &zone
+			}
 			x.Version, x.Settings, x.Rate, x.Twice = fmt.Sprintf("%08x", d.Version), fmt.Sprintf("%08x", d.Settings), int(d.Rate), d.Twice
 		}
 		r.Members = append(r.Members, x)
--- a/internal/fleet/release/release.go
+++ b/internal/fleet/release/release.go
@@ -81,6 +81,7 @@
 const (
 	Begin  What = "begin"  // a router's replacement
 	Done   What = "done"   // it serves, changed
+	Never  What = "never"  // a replacement that was to begin never ran
 	Halt   What = "halt"   // nothing further is begun
 	Resume What = "resume" // after a halt
 	Back   What = "back"   // all is to be as it was
@@ -150,7 +151,7 @@
 		r.replay(&records[i])
 	}
 	for !r.back && r.waveEnd < len(order) && r.lastChanged() >= r.waveEnd { // a wave that had begun goes on
-		r.nextWave()
+		r.NextWave()
 	}
 	return r
 }
@@ -182,6 +183,8 @@
 				s.stage = Waiting
 			}
 		}
+	case Never:
+		r.Again(x.Router)
 	case Halt:
 		r.why = x.Why
 	case Resume:
@@ -203,14 +206,15 @@
 	}
 }
 
-// Again says that a router's replacement, though begun, never ran: the driver died before.
-func (r *Run) Again(router int) {
+// Again says that a router's replacement, though begun, never ran: the driver died before. The record is to be kept.
+func (r *Run) Again(router int) *Record {
 	if s := r.steps[router]; s != nil && s.stage == Begun {
 		s.stage, s.since = Asking, r.now
 		if r.back {
 			s.stage = Changed
 		}
 	}
+	return &Record{What: Never, Router: router}
 }
 
 // Failed says that a router's command has ended with an error.
@@ -460,7 +464,7 @@
 	if r.waveEnd == len(r.order) {
 		return []Act{r.end()}
 	}
-	r.nextWave()
+	r.NextWave()
 	return nil
 }
 
@@ -484,7 +488,8 @@
 	return changed, usual
 }
 
-func (r *Run) nextWave() {
+// NextWave lets the next wave begin. Look does so where the one before has done well.
+func (r *Run) NextWave() {
 	if r.waveEnd == min(len(r.order), max(1, r.p.Canary)) {
 		r.waveSize = max(1, r.p.First)
 	} else {
@@ -502,7 +507,7 @@
 	x.waveEnd = min(len(x.order), x.waveSize)
 	waves := 1
 	for ; x.waveEnd < len(x.order); waves++ {
-		x.nextWave()
+		x.NextWave()
 	}
 	return waves * looksEach
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,6 +30,7 @@
 	Classes   []string            // names, by number
 	Tenants   []string            // names, by number; none: all clients are one customer
 	Deadlines []time.Duration     // for an invocation that states none, by class
+	Aims      []time.Duration     // after which an answer counts as late, by class; 0 or none: never
 	MostConns int                 // client connections at once
 	MostKept  int                 // of those that have asked, beyond which idle ones are ended as others come; 0: no limit
 	MostHeld  int                 // of those that have asked or begun to; 0: no limit
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -27,6 +27,7 @@
 	class  int
 	write  bool
 	answer chan relay.Answer
+	at     time.Time // when it came
 }
 
 // command takes the command at the start of b, if it is whole. last tells that nothing more is read, full
@@ -120,7 +121,7 @@
 
 // invoke starts an invocation; over is called once nothing is out for it.
 func (c *conn) invoke(ctx context.Context, inv *relay.Invocation, over func()) {
-	s := slot{id: string(inv.ID), class: inv.Class, write: inv.Write, answer: make(chan relay.Answer)}
+	s := slot{id: string(inv.ID), class: inv.Class, write: inv.Write, answer: make(chan relay.Answer), at: time.Now()}
 	c.front.Counts.Taken()
 	go func() {
 		a := c.front.Server.Serve(ctx, inv)
@@ -179,6 +180,9 @@
 	switch {
 	case a.Kind == hoptiller.StepServed && written:
 		how = figures.Completed
+		if aim := c.front.Aims; aim != nil && aim[s.class] > 0 && time.Since(s.at) > aim[s.class] {
+			c.front.Counts.Late(s.class)
+		}
 	case a.Kind == hoptiller.StepReject:
 		how = figures.Rejected
 	}
--- a/internal/plan/release_test.go
+++ b/internal/plan/release_test.go
@@ -58,7 +58,7 @@
 		"\tsettings 4fc80064\n":        {"", "plan.hop:1", "what changed routers show"},
 		"canary 2":                     {"canary 0", "plan.hop:6", "range"},
 		"wave 3":                       {"wave 3\n\tmost 2", "plan.hop:8", "bounds"},
-		"grow 3":                     {"shrink 2", "plan.hop:8", "has no"},
+		"grow 3":                       {"shrink 2", "plan.hop:8", "has no"},
 		`router 1 "127.0.0.1:9191"`:    {`router 0 "127.0.0.1:9191"`, "plan.hop:13", "already"},
 		`"127.0.0.1:9191"`:             {`"127.0.0.1"`, "plan.hop:13", "address"},
 		"release lists-2":              {"releases lists-2", "plan.hop:1", "statement"},
