Drill releases: a bad version, a driver killed, a router lost, two drivers

Cause of two faults that the drills found in the driver: one that had halted waited for a router that never comes back, and kept the way back from beginning ("release drill: another driver of this release runs on this machine"); one that went on where all routers were changed already waited for requests at unchanged ones, of which there are none (release.soak).

Change: a halted driver ends once its commands have; where nobody is left to compare with the soak alone counts (TestNobodyLeft); a second driver of a release that is started is refused at once. internal/lab/drill: steps release and driver, claims replaced and told; a router that a release replaces counts as out until it is ready again.

--- a/internal/fleet/drive/drive.go
+++ b/internal/fleet/drive/drive.go
@@ -87,7 +87,7 @@
 		}
 	}
 	d.run = release.New(d.now(), params(d.plan), d.fleet.order(all), records)
-	if err := d.wait(ctx); err != nil {
+	if err := d.wait(ctx, mode); err != nil {
 		return err
 	}
 	if err := d.recover(records); err != nil {
@@ -108,7 +108,7 @@
 		if err := d.turn(ctx); err != nil || d.run.Ended() {
 			return errors.Join(err, d.over(ctx))
 		}
-		if d.run.Halted() != "" && len(d.run.Stages()[release.Begun]) == 0 && len(d.activate) == 0 {
+		if d.run.Halted() != "" && !d.busy() {
 			d.say("halted: %s", d.run.Halted())
 			d.hold(ctx, "halted: "+d.run.Halted())
 			return ErrHalted
@@ -121,6 +121,17 @@
 	}
 }
 
+// busy tells whether something that was begun before a halt is still to end: a command, or the word to a router to serve again. A
+// router that never comes back is not waited for: the way back begins with it.
+func (d *Driver) busy() bool {
+	for _, n := range d.run.Stages()[release.Begun] {
+		if d.runs(n) {
+			return true
+		}
+	}
+	return len(d.activate) > 0 || len(d.waiting) > 0
+}
+
 // allowed holds a mode against what is known.
 func (d *Driver) allowed(mode Mode, records []release.Record) error {
 	r := release.New(0, params(d.plan), d.fleet.numbers, records)
@@ -202,14 +213,15 @@
 }
 
 // wait waits for the fleet's place for releases, for as long as a driver that is gone may have it.
-func (d *Driver) wait(ctx context.Context) error {
+func (d *Driver) wait(ctx context.Context, mode Mode) error {
 	const most = 45 * time.Second // a driver is gone after 15 s, a lease runs out in 10, electors that have started are silent for 10
 	for begun := time.Now(); ; {
 		held, holder, _ := d.hold(ctx, "begins")
 		if held {
 			return nil
 		}
-		if strings.Contains(holder, "release "+d.plan.Name+" ") == strings.Contains(holder, "is run by") && time.Since(begun) < most {
+		taken := strings.Contains(holder, " is run by ") // and by the same release, where this driver is to take it over once the other is gone
+		if (!taken || mode != Start && strings.Contains(holder, "release "+d.plan.Name+" ")) && time.Since(begun) < most {
 			d.once("waits for the fleet's place for releases: " + holder)
 		} else {
 			return fmt.Errorf("the fleet's place for releases is not to be had: %s", holder)
--- a/internal/fleet/release/release.go
+++ b/internal/fleet/release/release.go
@@ -166,6 +166,16 @@
 	return -1
 }
 
+// lastWaiting is the number of the last in order that is not changed; negative: there is none.
+func (r *Run) lastWaiting() int {
+	for i := len(r.order) - 1; i >= 0; i-- {
+		if r.steps[r.order[i]].stage != Changed {
+			return i
+		}
+	}
+	return -1
+}
+
 func (r *Run) replay(x *Record) {
 	s := r.steps[x.Router]
 	switch x.What {
@@ -446,6 +456,9 @@
 	}
 	changed, usual := r.compare(s)
 	enough := changed.Requests >= int64(r.p.Watch.Requests) && (usual.Requests >= int64(r.p.Watch.Requests) || r.usual.Requests > 0)
+	if r.usual.Requests == 0 && r.lastWaiting() < 0 { // another driver has compared, and nobody is left to compare with
+		r.looks, r.verdict = looksEach, "no unchanged router is left to compare with"
+	}
 	if usual.Requests >= int64(r.p.Watch.Requests) {
 		r.usual = usual
 	}
--- a/internal/fleet/release/release_test.go
+++ b/internal/fleet/release/release_test.go
@@ -321,6 +321,19 @@
 	}
 }
 
+// A driver that goes on where all are changed already has nothing to compare them with, and comes to an end all the same.
+func TestNobodyLeft(t *testing.T) {
+	w := newWorld(4, 1)
+	r := New(0, params(), w.order(), nil)
+	for w.play(r, many, time.Second); len(r.Stages()[Changed]) < 4; {
+		w.play(r, many, time.Second)
+	}
+	r = New(w.now, params(), w.order(), w.records)
+	if w.play(r, many, 5*time.Minute); !r.Ended() || len(w.ran) != 4 {
+		t.Errorf("ended %v, halted %q, ran %v", r.Ended(), r.Halted(), w.ran)
+	}
+}
+
 // The test's error is what it is said to be: of 2,000 comparisons of equals few find a difference, and a plain one is found.
 func TestWorse(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 4))
--- a/internal/lab/drill/judge.go
+++ b/internal/lab/drill/judge.go
@@ -41,6 +41,10 @@
 			holds, why = permits(c, events)
 		case "drains":
 			holds, why = drains(c, events)
+		case "replaced":
+			holds, why = replaced(c, events)
+		case "told":
+			holds, why = told(f, c, events)
 		case "said":
 			holds, why = said(f, c, "router", events)
 		case "viewed":
@@ -94,8 +98,8 @@
 	from, to float64
 }
 
-// spans are from the line that says that something is out to the line that says that it is over, or to the end of the process, or
-// to the end of the longest lease after it began to stand still. Where the clocks leave room the claim has it: it begins as late,
+// spans are from the line that says that something is out to the line that says that it is over, or to the end of the process (of
+// one that a release replaces, to when it was seen ready again), or to the end of the longest lease after it began to stand still. Where the clocks leave room the claim has it: it begins as late,
 // and ends as early, as what was seen allows.
 func spans(events []Event, is func(e Event) (what string, begins, ends bool)) (all []outFor) {
 	type key struct {
@@ -116,6 +120,7 @@
 			}
 		}
 	}
+	replaced := map[int]bool{} // by a release: out until it is ready again
 	lapse := map[int]float64{} // of the leases of those that stand still
 	last := 0.0
 	for _, e := range events {
@@ -135,6 +140,12 @@
 				delete(lapse, e.Router)
 				end(key{e.Router, what}, e.At-e.Sure)
 			}
+		case e.From == "drill" && strings.HasPrefix(e.Text, commandRuns):
+			replaced[e.Router] = true
+		case e.From == "watch" && e.Text == "ready" && replaced[e.Router]:
+			delete(replaced, e.Router)
+			endAll(e.Router, e.At-e.Sure)
+		case e.From == "drill" && e.Text == "term: true" && replaced[e.Router]:
 		case e.From == "drill" && (e.Text == "kill: true" || e.Text == "term: true"):
 			endAll(e.Router, e.At-e.Sure)
 		case e.From == "drill" && e.Text == "paused: true":
@@ -292,3 +303,43 @@
 	}
 	return false, fmt.Sprintf("no five seconds of %.2f in a row after %.1f s, the best has %.3f", c.Least, calm, best)
 }
+
+// replaced looks at the commands that a release has run: those that fit the text ran for these routers, each once.
+func replaced(c Claim, events []Event) (bool, string) {
+	is := regexp.MustCompile(c.Text)
+	ran := map[int]int{}
+	for _, e := range events {
+		if rest, ok := strings.CutPrefix(e.Text, commandRuns); ok && e.From == "drill" && is.MatchString(rest) {
+			ran[e.Router-1]++
+		}
+	}
+	for n, times := range ran {
+		if times > 1 {
+			return false, fmt.Sprintf("it ran %d times for router %d", times, n)
+		}
+		if !slices.Contains(c.Routers, n) {
+			return false, fmt.Sprintf("it ran for router %d", n)
+		}
+	}
+	for _, n := range c.Routers {
+		if ran[n] == 0 {
+			return false, fmt.Sprintf("it never ran for router %d", n)
+		}
+	}
+	return true, fmt.Sprintf("ran for %d routers", len(ran))
+}
+
+// told looks for what those that drive the release have written.
+func told(f *File, c Claim, events []Event) (bool, string) {
+	is, to := regexp.MustCompile(c.Text), (f.calm() + c.Within.D()).Seconds()
+	last := ""
+	for _, e := range events {
+		if e.From != "release" {
+			continue
+		}
+		if last = e.Text; is.MatchString(e.Text) && e.At-e.Sure <= to {
+			return true, fmt.Sprintf("at %.3f s", e.At)
+		}
+	}
+	return false, "not told; the last was: " + last
+}
--- a/internal/lab/drill/timeline.go
+++ b/internal/lab/drill/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"slices"
@@ -86,6 +87,7 @@
 type log struct {
 	t      *Timeline
 	router int
+	from   string                        // empty: a router
 	heard  func(router int, line string) // if set, told of each line
 	part   []byte
 }
@@ -107,7 +109,7 @@
 				at, sure = x, time.Millisecond
 			}
 		}
-		l.t.add(at, sure, "router", l.router, text)
+		l.t.add(at, sure, cmp.Or(l.from, "router"), l.router, text)
 		if l.heard != nil {
 			l.heard(l.router, text)
 		}
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -42,6 +42,9 @@
 	Self func(router int) int
 	// Admin, if set, gives the address at which a router is to take operators' calls.
 	Admin func(router int) string
+	// Variant, if set, gives what a router of a variant is started with beside its configuration: its environment. The settings of
+	// all but the first, "", name their variant, so that routers show that they have others.
+	Variant func(variant string) (env []string)
 	// Ended, if set, is told of a router's process that has ended though neither a signal nor the day's end was for it.
 	Ended func(router int, how string)
 	// Steps are done beside the day's faults. Begun is called once all routers answer, just before the day begins.
@@ -73,6 +76,11 @@
 	Signal(router int, s os.Signal)
 	Kill(router int)
 	Start(router int)
+	// Replace asks a router's process to end and starts another one, of a variant, once it has; done is called then, and told what
+	// went wrong.
+	Replace(router int, variant string, done func(error))
+	// Shows is the digest of settings that routers of a variant show.
+	Shows(variant string) (string, error)
 	// Cache is the name of a slot cache as the directory has it, by number from 0.
 	Cache(n int) string
 	// Aside tells that a router has said to send a slot cache nothing new, or that it does again.
--- a/internal/lab/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 
 	"hoptiller"
+	"hoptiller/internal/config"
 	"hoptiller/internal/lab/model"
 )
 
@@ -71,3 +73,21 @@
 }
 
 func name(id uint32) string { return fmt.Sprintf("s-%08x", id) }
+
+// Replace implements Control.
+func (s *steward) Replace(i int, variant string, done func(error)) {
+	(*Engine)(s).goes(func() { done(s.nodes[i].replace(variant)) })
+}
+
+// Shows implements Control.
+func (s *steward) Shows(variant string) (string, error) {
+	text, err := json.Marshal(map[string]any{"settings": s.nodes[0].settings(variant)})
+	if err != nil {
+		return "", err
+	}
+	c, err := config.Parse(text)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%08x", c.Digest), nil
+}
