Let a majority of the electors stay, and write down drains of slot caches and releases

Router 3, which had died, came back at 57 s and counted as serving, so that routers 4 and 2 were let out and replaced within 3 s: three of five electors had just started and were silent, nobody could renew a permit, and the fleet's note of the release ran out (permit.Agent.allow asked for places alone). The driver took "not known" for "ended" (drive.hold).

--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -109,6 +109,8 @@
 	switch {
 	case errors.Is(err, peers.ErrNoCache), errors.Is(err, notes.ErrNone):
 		return http.StatusNotFound
+	case errors.Is(err, peers.ErrEnded):
+		return http.StatusGone
 	case errors.As(err, &taken), errors.As(err, &runs), errors.Is(err, notes.ErrFull):
 		return http.StatusConflict
 	}
--- a/internal/fleet/drive/fleet.go
+++ b/internal/fleet/drive/fleet.go
@@ -206,7 +206,12 @@
 	}
 	tried := map[int]bool{}
 	holder = "no router answers"
-	gone := 0
+	unknown := false
+	defer func() {
+		if unknown && !held { // it is asked for anew: if another driver has it now, that is told
+			d.held = false
+		}
+	}()
 	for next := d.keeper; len(tried) < len(d.fleet.numbers) && len(tried) < mostAsked; {
 		if tried[next] || d.plan.Routers[next] == "" {
 			next = d.fleet.numbers[len(tried)%len(d.fleet.numbers)]
@@ -232,11 +237,11 @@
 				return false, "asked for, and " + c.Release.Why, false
 			}
 			return false, text, false
-		case status == http.StatusNotFound && d.held:
-			if gone++; gone*2 > min(len(d.fleet.numbers), mostAsked) { // most know of none: an operator has ended it
-				return false, "it was ended", true
-			}
+		case status == http.StatusGone:
+			return false, "it was ended", true
+		case status == http.StatusNotFound && d.held: // no majority could renew it, and it has run out; or this router is new
 			holder = "it is not known to router " + strconv.Itoa(next)
+			unknown = true
 		case status == http.StatusConflict:
 			holder = text
 			if _, at, ok := strings.Cut(text, "kept by router "); ok { // that one knows whether its driver is gone
--- a/internal/fleet/peers/drains.go
+++ b/internal/fleet/peers/drains.go
@@ -188,6 +188,9 @@
 	return text
 }
 
+// ErrEnded says that operators have ended a release.
+var ErrEnded = errors.New("the release was ended")
+
 func releaseBody(id, by, stage string) string {
 	if len(stage) > MostStage {
 		stage = stage[:MostStage]
@@ -210,6 +213,9 @@
 	was, known := p.running()
 	switch {
 	case !known && only:
+		if n, _, told := p.keeper.Get(now, releaseKey); told && n.Off {
+			return Running{}, ErrEnded
+		}
 		return Running{}, notes.ErrNone
 	case !known:
 		if err := p.keeper.Ask(now, releaseKey, []uint16{permit.Releases}, body, releaseTime); err != nil {
--- a/internal/fleet/peers/out.go
+++ b/internal/fleet/peers/out.go
@@ -14,7 +14,8 @@
 
 // see is the fleet as an elector needs it; p.mu is held.
 func (p *Peers) see() permit.Sight {
-	s := permit.Sight{Down: map[int]bool{}, Zone: func(i int) int { return int(p.view.Members()[i].Details.Zone) - 1 }}
+	now := p.now()
+	s := permit.Sight{Down: map[int]bool{}, Young: map[int]bool{}, Zone: func(i int) int { return int(p.view.Members()[i].Details.Zone) - 1 }}
 	for i := range p.view.Members() {
 		m := &p.view.Members()[i]
 		if m.Here() {
@@ -23,6 +24,9 @@
 		if m.Known() && (m.State != view.Alive || m.Phase != view.Serving) {
 			s.Down[i] = true
 		}
+		if m.Known() && now-m.Since < permit.MostLease {
+			s.Young[i] = true
+		}
 	}
 	if p.set.Caches == nil {
 		return s
--- a/internal/fleet/permit/agent.go
+++ b/internal/fleet/permit/agent.go
@@ -54,6 +54,7 @@
 type Sight struct {
 	Alive int           // routers that live, as far as is seen
 	Down  map[int]bool  // routers that don't serve, whatever the reason, by number
+	Young map[int]bool  // and those that have been seen in this life for less than the longest lease
 	Zone  func(int) int // of a router; negative: not known
 
 	Caches     map[uint32]int  // slot caches that are listed, with their zones
@@ -123,9 +124,28 @@
 		}
 	}
 	delete(out, number(permit)) // the seeker itself may be out already
+	if !a.leavesMajority(&sight, out, number(permit)) {
+		return false
+	}
 	return int(s.Number) < a.bound(s.Group) && len(out) < a.bound(s.Group)
 }
 
+// leavesMajority tells whether a majority of the electors can grant while a router is out and for as long as it is silent after it:
+// else no permit could be renewed meanwhile, and all that goes by one would be lost. Where there are one or two electors in all, or
+// three routers, that can't be helped.
+func (a *Agent) leavesMajority(sight *Sight, out map[int]bool, seeker int) bool {
+	if len(a.electors) < 3 || !slices.Contains(a.electors, seeker) {
+		return true
+	}
+	silent := 1 // the seeker
+	for _, e := range a.electors {
+		if e != seeker && (out[e] || sight.Down[e] || sight.Young[e]) {
+			silent++
+		}
+	}
+	return silent <= len(a.electors)-Majority(len(a.electors))
+}
+
 func (a *Agent) bound(group uint16) int {
 	if !ofRouters(group) {
 		sight := a.See()
