--- a/internal/lab/drill/drill_test.go
+++ b/internal/lab/drill/drill_test.go
@@ -43,7 +43,7 @@
 		claim + "[[step]]\nkind = \"call\"\n":                                "call wants a path",
 		claim + "[[step]]\nkind = \"release\"\n":                             "wants do to be start",
 		claim + "[[step]]\nkind = \"release\"\ndo = \"start\"\n":             "a release wants a plan",
-		"[[claim]]\nkind = \"drains\"\n":                                     "want a most",
+		"[[claim]]\nkind = \"drains\"\n":                                     "wants a most",
 		"[[claim]]\nkind = \"permits\"\n":                                    "wants a most",
 		claim + "[[step]]\nkind = \"kill\"\nwhen = 3\n":                      `d.toml:6:1: there is no "step.when"`,
 		"[[claim]]\nkind = \"hope\"\n":                                       `d.toml:2: claim 1: kind is "hope"`,
