--- a/internal/fleet/drive/fleet.go
+++ b/internal/fleet/drive/fleet.go
@@ -204,7 +204,6 @@
 	if d.held {
 		q.Set("only", "1")
 	}
-	tried := map[int]bool{}
 	holder = "no router answers"
 	unknown := false
 	defer func() {
@@ -212,15 +211,12 @@
 			d.held = false
 		}
 	}()
-	for next := d.keeper; len(tried) < len(d.fleet.numbers) && len(tried) < mostAsked; {
+	tried := map[int]bool{}
+	ask := append([]int{d.keeper}, d.fleet.numbers...)
+	for i := 0; i < len(ask) && len(tried) < mostAsked; i++ {
+		next := ask[i]
 		if tried[next] || d.plan.Routers[next] == "" {
-			next = d.fleet.numbers[len(tried)%len(d.fleet.numbers)]
-			for _, n := range d.fleet.numbers {
-				if !tried[n] {
-					next = n
-					break
-				}
-			}
+			continue
 		}
 		tried[next] = true
 		status, text, err := d.fleet.post(ctx, next, "/v1/fleet/release", q)
@@ -244,12 +240,9 @@
 			unknown = true
 		case status == http.StatusConflict:
 			holder = text
-			if _, at, ok := strings.Cut(text, "kept by router "); ok { // that one knows whether its driver is gone
-				digits := strings.IndexFunc(at+" ", func(r rune) bool { return r < '0' || r > '9' })
-				if n, err := strconv.Atoi(at[:digits]); err == nil && !tried[n] {
-					next = n
-					continue
-				}
+			if n := keeperOf(text); n >= 0 && !tried[n] { // that one knows whether its driver is gone
+				ask = slices.Insert(ask, i+1, n)
+				continue
 			}
 			return false, holder, false
 		default:
@@ -259,5 +252,16 @@
 	return false, holder, false
 }
 
+// keeperOf is the router that a refusal names as the one that keeps the place; negative: it names none.
+func keeperOf(refusal string) int {
+	_, at, ok := strings.Cut(refusal, "kept by router ")
+	end := strings.IndexFunc(at+" ", func(r rune) bool { return r < '0' || r > '9' })
+	n, err := strconv.Atoi(at[:end])
+	if !ok || err != nil {
+		return -1
+	}
+	return n
+}
+
 // mostAsked is how many routers are asked for the fleet's place at one time.
 const mostAsked = 9
