Tell what a configuration would show, whose a place is, and end a release at who knows it

Change: hoptiller release shows; holder names all kinds (TestHolder); End asks on (TestEnd); the driver tells for how many requests it waits.

--- a/cmd/hoptiller/release.go
+++ b/cmd/hoptiller/release.go
@@ -16,6 +16,7 @@
 
 type releaseCmd struct {
 	Plan   releasePlanCmd   `cmd:"" help:"Hold a plan against the fleet, and tell in which waves it would go; exit code 3 if it can't be kept."`
+	Shows  releaseShowsCmd  `cmd:"" help:"Tell what a router of this program and a configuration would show in the view."`
 	Start  releaseStartCmd  `cmd:"" help:"Begin a release, and see it through."`
 	Status releaseStatusCmd `cmd:"" help:"Tell how a release stands."`
 	Halt   releaseHaltCmd   `cmd:"" help:"Have a release halt, from any machine, and free the fleet of it."`
@@ -76,6 +77,17 @@
 	return nil
 }
 
+type releaseShowsCmd struct{ platform }
+
+func (c *releaseShowsCmd) Run() error {
+	conf, err := c.load(nil)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Printf("program %08x\nsettings %08x\n", build(), conf.Digest)
+	return err
+}
+
 type releaseStartCmd struct{ planFile }
 
 func (c *releaseStartCmd) Run() error {
--- a/internal/fleet/drive/drive.go
+++ b/internal/fleet/drive/drive.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -222,7 +224,8 @@
 		}
 		taken := strings.Contains(holder, " is run by ") // and by the same release, where this driver is to take it over once the other is gone
 		if (!taken || mode != Start && strings.Contains(holder, "release "+d.plan.Name+" ")) && time.Since(begun) < most {
-			d.once("waits for the fleet's place for releases: " + holder)
+			why, _, _ := strings.Cut(holder, ": ") // without the place's number, which comes and goes
+			d.once("waits for the fleet's place for releases: " + why)
 		} else {
 			return fmt.Errorf("the fleet's place for releases is not to be had: %s", holder)
 		}
@@ -368,17 +371,17 @@
 // End frees the fleet of a release, whoever drives it: its driver halts.
 func End(ctx context.Context, p *plan.Release) error {
 	f := newFleet(p)
-	last := "no router answers"
+	known := errors.New("no router answers")
 	for _, n := range f.numbers {
-		status, text, err := f.post(ctx, n, "/v1/fleet/release/end", map[string][]string{"id": {p.Name}})
-		switch {
+		switch status, text, err := f.post(ctx, n, "/v1/fleet/release/end", url.Values{"id": {p.Name}}); {
 		case err != nil:
-			last = err.Error()
-		case status == 200 || status == 404:
+		case status == http.StatusOK:
 			return nil
+		case status == http.StatusNotFound: // this router may have just started
+			known = nil
 		default:
-			last = text
+			return errors.New(text)
 		}
 	}
-	return errors.New(last)
+	return known
 }
--- a/internal/fleet/drive/drive_test.go
+++ b/internal/fleet/drive/drive_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -149,6 +151,29 @@
 	}
 }
 
+// A release is ended at the first router that knows it: one that has just started knows of none.
+func TestEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		statuses []int
+		asked    int
+		ok       bool
+	}{"the second knows": {[]int{404, 200, 404}, 2, true}, "nobody knows": {[]int{404, 404, 404}, 3, true}, "refused": {[]int{404, 400, 404}, 2, false}} {
+		asked := 0
+		p := &plan.Release{Name: "x", Routers: map[int]string{}}
+		for i, status := range c.statuses {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				asked++
+				w.WriteHeader(status)
+			}))
+			defer s.Close()
+			p.Routers[i] = strings.TrimPrefix(s.URL, "http://")
+		}
+		if err := End(t.Context(), p); (err == nil) != c.ok || asked != c.asked {
+			t.Errorf("%s: %v after %d calls", name, err, asked)
+		}
+	}
+}
+
 // What a router says of itself holds where most others say the same; one that can't be asked is as most see it.
 func TestSight(t *testing.T) {
 	report := func(self int, phase2, start2 string) *peers.Report {
--- a/internal/fleet/notes/keeper.go
+++ b/internal/fleet/notes/keeper.go
@@ -126,6 +126,15 @@
 	return own.note.Body, true
 }
 
+// Ends is how long what this router keeps or asks for lasts at the most.
+func (k *Keeper) Ends(now time.Duration, key Key) time.Duration {
+	own := k.kept[key]
+	if own == nil {
+		return 0
+	}
+	return own.ends - now
+}
+
 // Kept are the keys of what this router keeps or asks for.
 func (k *Keeper) Kept() (keys []Key) {
 	for key := range k.kept {
--- a/internal/fleet/peers/drains.go
+++ b/internal/fleet/peers/drains.go
@@ -141,7 +141,7 @@
 	for _, key := range p.keeper.Kept() {
 		if key.Kind == notes.Cache && !told[key] {
 			_, why := p.keeper.Stand(now, key)
-			list = append(list, Drained{Cache: p.cacheName(key.ID), State: "asking", Why: why, Router: p.set.Self})
+			list = append(list, Drained{Cache: p.cacheName(key.ID), State: "asking", Why: why, Router: p.set.Self, Ends: p.keeper.Ends(now, key).Seconds()})
 		}
 	}
 	return list
--- a/internal/fleet/peers/out.go
+++ b/internal/fleet/peers/out.go
@@ -137,6 +137,22 @@
 	Holders []string `json:"holders,omitempty"`
 }
 
+// holder says who has a place.
+func holder(h permit.Holder) string {
+	text := fmt.Sprintf("router %d has place %d of ", h.Router, h.Slot.Number)
+	switch g := h.Slot.Group; {
+	case g == permit.WholeFleet:
+		return text + "the fleet"
+	case g < permit.AllCaches:
+		return text + fmt.Sprintf("zone %d", g-permit.FirstZone)
+	case g == permit.AllCaches:
+		return text + "slot caches"
+	case g < permit.Releases:
+		return text + fmt.Sprintf("slot caches of zone %d", g-permit.FirstCacheZone)
+	}
+	return text + "releases"
+}
+
 // Out tells how permits stand here.
 func (p *Peers) Out() Out {
 	p.mu.Lock()
@@ -145,11 +161,7 @@
 	o := Out{State: [...]string{permit.Idle: "none", permit.Asking: "asking", permit.Holding: "out", permit.Ended: "ended"}[s.Phase],
 		Left: s.Left.Seconds(), Why: s.Why, Most: p.set.Agent.Fleet.Of(p.set.Agent.Of), Elector: s.Elector, Silent: s.Silent}
 	for _, h := range s.Holders {
-		group := "the fleet"
-		if h.Slot.Group >= permit.FirstZone {
-			group = fmt.Sprintf("zone %d", h.Slot.Group-permit.FirstZone)
-		}
-		o.Holders = append(o.Holders, fmt.Sprintf("router %d has place %d of %s", h.Router, h.Slot.Number, group))
+		o.Holders = append(o.Holders, holder(h))
 	}
 	return o
 }
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/testprog"
 )
@@ -83,6 +84,16 @@
 	}
 }
 
+// Who has a place is told by the place's kind.
+func TestHolder(t *testing.T) {
+	for group, says := range map[uint16]string{permit.WholeFleet: "the fleet", permit.FirstZone + 2: "zone 2", permit.AllCaches: "slot caches",
+		permit.FirstCacheZone + 1: "slot caches of zone 1", permit.Releases: "releases"} {
+		if got := holder(permit.Holder{Router: 3, Slot: permit.Slot{Group: group, Number: 1}}); got != "router 3 has place 1 of "+says {
+			t.Errorf("%q, want %q", got, says)
+		}
+	}
+}
+
 // What can't be a fleet is told in one line.
 func TestNew(t *testing.T) {
 	good := []string{"127.0.0.1:1", "127.0.0.1:2"}
--- a/internal/fleet/release/release.go
+++ b/internal/fleet/release/release.go
@@ -463,6 +463,10 @@
 		r.usual = usual
 	}
 	spent := r.now - r.soaked
+	if !enough && spent >= r.p.Soak && r.looks < looksEach {
+		r.verdict = fmt.Sprintf("waits for requests: %d at changed routers and %d at the others, %d are wanted", changed.Requests, usual.Requests,
+			r.p.Watch.Requests)
+	}
 	if due := r.p.Soak * time.Duration(r.looks+1) / looksEach; enough && spent >= due {
 		r.looks++
 		worse, text := r.p.Watch.Worse(changed, r.usual, r.allLooks())
--- a/internal/fleet/release/release_test.go
+++ b/internal/fleet/release/release_test.go
@@ -184,7 +184,7 @@
 	w.rate = 1
 	r := New(0, params(), w.order(), nil)
 	w.play(r, many, 100*time.Second)
-	if len(w.ran) != 1 {
+	if len(w.ran) != 1 || !strings.Contains(r.Verdict(), "waits for requests") {
 		t.Errorf("ran %v after 100 requests of 200 that are wanted", w.ran)
 	}
 	if w.play(r, many, time.Hour); !r.Ended() {
