--- a/cmd/hoplab/drill.go
+++ b/cmd/hoplab/drill.go
@@ -117,6 +117,7 @@
 	for _, v := range r.Verdicts {
 		fmt.Fprintf(w, "  %-6s %-8s %s\n", map[bool]string{true: "holds", false: "BROKEN"}[v.Holds], v.Claim.Kind, v.Why)
 	}
+	fmt.Fprintf(w, "  over the day %.3f of %d requests' worth was served\n", r.Result.Service, r.Result.Asked)
 	base := filepath.Join(c.Out, f.Name)
 	out, err := os.Create(base + ".jsonl")
 	if err != nil {
