Hold a router's word about a slot cache against the life that gave it

Change: rules.Checker.Begins, called when a process's configuration is written. Four cases in TestBounds.

--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -146,6 +146,9 @@
 	}
 }
 
+// Begins tells that a router's process starts: what its former life has said binds it no more, other than what it was told.
+func (c *Checker) Begins(router int) { clear(c.routers[router].aside) }
+
 // leftSince tells since when a router is held to know that a server drains or is gone.
 func (c *Checker) leftSince(router, server int) (time.Duration, bool) {
 	s := &c.routers[router]
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -29,6 +29,14 @@
 		}},
 		{"no answer", OneAnswer, func(c *Checker) { c.Finish(9000 * ms) }},
 		{"a client that leaves", "", func(c *Checker) { c.Left(0, 1); c.Finish(9000 * ms) }},
+		{"a call in time after the router's own word", "", func(c *Checker) { c.Aside(100*ms, 0, 1, true); c.Sent(600*ms, 0, 1, 1) }},
+		{"a call later than that", Drain, func(c *Checker) { c.Aside(100*ms, 0, 1, true); c.Sent(601*ms, 0, 1, 1) }},
+		{"a call after it has said otherwise", "", func(c *Checker) {
+			c.Aside(100*ms, 0, 1, true)
+			c.Aside(200*ms, 0, 1, false)
+			c.Sent(900*ms, 0, 1, 1)
+		}},
+		{"a call of its next life", "", func(c *Checker) { c.Aside(100*ms, 0, 1, true); c.Begins(0); c.Sent(900*ms, 0, 1, 1) }},
 		{"a router that dies", "", func(c *Checker) { c.Reset(0); c.Finish(9000 * ms) }},
 		{"a read repeated after an error", "", func(c *Checker) {
 			c.Sent(0, 0, 1, 1)
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -73,6 +73,7 @@
 	e.mu.Lock()
 	present := model.Update{Full: true, Members: e.World.Directory.Present()}
 	known := n.listing(present)
+	e.Check.Begins(n.index)
 	e.Check.Told(e.World.Now(), n.index, present)
 	e.mu.Unlock()
 	c := map[string]any{
