Take no driver for gone because the router that keeps its release is new

Cause, on reading the change again: a router that took over a release's note had never heard the driver (driverAt 0), and let another driver of the release have it at once, while the first one was there (peers.GoOnRelease).

Change: the time is counted from when a router first keeps the note.

--- a/internal/fleet/peers/drains.go
+++ b/internal/fleet/peers/drains.go
@@ -56,6 +56,9 @@
 	now := p.now()
 	out := map[uint32]aside.Drain{}
 	for _, n := range p.keeper.All(now) {
+		if n.Kind == notes.Release && int(n.Owner) != p.keeps {
+			p.keeps, p.driverAt = int(n.Owner), now // whoever keeps it from now on has not heard its driver yet, who may be there
+		}
 		if n.Kind != notes.Cache {
 			continue
 		}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -56,6 +56,7 @@
 	keeper   *notes.Keeper      // with Agent
 	said     map[uint32]*saidOf // slot caches that were logged as drained
 	driverAt time.Duration      // when a release's driver last spoke to this router
+	keeps    int                // the router that keeps the release, as far as this one knows
 
 	sawMu sync.Mutex
 	saw   []view.Sight // not told to the view yet
@@ -75,7 +76,7 @@
 	if _, err := netip.ParseAddrPort(set.Listen); err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	p := &Peers{set: set, number: map[netip.AddrPort]int{}, begun: time.Now(), said: map[uint32]*saidOf{}}
+	p := &Peers{set: set, number: map[netip.AddrPort]int{}, begun: time.Now(), said: map[uint32]*saidOf{}, keeps: -1}
 	for i, text := range set.Addrs {
 		a, err := netip.ParseAddrPort(text)
 		if err != nil {
