Read whole answers about a release, count strange notes, and drop a field that nobody reads

Cause, on reading the whole change once more: the driver read 4 KiB of an operators' call's answer, which names all drains; with some forty of them it could not be read, and a driver that held the fleet's place took it for lost (drive.fleet.post, mostText).

--- a/internal/fleet/drive/drive_test.go
+++ b/internal/fleet/drive/drive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"strings"
 	"testing"
 
+	"hoptiller/internal/fleet/notes"
 	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/fleet/release"
 	"hoptiller/internal/plan"
@@ -174,6 +176,20 @@
 	}
 }
 
+// The answer that tells that the fleet's place is held may name as many drained slot caches as a fleet keeps.
+func TestHold(t *testing.T) {
+	c := peers.Charges{Release: &peers.Running{ID: "x", State: "held"}}
+	for range notes.MostNotes {
+		c.Drains = append(c.Drains, peers.Drained{Cache: "s-98cf084c", State: "asking", Why: "held by another: slot cache s-b0caaea8 has place 0"})
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { json.NewEncoder(w).Encode(c) }))
+	defer s.Close()
+	d := New(&plan.Release{Name: "x", Routers: map[int]string{0: strings.TrimPrefix(s.URL, "http://")}}, io.Discard)
+	if held, holder, _ := d.hold(t.Context(), "begins"); !held {
+		t.Errorf("not held: %.80s", holder)
+	}
+}
+
 // What a router says of itself holds where most others say the same; one that can't be asked is as most see it.
 func TestSight(t *testing.T) {
 	report := func(self int, phase2, start2 string) *peers.Report {
--- a/internal/fleet/drive/fleet.go
+++ b/internal/fleet/drive/fleet.go
@@ -24,8 +24,8 @@
 
 const (
 	callTime = 2 * time.Second
-	atOnce   = 32 // routers that are asked at one time
-	mostText = 4096
+	atOnce   = 32      // routers that are asked at one time
+	mostText = 1 << 16 // of 64 drains and a release
 )
 
 // fleet asks and tells the routers of a plan.
--- a/internal/fleet/peers/drains.go
+++ b/internal/fleet/peers/drains.go
@@ -178,8 +178,7 @@
 // ErrRuns says that another driver, or another release, has the fleet.
 type ErrRuns struct {
 	Running
-	Known bool // this router keeps it, and knows that its driver has not spoken for long where Gone
-	Gone  bool
+	Gone bool // this router keeps it, and its driver has not spoken for long
 }
 
 // Error implements error.
@@ -230,7 +229,7 @@
 		}
 	default:
 		here := was.Router == p.set.Self
-		return Running{}, &ErrRuns{Running: was, Known: here, Gone: here && now-p.driverAt > DriverTime}
+		return Running{}, &ErrRuns{Running: was, Gone: here && now-p.driverAt > DriverTime}
 	}
 	p.driverAt = now
 	r, _ := p.running()
--- a/internal/fleet/peers/report.go
+++ b/internal/fleet/peers/report.go
@@ -79,6 +79,9 @@
 	s := &Summary{Health: p.view.Health(), Sent: c.Sent, SentBytes: c.SentBytes, Received: c.Received, ReceivedBytes: c.ReceivedBytes,
 		Bad: c.Bad, Strange: c.Strange, SendFailed: p.sendFails, ProbesFailed: c.ProbesFailed, Contradicted: c.Contradicted, Stalls: c.Stalls,
 		Twice: p.view.Twice()}
+	if p.keeper != nil {
+		s.Bad += p.keeper.Bad()
+	}
 	for i := range p.view.Members() {
 		m := &p.view.Members()[i]
 		switch {
