--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -376,20 +376,25 @@
 			if list == "" {
 				list = "p1"
 			}
-			w := start(t, strings.Fields(list), operator)
-			for i, l := range lines {
-				if l == "" || l[0] == '#' {
-					continue
-				}
-				part := append(strings.SplitN(l, " ", 3), "", "")
-				if err := w.do(part[0], part[1], w.expand(part[2])); err != nil {
-					t.Fatalf("%s:%d: %s: %v", file, i+1, l, err)
-				}
-			}
+			start(t, strings.Fields(list), operator).play(t, file, lines)
 		})
 	}
 }
 
+// play takes the lines of a scenario in turn.
+func (w *world) play(t *testing.T, name string, lines []string) {
+	t.Helper()
+	for i, l := range lines {
+		if l = strings.TrimSpace(l); l == "" || l[0] == '#' {
+			continue
+		}
+		part := append(strings.SplitN(l, " ", 3), "", "")
+		if err := w.do(part[0], part[1], w.expand(part[2])); err != nil {
+			t.Fatalf("%s:%d: %s: %v", name, i+1, l, err)
+		}
+	}
+}
+
 // A configuration that can't be used ends the program with one line that says why.
 func TestBadConfiguration(t *testing.T) {
 	for text, says := range map[string]string{
--- a/facade.go
+++ b/facade.go
@@ -89,6 +89,8 @@
 	// An invocation has one call out at a time here: a second copy would wait for the first one's end, and what the
 	// Router holds to be out there would never be. What is silent is withdrawn, which sockets always allow.
 	set.SecondCopies, set.MayCancel = false, true
+	// On sockets a list comes only on a watch, and a pushed one too: whoever pushes it has no other way here.
+	set.ListOnRequest = true
 	f := &Facade{wake: wake, now: now, open: map[uint32]*open{}}
 	f.router = New(now, set, seed, (*actions)(f))
 	return f
