Begin no attempt after its client left or its window for repeats closed

Cause, by reading: relay.call ran on a context without the client's end, and conn.send looked at that one alone, so an attempt that waited for a connection to come up (up to connectTimeout), for another call's dial or for another call to be written went out after its client had left. The window for repeats was looked at when a server was picked (router.go, mayResend), not when the bytes were written, which may be a connect time later. And a dial ended with the call that it was opened for: its handshake was lost, and whoever shared it failed with it.

Change: a call is given two times, one to begin in and one to be answered in. The first ends with the client, a withdrawal, the call's time or the window for repeats (Step.By), whichever is first; the pool waits on it, and looks at it last in conn.enter, behind the lock of the connection's writes. A dial is the pool's own: it outlives its call, comes up idle, and Close ends and awaits it. A write deadline that its call's end may still move closes the connection to further calls (conn.stopped).

Tests, run both ways (the two looks at begin taken out: TestLastLook and TestDialOutlivesItsCall fail on each case they name, after their 30 s): the dial is held by a listener with a full queue, the write by the connection's lock. TestTimeToBegin, TestFacadeWindowForRepeats. TestOverdueConnection failed once in 4 under -race beside other work ("status 3 behind a silent call"): its server could take the second connection for the first; it now says when it holds the first one.

--- a/facade.go
+++ b/facade.go
@@ -24,6 +24,7 @@
 	Provider   uint32        // StepCall: whom to call
 	Attempt    int           // StepCall: the call's number
 	Timeout    time.Duration // StepCall: how long to wait for its answer
+	By         time.Duration // StepCall: when the last byte of it must be written; 0: while its time lasts
 	RetryAfter time.Duration // StepReject: when the client should come back
 	CloseIdle  []uint32      // providers whose idle connections must go before the step is taken
 }
@@ -271,12 +272,27 @@
 
 func (a *actions) Send(request, server uint32, timeout time.Duration) {
 	if o := a.open[request]; o != nil {
-		o.step = Step{Kind: StepCall, Provider: server, Attempt: o.calls, Timeout: timeout}
+		o.step = Step{Kind: StepCall, Provider: server, Attempt: o.calls, Timeout: timeout, By: a.router.repeatBy(request)}
 		o.ready = true
 		o.calls++
 	}
 }
 
+// repeatBy is when the last byte of a request's newest attempt must be on its way, if it repeats another one of which
+// servers drop repeats only for a while; 0: it does not.
+func (r *Router) repeatBy(id uint32) time.Duration {
+	q := r.reqs[id]
+	if q == nil || q.class.Effect != Deduplicated {
+		return 0
+	}
+	for i := range q.tries[:len(q.tries)-1] { // the earliest is first
+		if t := &q.tries[i]; t.ran {
+			return r.forgotten(q, t)
+		}
+	}
+	return 0
+}
+
 func (a *actions) end(request uint32, step Step) {
 	o := a.open[request]
 	if o == nil || o.final {
--- a/facade_test.go
+++ b/facade_test.go
@@ -213,3 +213,28 @@
 		}
 	}
 }
+
+// What repeats an attempt that may have run is told until when it must be written: servers drop repeats only for so long
+// after the earliest moment at which that one may have come.
+func TestFacadeWindowForRepeats(t *testing.T) {
+	for effect, want := range map[Effect]time.Duration{Deduplicated: time.Hour + 990*time.Millisecond, Idempotent: 0} {
+		f, _ := newFacade(func(set *Settings) {
+			set.Classes[1] = Class{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: effect, KeyTTL: time.Second}
+		})
+		id := f.Reserve()
+		step := f.Pick(time.Hour, Request{ID: id, Class: 1, Key: 7, Write: true, Remaining: 3 * time.Second})
+		if step.By != 0 {
+			t.Errorf("effect %d: the first attempt must be written by %v", effect, step.By)
+		}
+		sent := f.Report(time.Hour+10*time.Millisecond, CallID{id, 0}, step.Provider, Reset, time.Millisecond)
+		if sent.Kind != StepCall || sent.By != want {
+			t.Errorf("effect %d: the repeat is %+v, to be written by %v", effect, sent, want)
+		}
+		other := f.Reserve()
+		step = f.Pick(time.Hour+time.Second, Request{ID: other, Class: 1, Key: 7, Write: true, Remaining: 3 * time.Second})
+		step = f.Report(time.Hour+time.Second, CallID{other, 0}, step.Provider, ConnectFailed, 0)
+		if step.Kind != StepCall || step.By != 0 {
+			t.Errorf("effect %d: one that was never sent is followed by %+v", effect, step)
+		}
+	}
+}
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -24,6 +24,7 @@
 	net.Conn
 	pool   *Pool
 	server *server
+	host   string // its name
 	idleAt time.Time
 
 	write sync.Mutex // held while a call is queued and written
@@ -126,37 +127,27 @@
 	}
 }
 
-// send writes a call, unless the connection has ended or is to end since it was chosen; then another may
-// be. If it fails, it tells how: until the last byte is written the server can't have begun the call. The directory
-// may have spoken since the call was picked, and a drain binds when a call is sent, so the last look at the list is here.
-func (c *conn) send(ctx context.Context, out *call) (sent bool, status hoptiller.Status) {
+// send writes a call, unless the connection has ended or is to end since it was chosen; then another may be. If it fails,
+// it tells how: until the last byte is written the server can't have begun the call. The client may have left since the call
+// was picked, its time be over, or the directory have spoken, and a drain binds when a call is sent; so the last look at all of
+// these is here, behind everything that waits.
+func (c *conn) send(begin, ctx context.Context, out *call) (sent bool, status hoptiller.Status) {
 	c.write.Lock() // calls are queued in the order in which they are written
 	defer c.write.Unlock()
 	p := c.pool
-	p.mu.Lock()
-	switch {
-	case c.dead || c.ending || c.body != nil:
-		c.leave()
-		p.mu.Unlock()
-		return false, hoptiller.OK
-	case c.server.Phase != hoptiller.Ready || ctx.Err() != nil:
-		c.leave()
-		p.mu.Unlock()
-		return false, hoptiller.Moot
-	}
-	out.sent = time.Now()
-	c.calls = append(c.calls, out)
-	host := c.server.Name
-	p.mu.Unlock()
-
 	end, _ := ctx.Deadline()
+	by, _ := begin.Deadline()
 	buf := buffer.Get()
 	defer buffer.Put(buf)
-	head, tail := p.proto.Append(buf[:0], out.inv, host, time.Until(end))
-	c.SetWriteDeadline(end)
+	head, tail := p.proto.Append(buf[:0], out.inv, c.host, time.Until(end))
+	if again, status := c.enter(begin, out); again || status != hoptiller.OK {
+		return false, status
+	}
+	c.SetWriteDeadline(by)
 	stop := context.AfterFunc(ctx, func() { c.SetWriteDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := c.put(head, out.inv, tail); err == nil {
+	err := c.put(head, out.inv, tail)
+	c.stopped(stop())
+	if err == nil {
 		if p.set.Called != nil {
 			p.set.Called()
 		}
@@ -169,9 +160,46 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return false, hoptiller.Moot
 	}
+	if begin.Err() != nil {
+		return false, notBegun(begin)
+	}
 	return false, hoptiller.ConnectFailed
 }
 
+// enter is the last look before a call's first byte: it queues the call if it is still wanted, listed and in time, and if the
+// connection can still carry it; else another may.
+func (c *conn) enter(begin context.Context, out *call) (again bool, status hoptiller.Status) {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case c.dead || c.ending || c.body != nil:
+		c.leave()
+		return true, hoptiller.OK
+	case begin.Err() != nil:
+		c.leave()
+		return false, notBegun(begin)
+	case c.server.Phase != hoptiller.Ready:
+		c.leave()
+		return false, hoptiller.Moot
+	}
+	out.sent = time.Now()
+	c.calls = append(c.calls, out)
+	return false, hoptiller.OK
+}
+
+// stopped is told whether the call's end can no longer cut off what is written. Where it may, nothing more is to be.
+func (c *conn) stopped(stopped bool) {
+	if stopped {
+		return
+	}
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if c.ending = true; !c.dead {
+		c.dropIfUnused()
+	}
+}
+
 // put writes a call with its value.
 func (c *conn) put(head []byte, inv *relay.Invocation, tail string) error {
 	if !inv.Write {
--- /dev/null
+++ b/internal/provider/crossing_test.go
@@ -0,0 +1,145 @@
+package provider
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/relay"
+	"hoptiller/internal/testprog"
+)
+
+// lines hands over each line that comes on a listener's connections, and answers none.
+func lines(l net.Listener) <-chan string {
+	came := make(chan string, 100)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(conn)
+				for text, err := r.ReadString('\n'); err == nil; text, err = r.ReadString('\n') {
+					came <- text
+				}
+				came <- "closed"
+			}()
+		}
+	}()
+	return came
+}
+
+// late makes a pool that knows one server, to which a connection comes up only once listen is called.
+func late(t *testing.T) (p *Pool, listen func() net.Listener) {
+	addr, listen := testprog.Late(t)
+	p = New(Settings{Share: 4, MostConns: 4, MostCalls: 100, ConnectTimeout: 20 * time.Second}, Meta{})
+	p.Update(entry(addr, hoptiller.Ready), false)
+	t.Cleanup(p.Close)
+	return p, listen
+}
+
+// named is a read that can be told from others.
+func named(id string) *relay.Invocation {
+	return &relay.Invocation{Key: []byte("k"), ID: []byte(id), Facts: []byte("c=read")}
+}
+
+// Crossing: a client leaves, or the window for its repeat closes, while the connection to the server is still coming up. The
+// call ends at once and is never written. The connection comes up all the same, and the next call goes out on it.
+func TestDialOutlivesItsCall(t *testing.T) {
+	t.Parallel()
+	errWindow := errors.New("window")
+	for name, end := range map[string]func() (context.Context, context.CancelFunc){
+		"client leaves": func() (context.Context, context.CancelFunc) { return context.WithCancel(t.Context()) },
+		"window closes": func() (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancelCause(t.Context())
+			return ctx, func() { cancel(errWindow) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, listen := late(t)
+			begin, leave := end()
+			given := make(chan relay.Result, 1)
+			go func() { given <- p.Call(begin, t.Context(), 1, named("01")) }()
+			until(t, p, "a connection is coming up", func(s *server) bool { return s.dialing == 1 })
+			leave()
+			if r := testprog.Await(t, given, "end of the call"); r.Status != hoptiller.Moot {
+				t.Errorf("the call ends as %d", r.Status)
+			}
+			came := lines(listen())
+			until(t, p, "the connection is up and idle", func(s *server) bool { return len(s.conns) == 1 && s.conns[0].load == 0 })
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			go p.Call(ctx, ctx, 1, named("02"))
+			for text := range came {
+				if text == "closed" { // what had filled the queue
+					continue
+				}
+				if text != "mg k v O02 Pc=read\r\n" {
+					t.Errorf("first came %q", text)
+				}
+				break
+			}
+		})
+	}
+}
+
+// Where all of a call's time goes by without a connection, that is the server's.
+func TestNoConnectionInTime(t *testing.T) {
+	t.Parallel()
+	p, _ := late(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if r := p.Call(ctx, ctx, 1, read); r.Status != hoptiller.ConnectFailed {
+		t.Errorf("the call ends as %d", r.Status)
+	}
+}
+
+// Crossing: a client leaves, or a drain is told, when its call has a connection and waits for another call to be written.
+func TestLastLook(t *testing.T) {
+	t.Parallel()
+	for name, drain := range map[string]bool{"client leaves": false, "drain is told": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			came := lines(l)
+			p := New(Settings{Share: 4, MostConns: 1, MostCalls: 100, ConnectTimeout: time.Second}, Meta{})
+			t.Cleanup(p.Close)
+			p.Update(entry(l.Addr().String(), hoptiller.Ready), false)
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			go p.Call(ctx, ctx, 1, named("01"))
+			testprog.Await(t, came, "first call")
+			var c *conn
+			until(t, p, "it is out", func(s *server) bool { c = s.conns[0]; return c.load == 1 })
+			c.write.Lock() // as another call does while it is written
+			begin, leave := context.WithCancel(t.Context())
+			given := make(chan relay.Result, 1)
+			go func() { given <- p.Call(begin, ctx, 1, named("02")) }()
+			until(t, p, "the second call has its connection", func(s *server) bool { return c.load == 2 })
+			defer leave()
+			if drain {
+				p.Update(entry(l.Addr().String(), hoptiller.Draining), false)
+			} else {
+				leave()
+			}
+			c.write.Unlock()
+			if r := testprog.Await(t, given, "end of the call"); r.Status != hoptiller.Moot {
+				t.Errorf("the call ends as %d", r.Status)
+			}
+			stop()
+			if text := testprog.Await(t, came, "end of the connection"); text != "closed" {
+				t.Errorf("%q came after all", text)
+			}
+		})
+	}
+}
--- a/internal/provider/find.go
+++ b/internal/provider/find.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"syscall"
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/buffer"
 )
 
 // A connection whose first call has waited for overdue typical times, and for overdueLeast, gets no more
@@ -23,7 +19,7 @@
 // one with the fewest calls, else a new one. A new one costs the server as much work as a good part of a
 // call does, and its first call two round trips, which is more than a short wait behind another call.
 // Without a connection it tells why.
-func (p *Pool) connect(ctx context.Context, id uint32) (*conn, hoptiller.Status) {
+func (p *Pool) connect(begin context.Context, id uint32) (*conn, hoptiller.Status) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var s *server
@@ -45,8 +41,8 @@
 			break
 		}
 		// All that may be are still coming up, as when many call a new server at once: none is there to share yet.
-		if err := p.awaitDial(ctx, s); err != nil && errors.Is(ctx.Err(), context.Canceled) {
-			return nil, hoptiller.Moot
+		if err := p.awaitDial(begin, s); begin.Err() != nil {
+			return nil, notBegun(begin)
 		} else if err != nil {
 			return nil, hoptiller.ConnectFailed
 		}
@@ -55,47 +51,12 @@
 	case full && (c == nil || c.load >= p.set.MostCalls):
 		return nil, hoptiller.ConnectFailed
 	case !full && (c == nil || c.load >= p.share()):
-		nc, reader, err := p.dial(ctx, s)
-		if err != nil {
-			if errors.Is(ctx.Err(), context.Canceled) {
-				return nil, hoptiller.Moot
-			}
-			return nil, hoptiller.ConnectFailed
-		}
-		c = &conn{Conn: nc, pool: p, server: s}
-		s.conns = append(s.conns, c)
-		go c.read(reader)
+		return p.open(begin, s)
 	}
 	c.load++
 	return c, hoptiller.OK
 }
 
-// dialEnded takes a connection off those that are being opened, and tells who waits for one. The pool's mu is held.
-func (s *server) dialEnded(err error) {
-	s.dialing--
-	if d := s.dialed; d != nil {
-		s.dialed, d.err = nil, err
-		close(d.done)
-	}
-}
-
-// awaitDial waits until a connection to a server has come up, or tells why it did not: another one would hardly. It
-// takes ConnectTimeout at the most. p.mu is held, but not while it waits.
-func (p *Pool) awaitDial(ctx context.Context, s *server) error {
-	if s.dialed == nil {
-		s.dialed = &dialed{done: make(chan struct{})}
-	}
-	d := s.dialed
-	p.mu.Unlock()
-	defer p.mu.Lock()
-	select {
-	case <-d.done:
-		return d.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // share is how many calls share a connection before another one is opened. While there are long values none do:
 // whatever waits behind one would wait for its client too.
 func (p *Pool) share() int {
@@ -105,9 +66,6 @@
 	return p.set.Share
 }
 
-// errMoved tells that the server has started anew while a connection to it came up.
-var errMoved = errors.New("server has moved")
-
 // makeRoom closes the connection that has been idle longest, of any server. p.mu is held.
 func (p *Pool) makeRoom() bool {
 	var oldest *conn
@@ -135,33 +93,6 @@
 	}
 }
 
-// dial opens a connection. p.mu is held, but not while it waits.
-func (p *Pool) dial(ctx context.Context, s *server) (nc net.Conn, reader *buffer.Reader, err error) {
-	addr, started := s.Addr, s.Started
-	s.dialing++
-	p.total++
-	p.mu.Unlock()
-	dialer := net.Dialer{Timeout: p.set.ConnectTimeout, KeepAlive: -1}
-	if nc, err = dialer.DialContext(ctx, "tcp", addr); err == nil {
-		reader, err = buffer.NewReader(nc)
-	}
-	p.mu.Lock()
-	if err == nil && (s.Addr != addr || s.Started != started) {
-		err = errMoved
-	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		p.see(s, false)
-	}
-	s.dialEnded(err)
-	if err != nil {
-		p.total--
-		if nc != nil {
-			nc.Close()
-		}
-	}
-	return nc, reader, err
-}
-
 // idle takes the idle connection that was used last; the others then end by and by. Those near the
 // server's idle limit are closed, since a call that crosses the server's close is lost as a reset.
 func (p *Pool) idle(s *server) *conn {
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -35,8 +35,11 @@
 
 // Pool has the connections to all servers of a kind. It is a relay.Caller.
 type Pool struct {
-	set   Settings
-	proto Protocol
+	set    Settings
+	proto  Protocol
+	ctx    context.Context // until Close
+	cancel context.CancelFunc
+	dials  sync.WaitGroup // those that run
 
 	mu      sync.Mutex
 	servers map[uint32]*server
@@ -51,20 +54,16 @@
 	conns   []*conn // all that are open, those used last at the end
 	dialing int
 	gone    bool          // it has no process, as far as is seen
-	dialed  *dialed       // how the next of those ends; nil: nobody waits for that
+	next    *dial         // how the next of those ends; nil: nobody waits for that
 	typical time.Duration // smoothed time from a call to its answer
 	passed  time.Time     // when the latest call that has an answer was sent
 }
 
-// dialed is how a connection that was being opened has ended.
-type dialed struct {
-	done chan struct{} // closed then
-	err  error         // nil: it is up
-}
-
 // New returns a Pool without servers.
 func New(set Settings, proto Protocol) *Pool {
-	return &Pool{set: set, proto: proto, servers: map[uint32]*server{}}
+	p := &Pool{set: set, proto: proto, servers: map[uint32]*server{}}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	return p
 }
 
 // Update implements relay.Caller.
@@ -120,8 +119,10 @@
 
 // Close closes all connections; calls that are out end as resets.
 func (p *Pool) Close() {
+	defer p.dials.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.cancel()
 	for _, s := range p.servers {
 		for _, c := range slices.Clone(s.conns) {
 			p.drop(c)
@@ -130,15 +131,15 @@
 }
 
 // Call implements relay.Caller.
-func (p *Pool) Call(ctx context.Context, id uint32, inv *relay.Invocation) relay.Result {
+func (p *Pool) Call(begin, ctx context.Context, id uint32, inv *relay.Invocation) relay.Result {
 	out := &call{inv: inv, done: make(chan relay.Result, 1)}
 	var c *conn
 	for sent := false; !sent; {
 		var status hoptiller.Status
-		if c, status = p.connect(ctx, id); c == nil {
+		if c, status = p.connect(begin, id); c == nil {
 			return relay.Result{Status: status}
 		}
-		if sent, status = c.send(ctx, out); status != hoptiller.OK {
+		if sent, status = c.send(begin, ctx, out); status != hoptiller.OK {
 			return relay.Result{Status: status}
 		}
 	}
--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -92,7 +92,7 @@
 			ctx, cancel = context.WithTimeout(context.Background(), 20*time.Millisecond)
 		}
 		p := serve(t, c.handle)
-		if r := p.Call(ctx, 1, read); r.Status != c.want {
+		if r := p.Call(ctx, ctx, 1, read); r.Status != c.want {
 			t.Errorf("%s: status %d, want %d", name, r.Status, c.want)
 		}
 		if c.ends { // nothing more can be believed of it
@@ -121,7 +121,7 @@
 		"nobody there":    {ctx, entry("127.0.0.1:1", hoptiller.Ready), hoptiller.ConnectFailed},
 	} {
 		p.Update(c.update, true)
-		if r := p.Call(c.ctx, 1, read); r.Status != c.want {
+		if r := p.Call(c.ctx, c.ctx, 1, read); r.Status != c.want {
 			t.Errorf("%s: status %d, want %d", name, r.Status, c.want)
 		}
 	}
@@ -138,12 +138,12 @@
 	})
 	first, cancel := context.WithCancel(context.Background())
 	given := make(chan relay.Result, 1)
-	go func() { given <- p.Call(first, 1, read) }()
+	go func() { given <- p.Call(first, first, 1, read) }()
 	until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
 	ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
 	defer end()
 	other := make(chan relay.Result, 1)
-	go func() { other <- p.Call(ctx, 1, read) }()
+	go func() { other <- p.Call(ctx, ctx, 1, read) }()
 	conn := testprog.Await(t, second, "second command")
 	cancel()
 	r := testprog.Await(t, given, "end of the call that is given up")
@@ -171,7 +171,7 @@
 	ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
 	defer end()
 	for i := range 2 {
-		go func() { results <- p.Call(ctx, 1, read) }()
+		go func() { results <- p.Call(ctx, ctx, 1, read) }()
 		if i == 0 {
 			until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
 		}
@@ -191,7 +191,7 @@
 	other.ID = 2
 	p.Update(other, false)
 	for _, id := range []uint32{1, 2, 1} {
-		if r := p.Call(context.Background(), id, read); r.Status != hoptiller.Miss || p.total != 1 {
+		if r := p.Call(context.Background(), context.Background(), id, read); r.Status != hoptiller.Miss || p.total != 1 {
 			t.Errorf("server %d: status %d with %d connections", id, r.Status, p.total)
 		}
 	}
@@ -208,7 +208,7 @@
 func TestMovedServer(t *testing.T) {
 	p := serve(t, hold)
 	result := make(chan relay.Result, 1)
-	go func() { result <- p.Call(context.Background(), 1, read) }()
+	go func() { result <- p.Call(context.Background(), context.Background(), 1, read) }()
 	until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
 	p.Update(entry(p.servers[1].Addr, hoptiller.Ready), true)
 	if r := testprog.Await(t, result, "end of the call"); r.Status != hoptiller.Reset {
@@ -220,22 +220,25 @@
 // no more with it than it has.
 func TestOverdueConnection(t *testing.T) {
 	var later atomic.Bool
+	held := make(chan bool, 1)
 	p := serve(t, func(conn net.Conn, r *bufio.Reader) {
 		if !later.Swap(true) {
+			held <- true
 			hold(conn, r)
 		}
 		answer("EN O01\r\n")(conn, r)
 	})
 	ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
 	defer end()
-	go p.Call(ctx, 1, read)
+	go p.Call(ctx, ctx, 1, read)
+	testprog.Await(t, held, "first connection at the server") // else the second may be the one that is held
 	until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
 	p.mu.Lock()
 	silent := p.servers[1].conns[0]
 	silent.calls[0].sent = time.Now().Add(-time.Hour)
 	p.mu.Unlock()
 	for range 2 {
-		if r := p.Call(ctx, 1, read); r.Status != hoptiller.Miss {
+		if r := p.Call(ctx, ctx, 1, read); r.Status != hoptiller.Miss {
 			t.Errorf("status %d behind a silent call", r.Status)
 		}
 	}
@@ -276,12 +279,12 @@
 		answer("EN O01\r\n")(conn, r)
 	})
 	for range 2 {
-		p.Call(context.Background(), 1, read)
+		p.Call(context.Background(), context.Background(), 1, read)
 	}
 	p.mu.Lock()
 	p.set.IdleLimit = time.Nanosecond
 	p.mu.Unlock()
-	p.Call(context.Background(), 1, read)
+	p.Call(context.Background(), context.Background(), 1, read)
 	if len(conns) != 2 {
 		t.Errorf("%d connections for two calls on one and one after the limit", len(conns))
 	}
@@ -302,7 +305,7 @@
 	p.set.Share, p.set.Kept, p.set.ConnectTimeout = 1, 1, 50*time.Millisecond
 	called := make(chan relay.Result, 3)
 	for range 3 {
-		go func() { called <- p.Call(t.Context(), 1, read) }()
+		go func() { called <- p.Call(t.Context(), t.Context(), 1, read) }()
 	}
 	// Each has a connection of its own before the first is answered: else a later call goes out on that one, whose
 	// command the server takes for the end.
@@ -339,12 +342,12 @@
 	p.mu.Unlock()
 	called := make(chan relay.Result, 2)
 	for range 2 {
-		go func() { called <- p.Call(t.Context(), 1, read) }()
+		go func() { called <- p.Call(t.Context(), t.Context(), 1, read) }()
 	}
 	gone, leave := context.WithCancel(t.Context())
-	until(t, p, "a call waits", func(s *server) bool { return s.dialed != nil })
+	until(t, p, "a call waits", func(s *server) bool { return s.next != nil })
 	leave()
-	if r := p.Call(gone, 1, read); r.Status != hoptiller.Moot {
+	if r := p.Call(gone, gone, 1, read); r.Status != hoptiller.Moot {
 		t.Errorf("one whose client leaves meanwhile ends as %d", r.Status)
 	}
 	p.mu.Lock()
@@ -359,8 +362,8 @@
 	p.mu.Lock()
 	s.dialing = 1
 	p.mu.Unlock()
-	go func() { called <- p.Call(t.Context(), 1, read) }()
-	until(t, p, "a call waits again", func(s *server) bool { return s.dialed != nil })
+	go func() { called <- p.Call(t.Context(), t.Context(), 1, read) }()
+	until(t, p, "a call waits again", func(s *server) bool { return s.next != nil })
 	p.mu.Lock()
 	s.dialEnded(errMoved)
 	p.mu.Unlock()
@@ -383,7 +386,7 @@
 	defer cancel()
 	call := func(down bool) {
 		gone.Store(down)
-		p.Call(ctx, 1, read)
+		p.Call(ctx, ctx, 1, read)
 		until(t, p, "no connection that ends", func(s *server) bool { return !down || len(s.conns) == 0 })
 	}
 	call(false)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -79,8 +80,9 @@
 
 // Caller makes invoker calls to one kind of server.
 type Caller interface {
-	// Call makes one call and returns when it has ended, or ctx has.
-	Call(ctx context.Context, server uint32, inv *Invocation) Result
+	// Call makes one call and returns when it has ended, or ctx has. All of it is written while begin lasts, which ends with
+	// ctx at the latest, or nothing is sent.
+	Call(begin, ctx context.Context, server uint32, inv *Invocation) Result
 	// Update tells what is now known of a server; moved tells that it runs
 	// elsewhere or anew, so that its old connections lead nowhere.
 	Update(s Server, moved bool)
@@ -241,19 +243,32 @@
 	}
 }
 
-// call makes one call, unless it has been withdrawn before it began. It does not end with the client's leaving: the
-// module hears of that, and withdraws the call if it is to end.
-func (r *Relay) call(ctx context.Context, l *live, inv *Invocation, step hoptiller.Step) Result {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), step.Timeout)
+// errWindow ends the time in which an attempt may begin before its own time is over.
+var errWindow = errors.New("the window for repeats is over")
+
+// call makes one call, unless it has been withdrawn before it began. It begins only while the client is there, but does not
+// end with the client's leaving: the module hears of that, and withdraws the call if it is to end.
+func (r *Relay) call(client context.Context, l *live, inv *Invocation, step hoptiller.Step) Result {
+	end := time.Now().Add(step.Timeout)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(client), end)
 	defer cancel()
+	by, cause := end, error(nil)
+	if t := time.Now().Add(step.By - r.now()); step.By > 0 && t.Before(end) {
+		by, cause = t, errWindow
+	}
+	begin, cancelBegin := context.WithDeadlineCause(client, by, cause)
+	defer cancelBegin()
 	r.liveMu.Lock()
 	withdrawn := l.withdrawn > step.Attempt
-	l.cancel = cancel
+	l.cancel = func() {
+		cancelBegin()
+		cancel()
+	}
 	r.liveMu.Unlock()
 	if withdrawn {
 		return Result{Status: hoptiller.Moot}
 	}
-	return r.callerOf(step.Provider).Call(ctx, step.Provider, inv)
+	return r.callerOf(step.Provider).Call(begin, ctx, step.Provider, inv)
 }
 
 func (r *Relay) callerOf(id uint32) Caller {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -27,7 +27,7 @@
 	c.asked = append(c.asked, fmt.Sprintf(format, args...))
 }
 
-func (c *caller) Call(ctx context.Context, server uint32, inv *Invocation) Result {
+func (c *caller) Call(_, ctx context.Context, server uint32, inv *Invocation) Result {
 	c.note("call %d", server)
 	if c.block != nil {
 		c.block <- struct{}{}
@@ -219,3 +219,54 @@
 		t.Errorf("%+v, want %+v", got, want)
 	}
 }
+
+// An attempt's time to begin ends when its client leaves or when it is withdrawn, and for a repeat with the window in which
+// repeats are dropped; its time to be answered does not end with the client's leaving.
+func TestTimeToBegin(t *testing.T) {
+	r, _, _ := newRelay(nil, nil)
+	type times struct{ begin, ctx context.Context }
+	calls := make(chan times)
+	over := make(chan bool)
+	r.providers = timing(func(begin, ctx context.Context) { calls <- times{begin, ctx}; <-over })
+	client, leave := context.WithCancel(t.Context())
+	l := &live{}
+	step := hoptiller.Step{Kind: hoptiller.StepCall, Provider: 1, Timeout: 20 * time.Second}
+	go r.call(client, l, invocation(0, false), step)
+	c := testprog.Await(t, calls, "call")
+	leave()
+	testprog.Await(t, c.begin.Done(), "end of the time to begin when the client has left")
+	if c.ctx.Err() != nil {
+		t.Error("the attempt has ended with its client's leaving")
+	}
+	over <- true
+
+	go r.call(t.Context(), l, invocation(0, false), step)
+	c = testprog.Await(t, calls, "call")
+	r.liveMu.Lock()
+	l.cancel()
+	r.liveMu.Unlock()
+	testprog.Await(t, c.begin.Done(), "end of the time to begin when it is withdrawn")
+	testprog.Await(t, c.ctx.Done(), "end of the attempt when it is withdrawn")
+	over <- true
+
+	step.By = r.now() + 5*time.Second
+	go r.call(t.Context(), &live{}, invocation(0, false), step)
+	c = testprog.Await(t, calls, "call")
+	by, _ := c.begin.Deadline()
+	end, _ := c.ctx.Deadline()
+	if left := time.Until(by); left > 5*time.Second || !end.After(by) {
+		t.Errorf("a repeat has %v to begin", left)
+	}
+	over <- true
+}
+
+// timing is a Caller that looks only at a call's times.
+type timing func(begin, ctx context.Context)
+
+func (c timing) Call(begin, ctx context.Context, _ uint32, _ *Invocation) Result {
+	c(begin, ctx)
+	return Result{Status: hoptiller.Moot}
+}
+func (timing) Update(Server, bool) {}
+func (timing) Forget(uint32) bool  { return true }
+func (timing) CloseIdle(uint32)    {}
--- a/router.go
+++ b/router.go
@@ -718,7 +718,7 @@
 		case AtMostOnce:
 			return false
 		case Deduplicated:
-			if r.now-t.at >= q.class.KeyTTL-2*r.set.Tick || !sameGroup(q.class.Group, t.to, s) {
+			if r.now >= r.forgotten(q, t) || !sameGroup(q.class.Group, t.to, s) {
 				return false
 			}
 		}
@@ -726,6 +726,11 @@
 	return true
 }
 
+// forgotten is when servers may no longer drop repeats of an attempt, counted from the earliest that it may have come.
+func (r *Router) forgotten(q *request, t *attempt) time.Duration {
+	return t.at + q.class.KeyTTL - 2*r.set.Tick
+}
+
 func sameGroup(g Group, a, b *server) bool {
 	return (g != GroupZone || a.Zone == b.Zone) && (g != GroupCell || a.Cell == b.Cell)
 }
