Look at a resting connection before a call goes out on it; take answers without length

Cause, by reading, four crossings on idle connections: - A connection that the other side had closed, reset or said half a line on was written to until its reader had been scheduled (provider.conn.send looked at c.dead alone); the call was lost as a reset, and where it may not run twice its request with it. - Bytes that were read just before a call was queued were taken for its answer (conn.answers looked only whether some call waits). A slot cache's answer names its request; the origin's names none, so another request's value could be served. - For the same reason a second answer of the origin, which comes some milliseconds late, was the next call's. - An answer of the origin without a length was held for malformed (http1.ParseAnswer), so what had been stored was told as failed.

Change: before a call goes out on a connection on which nothing else is out, the socket is looked at (MSG_PEEK): anything there ends it and the call goes elsewhere. An answer counts only if it was read after its call was queued. A value or receipt without a length ends with its connection; a reset is no end.

TestCallsBehindABody failed once in 50 runs under -race beside other work ("two calls on it": the first call was overdue after 20 ms): it now says that the server is usually slow.

--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -41,6 +41,7 @@
 	replaceTime = 300 * time.Millisecond  // for which clients are served after SIGTERM where another process accepts them
 	closeTime   = 500 * time.Millisecond  // after that, for the rest of a command
 	restTime    = 2100 * time.Millisecond // the same where there is time for a whole command before SIGKILL
+	originRest  = 20 * time.Millisecond   // the origin's answers name no request, and a second one comes some milliseconds late
 	freshTime   = 2 * time.Second         // that a new process waits for a fresh list before it takes clients from the old one
 )
 
@@ -144,7 +145,7 @@
 	origins := provider.New(provider.Settings{
 		Share: 1, MostConns: shares.origins, MostCalls: 1, Kept: shares.origins,
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
-		Room: room, Called: counts.Called,
+		Room: room, Called: counts.Called, Rest: originRest,
 	}, origin.Protocol{})
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	var server front.Server = r
--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"syscall"
+	"time"
 )
 
 // step is how much is read at first of what may be without end. More is read at once of what has proved long.
@@ -17,7 +18,8 @@
 // Reader reads a connection and holds a buffer only while something is there to be read: of hundreds of
 // connections nearly all wait at any time. What is left over between reads is kept at its own size.
 type Reader struct {
-	Long bool // much is to come: as much is read at once as a buffer holds
+	Long bool      // much is to come: as much is read at once as a buffer holds
+	At   time.Time // when something was read last
 
 	raw  syscall.RawConn
 	rest []byte
@@ -38,12 +40,27 @@
 
 // Waiting tells whether more has come that was not read. It does not wait.
 func (r *Reader) Waiting() (more bool) {
-	r.raw.Control(func(fd uintptr) {
+	n, err := r.peek()
+	return err == nil && n > 0
+}
+
+// Resting tells whether nothing has come that was not read, not even the connection's end. It does not wait.
+func (r *Reader) Resting() bool {
+	_, err := r.peek()
+	return err == syscall.EAGAIN
+}
+
+func (r *Reader) peek() (n int, err error) {
+	closed := r.raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		more = err == nil && n > 0
+		for err = syscall.EINTR; err == syscall.EINTR; {
+			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}
 	})
-	return more
+	if closed != nil {
+		return 0, closed
+	}
+	return n, err
 }
 
 // Next waits for more and hands over all that has come and was not taken. take tells how much it has used
@@ -68,6 +85,7 @@
 		}
 		return true
 	})
+	r.At = time.Now()
 	defer func() { Put(buf) }()
 	switch {
 	case err != nil:
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -128,7 +128,7 @@
 
 // ParseAnswer reads a whole answer with its body and tells how many bytes it
 // takes up: 0 without an error means that it is not whole yet. Interim answers
-// (1xx) ahead of it are passed over. Of one whose body is long, over MaxBody, that is its head.
+// (1xx) ahead of it are passed over. Of one whose body is long, over MaxBody, or ends only with the connection, that is its head.
 func ParseAnswer(b []byte, extra ...string) (h Head, body []byte, n int, long bool, err error) {
 	for h.Status < 200 {
 		var used int
@@ -154,9 +154,9 @@
 			}
 			body = append(body, data...)
 		}
-	case h.Length < 0 || h.Length > MaxLong:
+	case h.Length > MaxLong:
 		return h, nil, 0, false, ErrFormat
-	case h.Length > MaxBody:
+	case h.Length < 0 || h.Length > MaxBody:
 		return h, nil, n, true, nil
 	case len(b)-n < h.Length:
 		return h, nil, 0, false, nil
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -3,7 +3,6 @@
 package origin
 
 import (
-	"bytes"
 	"errors"
 	"time"
 
@@ -37,8 +36,14 @@
 		return provider.Reply{}, err
 	}
 	r := provider.Reply{N: n, Status: hoptiller.ServerError, Keep: !h.Close}
+	toEnd := long && !h.Chunked && h.Length < 0
 	switch {
-	case h.Status == 200 && inv.Write && (long || bytes.ContainsFunc(body, func(r rune) bool { return r <= ' ' || r == 0x7f })):
+	case toEnd: // whatever follows the head, this connection is of no more use
+		if r.Keep = false; h.Status == 200 {
+			r.Status, r.Long, r.Length = hoptiller.OK, provider.ToEnd{}, -1
+			return r, nil
+		}
+	case h.Status == 200 && inv.Write && (long || !provider.Receipt(body)):
 		return provider.Reply{}, errReceipt
 	case long && h.Status != 200: // nobody wants it
 		return provider.Reply{}, http1.ErrFormat
@@ -48,7 +53,8 @@
 		r.Status, r.Long, r.Length = hoptiller.OK, &provider.Counted{Left: h.Length}, h.Length
 	case h.Status == 200:
 		r.Status, r.Data = hoptiller.OK, body
-	case (h.Status == 503 || h.Status == 504) && h.Extra[notRun] == "1":
+	}
+	if (h.Status == 503 || h.Status == 504) && h.Extra[notRun] == "1" {
 		r.Status = hoptiller.Full
 	}
 	return r, nil
--- a/internal/provider/body.go
+++ b/internal/provider/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"time"
 
 	"hoptiller"
@@ -48,6 +49,9 @@
 			}
 			return used
 		})
+		if _, toEnd := b.decoder.(ToEnd); toEnd && failed == nil && err == io.EOF { // a reset is no end
+			return nil
+		}
 		if err = errors.Join(failed, err); err != nil {
 			return err
 		}
--- a/internal/provider/body_test.go
+++ b/internal/provider/body_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"hoptiller"
 	"hoptiller/internal/relay"
@@ -38,6 +39,9 @@
 	results := make(chan relay.Result, 1)
 	go func() { results <- ask(p, "01") }()
 	until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) > 0 && len(s.conns[0].calls) == 1 })
+	p.mu.Lock()
+	p.servers[1].typical = time.Hour // however slow the machine is, the first call is not overdue
+	p.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	behind := make(chan relay.Result, 1)
 	go func() {
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -25,6 +25,7 @@
 	pool   *Pool
 	server *server
 	host   string // its name
+	reader *buffer.Reader
 	idleAt time.Time
 
 	write sync.Mutex // held while a call is queued and written
@@ -182,6 +183,10 @@
 	case c.server.Phase != hoptiller.Ready:
 		c.leave()
 		return false, hoptiller.Moot
+	case len(c.calls) == 0 && c.useful && !c.reader.Resting(): // it has ended while it rested, or says what nobody asked for
+		c.leave()
+		p.drop(c)
+		return true, hoptiller.OK
 	}
 	out.sent = time.Now()
 	c.calls = append(c.calls, out)
@@ -227,8 +232,9 @@
 
 // read takes the answers on a connection until it ends. An answer that has begun goes on, so one that stops
 // is spoilt: to wait on would hold up all calls behind it until their time is up.
-func (c *conn) read(r *buffer.Reader) {
+func (c *conn) read() {
 	var err error
+	r := c.reader
 	ok, next := true, r.Next
 	for ok && err == nil {
 		var long *body
@@ -269,7 +275,8 @@
 	p.mu.Lock() // also keeps a call from being given up while its answer is read
 	defer p.mu.Unlock()
 	for used < len(b) && !c.dead {
-		if len(c.calls) == 0 { // an answer that nothing asked for must not reach the next call
+		// An answer that nothing asked for must not reach the next call, nor one that was read before that call was sent.
+		if len(c.calls) == 0 || c.calls[0].sent.After(c.reader.At) {
 			return used, nil, false
 		}
 		out := c.calls[0]
--- a/internal/provider/crossing_test.go
+++ b/internal/provider/crossing_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hoptiller"
+	"hoptiller/internal/buffer"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/testprog"
 )
@@ -89,6 +90,82 @@
 	}
 }
 
+// resting makes a pool with one connection on which a call has had its answer, and which nobody reads. The server's side of it
+// is handed over as well.
+func resting(t *testing.T) (p *Pool, c *conn, server net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	p = New(Settings{Share: 4, MostConns: 4, MostCalls: 100, ConnectTimeout: time.Second}, Meta{})
+	t.Cleanup(p.Close)
+	p.Update(entry(l.Addr().String(), hoptiller.Ready), false)
+	nc, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if server, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { server.Close() })
+	server.SetDeadline(time.Now().Add(testprog.Patience))
+	reader, err := buffer.NewReader(nc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := p.servers[1]
+	c = &conn{Conn: nc, pool: p, server: s, reader: reader, useful: true, load: 1}
+	p.total, s.conns = 1, []*conn{c}
+	return p, c, server
+}
+
+// Crossing: the other side closes a resting connection, resets it or says half a line on it in the moment in which a call is
+// to be written. Nothing is written there, and the call may go elsewhere.
+func TestRestingConnectionEnds(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]func(*net.TCPConn) error{
+		"closed":      (*net.TCPConn).CloseWrite,
+		"reset":       func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) },
+		"half a line": func(c *net.TCPConn) error { _, err := c.Write([]byte("EN O0")); return err },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, c, server := resting(t)
+			if err := end(server.(*net.TCPConn)); err != nil {
+				t.Fatal(err)
+			}
+			testprog.Until(t, "the end has come", func() bool { return !c.reader.Resting() })
+			sent, status := c.send(t.Context(), t.Context(), &call{inv: named("01"), done: make(chan relay.Result, 1)})
+			if sent || status != hoptiller.OK || !c.dead || p.total != 0 {
+				t.Errorf("sent %v, status %d, dead %v, %d connections", sent, status, c.dead, p.total)
+			}
+			if n, err := server.Read(make([]byte, 100)); n > 0 {
+				t.Errorf("%d bytes came after all, %v", n, err)
+			}
+		})
+	}
+}
+
+// Crossing: a second answer is read from a connection just before the next call is written to it. It is not that call's, which
+// may have run.
+func TestAnswerReadBeforeItsCall(t *testing.T) {
+	t.Parallel()
+	p, c, server := resting(t)
+	p.mu.Lock()
+	go c.read()
+	if _, err := server.Write([]byte("EN O01\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	testprog.Until(t, "the answer has been read", c.reader.Resting) // and its reader waits for the lock
+	out := &call{inv: named("01"), done: make(chan relay.Result, 1), sent: time.Now()}
+	c.calls = append(c.calls, out)
+	p.mu.Unlock()
+	if r := testprog.Await(t, out.done, "end of the call"); r.Status != hoptiller.Reset {
+		t.Errorf("the call ends as %d", r.Status)
+	}
+}
+
 // Where all of a call's time goes by without a connection, that is the server's.
 func TestNoConnectionInTime(t *testing.T) {
 	t.Parallel()
--- a/internal/provider/dial.go
+++ b/internal/provider/dial.go
@@ -80,9 +80,9 @@
 		p.see(s, false)
 	}
 	if d.err = err; err == nil {
-		c := &conn{Conn: nc, pool: p, server: s, host: s.Name, load: 1}
+		c := &conn{Conn: nc, pool: p, server: s, host: s.Name, reader: reader, load: 1}
 		d.conn, s.conns = c, append(s.conns, c)
-		go c.read(reader)
+		go c.read()
 		if d.left {
 			c.leave()
 		}
--- a/internal/provider/find.go
+++ b/internal/provider/find.go
@@ -34,6 +34,9 @@
 		if c == nil && !full && p.set.MostTotal > 0 && p.total >= p.set.MostTotal {
 			full = !p.makeRoom()
 		}
+		if c == nil && full {
+			full = !p.dropResting(s)
+		}
 		if c == nil {
 			c = s.leastBusy(time.Now(), full)
 		}
@@ -94,13 +97,17 @@
 }
 
 // idle takes the idle connection that was used last; the others then end by and by. Those near the
-// server's idle limit are closed, since a call that crosses the server's close is lost as a reset.
+// server's idle limit are closed, since a call that crosses the server's close is lost as a reset. Those that still rest are
+// passed over.
 func (p *Pool) idle(s *server) *conn {
 	for i := len(s.conns) - 1; i >= 0; i-- {
 		c := s.conns[i]
 		if c.load > 0 {
 			continue
 		}
+		if c.useful && time.Since(c.idleAt) < p.set.Rest {
+			continue
+		}
 		if p.set.IdleLimit > 0 && time.Since(c.idleAt) >= p.set.IdleLimit {
 			p.drop(c)
 			continue
@@ -112,6 +119,17 @@
 	return nil
 }
 
+// dropResting makes room for another connection to a server where one still rests. p.mu is held.
+func (p *Pool) dropResting(s *server) bool {
+	for _, c := range s.conns {
+		if c.load == 0 {
+			p.drop(c)
+			return true
+		}
+	}
+	return false
+}
+
 // leastBusy finds the connection with the fewest calls among those that can be expected to answer. Without
 // one it is better to open another, unless the whole server may be slow: that would make it slower.
 func (s *server) leastBusy(now time.Time, full bool) *conn {
@@ -119,7 +137,7 @@
 	lates, lost := 0, false
 	for _, c := range s.conns {
 		switch {
-		case c.ending || c.body != nil:
+		case c.ending || c.body != nil || c.load == 0: // without a call it still rests
 		case len(c.calls) > 0 && now.Sub(c.calls[0].sent) > max(overdueLeast, overdue*s.typical):
 			lost = lost || s.passed.After(c.calls[0].sent)
 			if lates++; late == nil || c.load < late.load {
--- a/internal/provider/protocol.go
+++ b/internal/provider/protocol.go
@@ -1,6 +1,7 @@
 package provider
 
 import (
+	"bytes"
 	"errors"
 	"time"
 
@@ -58,6 +59,20 @@
 	return nil, n, c.Tail == "", nil
 }
 
+// ToEnd is the Decoder of a value that ends with its connection.
+type ToEnd struct{}
+
+// Take implements Decoder.
+func (ToEnd) Take(b []byte) (part []byte, used int, done bool, err error) {
+	return b, len(b), false, nil
+}
+
+// Receipt tells whether an origin's answer to a write can be passed on: any other would break the line in which a client is
+// given it.
+func Receipt(b []byte) bool {
+	return !bytes.ContainsFunc(b, func(r rune) bool { return r <= ' ' || r == 0x7f })
+}
+
 // Meta is the protocol of the slot caches.
 type Meta struct{}
 
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -24,6 +24,7 @@
 	MostTotal      int           // connections to all servers; 0: no limit
 	MostCalls      int           // calls out on one connection at once
 	IdleLimit      time.Duration // connections without use for so long are not used again; 0: no limit
+	Rest           time.Duration // after an answer, in which a connection gets no call: a second one may come
 	Places         int           // connections that each core of a server accepts; 0: not stated
 	Kept           int           // idle connections to a server that stay till then; more are closed sooner
 	ConnectTimeout time.Duration
--- a/internal/provider/whole.go
+++ b/internal/provider/whole.go
@@ -1,6 +1,7 @@
 package provider
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -11,6 +12,8 @@
 	"hoptiller/internal/relay"
 )
 
+const mostReceipt = 64 << 10 // bytes, as of one whose length is stated
+
 var errLong = errors.New("value too long")
 
 // whole is a long value that is here already. It is a relay.Body.
@@ -72,6 +75,13 @@
 	}
 	p.set.Room.Release(most - held)
 	switch {
+	case err == nil && b.out.inv.Write:
+		defer w.free()
+		receipt := bytes.Join(w.value.Parts(nil), nil)
+		if len(receipt) > mostReceipt || !Receipt(receipt) {
+			return relay.Result{Status: hoptiller.ServerError}
+		}
+		return relay.Result{Status: hoptiller.OK, Data: receipt}
 	case err == nil:
 		return relay.Result{Status: hoptiller.OK, Body: w}
 	case ctx.Err() != nil:
