Know each change of the list within 6 s, however the calls for it fail

Cause, by reading: the longest call that came to nothing took 8 s (4 s to connect, 4 s to the first word: Registry.get), a silent watch 4.5 s from its last byte, not its last line, and the wait before the next call was up to 3.75 s (router.go, List; with other settings 12 s). So a change could be known 11.7 s late. Further crossings there: - After SIGHUP, a word of the old watch that came when the new one had failed made the module believe that it was subscribed (List set watching): discovery was never asked again. - An old list that came after a newer one, on a watch opened before, put back what had drained (Client.told). - An answer of the old discovery to a call for the whole list overwrote the new one's. - Orders beyond 16 were dropped, and told as failed calls by a goroutine that nobody ended. - An indented list was cut at its first line end, and its watch broken (body.lines). A list without a length was refused.

Change: one limit for a call to connect (1.2 s), to its head (3.2 s, discovery's own is 3 s) and to its first line (4.2 s), 3 s between lines (one comes each 2 s); waits of 0.3 to 0.9 s after a first failure and up to 1.5 s after any. Versions are compared with what was known when the call began; an old list breaks its watch. Messages end with the object, not the line. Orders queue. TestWatchIsAskedAgain held the module subscribed by any list; it now wants a new watch after a failure whatever came since, and none after.

--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -219,5 +219,5 @@
 }
 
 func registry(c *config.Config) *directory.Registry {
-	return &directory.Registry{Addr: c.Discovery, Timeout: 4 * time.Second, Silence: 4500 * time.Millisecond}
+	return &directory.Registry{Addr: c.Discovery, Times: directory.PlatformTimes}
 }
--- a/defence_test.go
+++ b/defence_test.go
@@ -644,9 +644,15 @@
 		}
 		r.List(r.now, ListFailed, nil)
 	}
+	// What comes now is the last word of a watch that ran beside the one that has failed: none is left.
 	r.List(r.now, ListFull, fleet(1))
 	r.Timer(r.now, tokWatch)
-	if p.watches != 4 {
+	if p.watches != 5 {
+		t.Error("not asked again though no watch is left")
+	}
+	r.List(r.now, ListFull, fleet(1))
+	r.Timer(r.now, tokWatch)
+	if p.watches != 5 {
 		t.Error("asked again though subscribed")
 	}
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"slices"
 	"strconv"
 	"sync"
@@ -17,8 +16,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"hoptiller"
-	"hoptiller/internal/buffer"
-	"hoptiller/internal/http1"
 	"hoptiller/internal/relay"
 )
 
@@ -47,8 +44,8 @@
 type Source interface {
 	// List asks for the whole list.
 	List(ctx context.Context) (Update, error)
-	// Watch tells of what has changed since a version, until the watch breaks or ctx ends.
-	Watch(ctx context.Context, after int64, told func(Update)) error
+	// Watch tells of what has changed since a version, until the watch breaks, ctx ends or told fails.
+	Watch(ctx context.Context, after int64, told func(Update) error) error
 }
 
 // ParseUpdate reads an update in the platform's form.
@@ -162,8 +159,11 @@
 // Client asks a Source what the Router wants asked and tells a Relay. It is a
 // relay.Directory.
 type Client struct {
-	relay  Listener
-	orders chan order
+	relay Listener
+
+	ordersMu sync.Mutex
+	orders   []order       // to be carried out
+	ordered  chan struct{} // told of them
 
 	mu      sync.Mutex // serialises what is told
 	src     Source
@@ -180,13 +180,14 @@
 // watch is one watch that runs.
 type watch struct {
 	src    Source
+	after  int64 // the version that was known when it began
 	cancel context.CancelFunc
 }
 
 // NewClient returns a Client that knows what known says.
 func NewClient(src Source, names *Names, r Listener, known Update) *Client {
-	c := &Client{src: src, relay: r, names: names, orders: make(chan order, 16)}
-	c.told(hoptiller.ListCached, known, src, nil)
+	c := &Client{src: src, relay: r, names: names, ordered: make(chan struct{}, 1)}
+	c.told(hoptiller.ListCached, known, &watch{src: src})
 	return c
 }
 
@@ -200,44 +201,59 @@
 // tell counts until the new one has spoken.
 func (c *Client) Move(src Source) { c.order(order{watch: true, src: src}) }
 
-// order never blocks: a Router that asks more than can be carried out hears of it as of a failed call.
+// order never blocks.
 func (c *Client) order(o order) {
+	c.ordersMu.Lock()
+	c.orders = append(c.orders, o)
+	c.ordersMu.Unlock()
 	select {
-	case c.orders <- o:
+	case c.ordered <- struct{}{}:
 	default:
-		go c.failed(nil)
 	}
 }
 
+// taken are the orders since it was asked last.
+func (c *Client) taken() []order {
+	c.ordersMu.Lock()
+	defer c.ordersMu.Unlock()
+	orders := c.orders
+	c.orders = nil
+	return orders
+}
+
 // Run carries out the orders until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	var calls errgroup.Group
 	defer calls.Wait()
 	for {
-		var o order
 		select {
 		case <-ctx.Done():
 			return nil
-		case o = <-c.orders:
+		case <-c.ordered:
 		}
-		c.mu.Lock()
-		if o.src != nil { // another service counts its versions as it likes
-			c.src, c.version = o.src, 0
+		for _, o := range c.taken() {
+			c.carryOut(ctx, o, &calls)
 		}
-		src, after := c.src, c.version
-		switch {
-		case o.list:
-			calls.Go(func() error { c.list(ctx, src); return nil })
-		case o.watch:
-			w := &watch{src: src}
-			var watching context.Context
-			watching, w.cancel = context.WithCancel(ctx)
-			c.watches = append(c.watches, w)
-			calls.Go(func() error { c.watch(watching, w, after); return nil })
-		default:
-			c.end(len(c.watches))
-		}
-		c.mu.Unlock()
+	}
+}
+
+func (c *Client) carryOut(ctx context.Context, o order, calls *errgroup.Group) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.src != nil { // another service counts its versions as it likes
+		c.src, c.version = o.src, 0
+	}
+	src, after := c.src, c.version
+	switch {
+	case o.list:
+		calls.Go(func() error { c.list(ctx, src, after); return nil })
+	case o.watch:
+		w := &watch{src: src, after: after}
+		ctx, w.cancel = context.WithCancel(ctx)
+		c.watches = append(c.watches, w)
+		calls.Go(func() error { c.watch(ctx, w); return nil })
+	default:
+		c.end(len(c.watches))
 	}
 }
 
@@ -249,25 +265,26 @@
 	c.watches = slices.Delete(c.watches, 0, n)
 }
 
-func (c *Client) list(ctx context.Context, src Source) {
+func (c *Client) list(ctx context.Context, src Source, after int64) {
 	u, err := src.List(ctx)
 	if err == nil {
-		c.told(hoptiller.ListFull, u, src, nil)
-	} else if ctx.Err() == nil {
+		err = c.told(hoptiller.ListFull, u, &watch{src: src, after: after})
+	}
+	if err != nil && ctx.Err() == nil {
 		slog.Warn("directory call failed", "call", "list", "err", err)
 		c.failed(nil)
 	}
 }
 
 // watch runs one watch. When it breaks the Router is told, and orders the next when it sees fit.
-func (c *Client) watch(ctx context.Context, w *watch, after int64) {
+func (c *Client) watch(ctx context.Context, w *watch) {
 	defer w.cancel()
-	err := w.src.Watch(ctx, after, func(u Update) {
+	err := w.src.Watch(ctx, w.after, func(u Update) error {
 		kind := hoptiller.ListDelta
 		if u.Full {
 			kind = hoptiller.ListFull
 		}
-		c.told(kind, u, w.src, w)
+		return c.told(kind, u, w)
 	})
 	if ctx.Err() == nil {
 		slog.Warn("directory call failed", "call", "watch", "err", err)
@@ -275,23 +292,32 @@
 	}
 }
 
-// told passes on what a source says, in a watch or, where w is nil, in a call. The first word of a watch ends those before
+var (
+	errReplaced = errors.New("another service is asked by now")
+	errOld      = errors.New("an old list came after a newer one")
+)
+
+// told passes on what a source says, in a watch or in another call, unless something newer was told since that call began: the
+// versions of a service that has started anew are lower than what was known before. The first word of a watch ends those before
 // it, which ran on so that nothing is missed between; what such a one says after that counts no more.
-func (c *Client) told(kind hoptiller.ListKind, u Update, src Source, w *watch) {
+func (c *Client) told(kind hoptiller.ListKind, u Update, w *watch) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w != nil {
-		at := slices.Index(c.watches, w)
-		if at < 0 {
-			return
-		}
+	at := slices.Index(c.watches, w)
+	switch {
+	case at < 0 && (kind == hoptiller.ListDelta || w.cancel != nil || w.src != c.src):
+		return errReplaced
+	case w.src == c.src && u.Version < c.version && w.after < c.version:
+		return errOld
+	case at >= 0:
 		c.end(at)
 	}
-	if src == c.src {
+	if w.src == c.src {
 		c.version = u.Version
 	}
 	c.relay.Told(kind, c.names.Servers(u.Entries))
 	c.names.keep(c.relay.Knows)
+	return nil
 }
 
 // failed tells the Router of a call that failed, or of a watch unless a newer one runs in its place.
@@ -310,75 +336,3 @@
 	}
 	c.relay.Told(hoptiller.ListFailed, nil)
 }
-
-// Registry is the platform's discovery service.
-type Registry struct {
-	Addr    string
-	Timeout time.Duration // for the first word of an answer
-	Silence time.Duration // after which a watch counts as broken
-}
-
-const maxLine = 4 << 20 // of a list
-
-// List implements Source.
-func (r *Registry) List(ctx context.Context) (u Update, err error) {
-	err = r.get(ctx, "/registry/instances", func(line []byte) error {
-		u, err = ParseUpdate(line)
-		return err
-	})
-	return u, err
-}
-
-// Watch implements Source.
-func (r *Registry) Watch(ctx context.Context, after int64, told func(Update)) error {
-	path := "/registry/instances?watch=1&after=" + strconv.FormatInt(after, 10)
-	err := r.get(ctx, path, func(line []byte) error {
-		u, err := ParseUpdate(line)
-		if err == nil {
-			told(u)
-		}
-		return err
-	})
-	if err == nil {
-		err = errors.New("ended")
-	}
-	return err
-}
-
-// get makes a call and hands over each line of the answer's body as it comes, blank ones left out.
-func (r *Registry) get(ctx context.Context, path string, line func([]byte) error) error {
-	dialer := net.Dialer{Timeout: r.Timeout}
-	conn, err := dialer.DialContext(ctx, "tcp", r.Addr)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(r.Timeout))
-	if _, err := conn.Write(http1.AppendRequest(nil, "GET", path, r.Addr, -1)); err != nil {
-		return err
-	}
-	body := body{line: line}
-	buf := buffer.Get()
-	defer buffer.Put(buf)
-	var b []byte
-	for {
-		n, err := conn.Read(buf[:])
-		b = append(b, buf[:n]...)
-		used, done, bad := body.take(b)
-		switch {
-		case bad != nil:
-			return bad
-		case done:
-			return nil
-		case err != nil:
-			return err
-		case len(b)-used > maxLine:
-			return errors.New("line too long")
-		}
-		b = append(b[:0], b[used:]...)
-		if body.begun {
-			conn.SetReadDeadline(time.Now().Add(r.Silence))
-		}
-	}
-}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -36,12 +36,14 @@
 	}
 	for in, want := range map[string]string{
 		chunks("{\"a\":1}\n\n{\"b\"", ":2}\n", "\n"):                    `{"a":1};{"b":2}`,
+		chunks("{\n \"a\": [\n  \"}\\\"\"\n ]\n}\n\n{}", "\n"):          "{\n \"a\": [\n  \"}\\\"\"\n ]\n};{}",
+		chunks("{\"a\":\"x\n", "{}\n", "}\n"):                           "{\"a\":\"x;{};}",
 		"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"a\":1}":         `{"a":1}`,
 		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n\n{\"a\":1}\nrest": `{"a":1}`,
 	} {
 		for _, step := range []int{1, 3, len(in)} {
 			var got []string
-			b := body{line: func(l []byte) error { got = append(got, string(l)); return nil }}
+			b := body{message: func(l []byte) error { got = append(got, string(l)); return nil }}
 			rest, finished := "", false
 			for text := in; text != "" && !finished; {
 				n := min(step, len(text))
@@ -57,7 +59,7 @@
 			}
 		}
 	}
-	for _, in := range []string{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"} {
+	for _, in := range []string{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 Busy\r\n\r\n"} {
 		if _, _, err := (&body{}).take([]byte(in)); err == nil {
 			t.Errorf("%q was taken", in)
 		}
--- a/router.go
+++ b/router.go
@@ -19,6 +19,9 @@
 )
 
 const (
+	watchFirst = 600 * time.Millisecond // usual wait after a first broken watch or failed call for the list
+	watchMost  = time.Second            // and after any: with the longest call under the 6 s in which a change is told
+
 	sweepTick = 10 * time.Millisecond // how finely deadlines and silence are watched
 
 	tokSweep, tokWatch = 1, 2 // timers
@@ -190,13 +193,13 @@
 	if kind == ListFailed {
 		r.watching = false
 		r.watchFail++
-		base := time.Second << min(r.watchFail, 4) / 2
+		base := min(watchFirst*time.Duration(r.watchFail), watchMost)
 		base = min(base, cmp.Or(r.set.AskWithin/4, base))
 		r.act.SetTimer(tokWatch, base/2+r.jitter(base))
 		return
 	}
 	if kind != ListCached && r.set.ListOnRequest {
-		r.watching, r.watchFail = true, 0
+		r.watchFail = 0 // it may be the last word of a watch whose successor is still to be opened
 	}
 	listed := make(map[uint32]bool, len(entries))
 	for _, e := range entries {
