See clients leave behind commands that wait, and close without losing the last answer

Cause, by reading: three crossings at the front. - A client with more commands ahead than are taken (16, or one where the front is crowded) was not read until one was answered (readCommands, state full), so its close was not seen: its calls ran on, and each answer sent the next of its commands on. - A client that had come, asked and left before any of it was read had its request sent on: its end was looked for only at the next read. A router with a part of a core reads late. - A connection that the router ended just after an answer was closed at once (serve): what its client sent meanwhile reset it, and the last answer with it.

Change: behind commands that wait the socket is read on, up to 64 KiB of one client and 2 MiB of all; before what was read is taken the socket is looked at for the client's end; where an answer was written within the last half second, sending ends first and what comes is taken for that long at most.

--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -50,6 +50,12 @@
 	return err == syscall.EAGAIN
 }
 
+// Gone tells whether the other side has ended or reset the connection, and nothing more has come before that. It does not wait.
+func (r *Reader) Gone() bool {
+	n, err := r.peek()
+	return err == nil && n == 0 || err != nil && err != syscall.EAGAIN
+}
+
 func (r *Reader) peek() (n int, err error) {
 	closed := r.raw.Control(func(fd uintptr) {
 		var b [1]byte
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -21,6 +21,8 @@
 	headTime     = 2100 * time.Millisecond // that a client may need for a command
 	noticeTime   = 800 * time.Millisecond  // for clients to notice that the router is drained
 	closeTimeout = 500 * time.Millisecond  // for a client to close its side
+	mostAhead    = 2 << 20                 // bytes of all clients together that wait behind their commands
+	mostAheadOne = 64 << 10                // and of one
 	mostUnread   = 256 << 10               // bytes of a client that was told off, skipped while it closes
 )
 
@@ -43,6 +45,8 @@
 	part  bool      // a command has come in part
 	since time.Time // when the part came, or else since when nothing is out
 	end   bool      // once nothing is out
+	ahead bool      // what is read now has to wait, since too much is out
+	woken bool      // and need not any more
 
 	pieceBy time.Time // when a long value is coming: until when there must be more of it
 	restBy  time.Time // when end is set: until when the rest of a command may come
@@ -86,6 +90,8 @@
 	c.sit()
 	var by time.Time
 	switch {
+	case c.woken:
+		by = time.Unix(1, 0)
 	case !c.pieceBy.IsZero():
 		by = c.pieceBy
 	case c.part:
@@ -121,9 +127,10 @@
 	}
 	close(c.slots)
 	<-done
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && unread && ctx.Err() == nil {
-		// To close with something unread resets the connection, and the last answer may be lost with it.
-		// Where nothing is, the place is needed: a client that says nothing does not close its side either.
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && (unread || c.answeredLately()) && ctx.Err() == nil {
+		// To close with something unread, or before something comes that is on its way, resets the connection, and the last
+		// answer may be lost with it. Where there was none the place is needed: a client that says nothing does not close its
+		// side either.
 		tcp.CloseWrite()
 		c.SetReadDeadline(time.Now().Add(closeTimeout))
 		for skipped := 0; skipped < mostUnread; {
@@ -134,6 +141,13 @@
 	}
 }
 
+// answeredLately tells whether a client may not have read its last answer yet.
+func (c *conn) answeredLately() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked && time.Since(c.since) < closeTimeout
+}
+
 // readCommands reads until the connection ends. It tells whether it ended it itself, so that the answers
 // to what came before are still to be written, and whether there may be more that is not read.
 func (c *conn) readCommands(ctx context.Context) (own, unread bool) {
@@ -141,14 +155,20 @@
 	c.arm()
 	c.mu.Unlock()
 	for next := c.reader.Next; ; {
-		var last, full bool
+		var last, full, gone bool
 		err := next(func(b []byte) (used int) {
+			if gone = c.reader.Gone(); gone { // it came and has left: nothing that it asked for is wanted
+				return 0
+			}
 			for n := -1; n != 0 && !last && !full && c.long == nil && used < len(b); used += n {
 				n, last, full = c.command(ctx, b[used:])
 			}
 			return used
 		})
 		next = c.reader.Next
+		if gone {
+			return false, false
+		}
 		if c.long != nil && err == nil {
 			if last, err = c.gather(ctx); err != nil {
 				return errors.Is(err, os.ErrDeadlineExceeded), false
@@ -175,9 +195,7 @@
 		case err != nil:
 			return false, false
 		case full:
-			select { // whoever sends much ahead waits for answers of its own
-			case <-c.freed:
-			case <-ctx.Done():
+			if err := c.readAhead(ctx); err != nil {
 				return false, false
 			}
 			next = c.reader.Again
@@ -185,6 +203,47 @@
 	}
 }
 
+// readAhead waits until one of a client's commands is answered, as whoever sends much ahead must. It reads on meanwhile, so that
+// a client which goes is seen to be gone; but only so much is kept that is not yet taken, of one and of all.
+func (c *conn) readAhead(ctx context.Context) (err error) {
+	c.mu.Lock()
+	c.ahead = true
+	c.arm()
+	c.mu.Unlock()
+	c.front.ahead.Add(int64(c.reader.Unread()))
+	defer func() {
+		c.front.ahead.Add(-int64(c.reader.Unread()))
+		c.mu.Lock()
+		c.ahead, c.woken = false, false
+		c.arm()
+		c.mu.Unlock()
+	}()
+	for {
+		select { // before ahead was set
+		case <-c.freed:
+			return nil
+		default:
+		}
+		before := c.reader.Unread()
+		if c.front.ahead.Load() < mostAhead && before < mostAheadOne {
+			err = c.reader.Next(func([]byte) int { return 0 })
+			c.front.ahead.Add(int64(c.reader.Unread() - before))
+		} else {
+			select {
+			case <-c.freed:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
 // ending tells whether the connection goes once nothing is out on it.
 func (c *conn) ending() bool {
 	c.mu.Lock()
@@ -227,5 +286,11 @@
 		case c.freed <- struct{}{}:
 		default:
 		}
+		c.mu.Lock()
+		if c.ahead {
+			c.woken = true
+			c.arm()
+		}
+		c.mu.Unlock()
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -47,6 +47,7 @@
 	closing   atomic.Int64 // if set, connections end once nothing is out on them, and what has begun has so long to come
 
 	seats seats
+	ahead atomic.Int64 // bytes of clients that wait behind their commands
 
 	left chan struct{} // told when a connection has ended
 
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"hoptiller/internal/buffer"
@@ -83,6 +84,11 @@
 			return true, nil
 		}
 	}
+	if c.reader.Gone() {
+		free()
+		ended()
+		return false, io.EOF
+	}
 	inv.Long = value
 	c.invoke(ctx, inv, free)
 	return false, nil
