Answer all before SIGKILL after SIGTERM, and take SIGTERM from the first moment

SIGKILL follows SIGTERM by the longest deadline, at most 3 s, and 0.7 s; what came in between had its whole deadline (front.Serve waited for it without end). By reading: a SIGTERM that came before the listeners were open ended the program by the signal, since the handler was set behind them.

Change: what is still open 0.3 s before SIGKILL is answered as failed (Front.Last); the handler is set first of all in Run.

Tests, run both ways: TestOpenWhenTheTimeIsOver (without: no answer in 30 s), TestStopBeforeReady (once and twice; the configuration is a named pipe that holds the program; without: "signal: terminated"), TestStopWhileReloading (SIGTERM twice while SIGHUP is held; passed before).

--- /dev/null
+++ b/cmd/hoptiller/crossing_shutdown_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// pipe puts a named pipe in the place of a file. The function that it gives waits until somebody reads it, and then again until
+// it is given what to write.
+func pipe(t *testing.T, path string) (reader func() (write func(text []byte))) {
+	t.Helper()
+	os.Remove(path)
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return func() func([]byte) {
+		opened := make(chan *os.File, 1)
+		go func() {
+			f, err := os.OpenFile(path, os.O_WRONLY, 0)
+			if err != nil {
+				t.Error(err)
+			}
+			opened <- f
+		}()
+		select {
+		case f := <-opened:
+			return func(text []byte) {
+				f.Write(text)
+				f.Close()
+			}
+		case <-time.After(patience):
+			t.Fatal("nobody reads the configuration")
+			return nil
+		}
+	}
+}
+
+// Crossing: SIGTERM, once or twice, comes while the program still reads its configuration. It ends well.
+func TestStopBeforeReady(t *testing.T) {
+	t.Parallel()
+	for name, times := range map[string]int{"once": 1, "twice": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			path := filepath.Join(t.TempDir(), "config.json")
+			reader := pipe(t, path)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*patience)
+			defer cancel()
+			cmd := exec.CommandContext(ctx, binary)
+			cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path)
+			var log strings.Builder
+			cmd.Stderr = &log
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			write := reader()
+			for range times {
+				if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+					t.Fatal(err)
+				}
+			}
+			write([]byte(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","known":{"version":1,"full":true,"servers":[]},"settings":` +
+				settings + `}`))
+			if err := cmd.Wait(); err != nil {
+				t.Errorf("%v, log %s", err, log.String())
+			}
+		})
+	}
+}
+
+// Crossing: SIGTERM comes while SIGHUP is being taken, and again. What is in flight is answered, and the program ends well.
+func TestStopWhileReloading(t *testing.T) {
+	t.Parallel()
+	w := start(t, []string{"p1"}, "")
+	play := func(text string) { w.play(t, t.Name(), strings.Split(text, "\n")) }
+	play(`
+		c1 send mg k1 v O01 Pc=read,d=9000
+		p1 expect mg k1 *`)
+	reader := pipe(t, w.path)
+	if err := w.program.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	write := reader()
+	play(`
+		program close
+		program wait * msg=stopping*
+		program close
+		p1 send VA 1 O01\r\nx
+		c1 expect VA 1 O01
+		c1 expect x`)
+	write([]byte(w.text))
+	play(`
+		c1 expect <closed>
+		program expect 0`)
+}
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -89,15 +89,27 @@
 // keep is how long clients are served after SIGTERM on the connections that they have: SIGKILL comes when the
 // longest deadline, counted as 3 s at the most, and linger are over, and till then all must be answered.
 func keep(classes []hoptiller.Class) time.Duration {
-	var deadline, aim time.Duration
+	var aim time.Duration
 	for _, c := range classes {
-		deadline, aim = max(deadline, c.Deadline), max(aim, c.Aim)
+		aim = max(aim, c.Aim)
 	}
-	return max(linger, linger+min(deadline, 3*time.Second)-aim-spare)
+	return max(linger, last(classes)-aim)
+}
+
+// last is how long after SIGTERM all must be answered.
+func last(classes []hoptiller.Class) time.Duration {
+	var deadline time.Duration
+	for _, c := range classes {
+		deadline = max(deadline, c.Deadline)
+	}
+	return linger + min(deadline, 3*time.Second) - spare
 }
 
 // Run serves until SIGTERM.
 func (s *serveCmd) Run(hup chan os.Signal) error {
+	// First of all: a SIGTERM that comes before the rest is ready ends the program as well as any other.
+	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer release()
 	c, p, err := s.load(s.Discovery)
 	var report *plan.Report
 	if errors.As(err, &report) {
@@ -165,7 +177,7 @@
 	f := &front.Front{
 		Classes: c.Classes, Tenants: c.Tenants, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held,
 		MostOpen: shares.open, Room: room,
-		Linger: linger, Keep: keep(c.Settings.Classes), Rest: closeTime,
+		Linger: linger, Keep: keep(c.Settings.Classes), Rest: closeTime, Last: last(c.Settings.Classes),
 		Life: life, Counts: counts, Server: server,
 	}
 	if c.SocketFD != "" { // another process accepts from the same socket
@@ -178,8 +190,6 @@
 	}
 
 	fleet.phase = func() view.Phase { return phase(life.Phase(), f.Ready()) }
-	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer release()
 	defer context.AfterFunc(stop, func() {
 		life.Tell(lifecycle.Stop)
 		slog.Info("stopping")
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -170,3 +170,19 @@
 		t.Errorf("got %q, %v", text, err)
 	}
 }
+
+// What is still open when the time after a stop is over is answered, as failed.
+func TestOpenWhenTheTimeIsOver(t *testing.T) {
+	t.Parallel()
+	served := until{make(chan string, 9), make(chan string, 9)}
+	f := &Front{MostConns: 4, MostOpen: 4, Keep: time.Hour, Last: 50 * time.Millisecond, Server: served}
+	conn := start(t, f)()
+	fmt.Fprint(conn, "mg k v O1 Pc=read,d=900\r\n")
+	testprog.Await(t, served.came, "request")
+	f.Life.Tell(lifecycle.Stop)
+	if line, err := bufio.NewReader(conn).ReadString('\n'); line != "SERVER_ERROR failed\r\n" {
+		t.Errorf("got %q, %v", line, err)
+	}
+	conn.Close()
+	testprog.Await(t, served.left, "end of the request")
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,6 +38,7 @@
 	Linger    time.Duration       // for which connections are still accepted after a stop
 	Keep      time.Duration       // for which those that are open are served after it, while there are any
 	Rest      time.Duration       // which commands that have begun have after that to come whole
+	Last      time.Duration       // after a stop, when whatever is still open is answered as failed; 0: it has its time
 	Room      *semaphore.Weighted // bytes of long values that are held at once, of the longest at least
 	Life      *lifecycle.State
 	Counts    *figures.Counts
@@ -47,7 +48,8 @@
 	closing   atomic.Int64 // if set, connections end once nothing is out on them, and what has begun has so long to come
 
 	seats seats
-	ahead atomic.Int64 // bytes of clients that wait behind their commands
+	ahead atomic.Int64  // bytes of clients that wait behind their commands
+	last  chan struct{} // closed when all that is open has to be answered
 
 	left chan struct{} // told when a connection has ended
 
@@ -61,7 +63,7 @@
 // Serve accepts clients and follows the router's life: once that stops it accepts for Linger, serves those it
 // has until Keep is over, finishes what was taken and returns. When ctx ends, it drops everything.
 func (f *Front) Serve(ctx context.Context, listeners ...net.Listener) error {
-	f.left = make(chan struct{}, 1)
+	f.left, f.last = make(chan struct{}, 1), make(chan struct{})
 	f.mu.Lock()
 	f.open = map[string]bool{}
 	f.mu.Unlock()
@@ -74,6 +76,9 @@
 	f.accepting.Store(true)
 	f.follow(ctx)
 	stopped := time.Now()
+	if f.Last > 0 {
+		defer time.AfterFunc(f.Last, func() { close(f.last) }).Stop()
+	}
 	f.wait(ctx, stopped.Add(f.Linger), false) // clients still come until the front layer has noticed
 	for _, l := range listeners {
 		l.Close()
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -168,6 +168,8 @@
 	var a relay.Answer
 	select {
 	case a = <-s.answer:
+	case <-c.front.last: // this process ends: the client must hear so before that
+		a.Kind = hoptiller.StepFail
 	case <-ctx.Done():
 		c.front.Counts.Ended(s.class, figures.Failed)
 		return false
