Start with settings of which a part can't be right, and then run nothing twice

Cause, by reading: config.ParseSettings refused all settings for one unknown effect or group or a figure of a wrong type, Parse for no classes or one without a name, and for a spoilt entry in the list known at the start; the program did not start. Names were read apart from classes ("classes.#.name" passes over those without one). Times up to 292 years overflowed when the present time was added (the window for repeats, a request's end); a deadline of zero ended each request at once, a connect time of zero let a dial last for ever.

Change: what can't be read is in doubt, told in one line ("settings in doubt"), and taken for what is safest: a class with an unknown effect or group, or stated twice differently, is never sent twice; without classes all requests are of one such; one without a name can't be asked for, nor an account without one; no deadline is 3 s, as the platform counts the longest; times end at a year, numbers at 1e12, limits at 2^20. Text that is no JSON, has no settings or no address is still refused.

Tests replaced by ones as strict, as the issue wants a start where they wanted a refusal: TestSettings and TestFurtherRules want each doubt's words and the careful class; TestBadConfiguration's "no classes" and "no id" are cases of TestCareful, TestNoClasses and TestDoubtfulSettings, which plays five doubtful settings against the program on sockets.

--- /dev/null
+++ b/cmd/hoptiller/crossing_settings_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+// Settings of which a part can't be right: the program starts, says so in one line, and sends nothing twice of which it does not
+// know that it may.
+func TestDoubtfulSettings(t *testing.T) {
+	t.Parallel()
+	read := settings[strings.Index(settings, `{"name":"read"`):strings.Index(settings, `{"name":"book"`)]
+	for name, c := range map[string]struct{ from, to, says string }{
+		"unknown effect": {`"idempotent"`, `"magic"`, `unknown effect`},
+		"no effect":      {`"effect":"idempotent",`, ``, `unknown effect`},
+		"stated twice":   {read, read + strings.Replace(read, "idempotent", "at_most_once", 1), `stated twice`},
+		"no deadline":    {`"at_most_once","onTime":9000000,"deadline":9000000`, `"at_most_once","onTime":0`, `no deadline`},
+		"huge figures":   {`"deadline":9000000,"worth":1}`, `"deadline":9e300,"worth":9e300}`, `is beyond`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := startWith(t, []string{"p1"}, "", c.from, c.to)
+			play := func(text string) { w.play(t, name, strings.Split(text, "\n")) }
+			play(`
+				program wait *settings in doubt*` + c.says + `*
+				c1 send mg k1 v O01 Pc=book,d=9000
+				p1 wait mg k1 *
+				p1 close
+				c1 expect SERVER_ERROR failed`)
+			if c.says == "unknown effect" || c.says == "stated twice" {
+				play(`
+				c2 send mg k2 v O02 Pc=read,d=9000
+				p1 wait mg k2 *
+				p1 close
+				c2 expect SERVER_ERROR failed`)
+			}
+		})
+	}
+}
+
+// Without any class all requests are of one that must not run twice.
+func TestNoClasses(t *testing.T) {
+	t.Parallel()
+	from := settings[strings.Index(settings, `[
+	{"name":"read"`):strings.Index(settings, `,
+	"familyInfo"`)]
+	startWith(t, []string{"p1"}, "", from, `[]`).play(t, t.Name(), strings.Split(`
+		program wait *settings in doubt*no classes*
+		c1 send mg k1 v O01 Pc=slot-view,d=9000
+		p1 expect mg k1 *
+		p1 close
+		c1 expect SERVER_ERROR failed
+		c2 send mg k2 v O02 Pc=other
+		p1 wait mg k2 *
+		p1 send VA 1 O02\r\nx
+		c2 expect VA 1 O02
+		c2 expect x`, "\n"))
+}
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -133,6 +133,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Doubts != "" {
+		slog.Warn("settings in doubt", "what", c.Doubts)
+	}
 	if c.Contradicts != "" {
 		slog.Warn("settings contradict themselves", "what", c.Contradicts)
 	}
@@ -175,7 +178,7 @@
 	fresh := &freshList{Listener: listener, told: make(chan struct{})}
 	dir := directory.NewClient(registry(c), names, fresh, c.Known)
 	f := &front.Front{
-		Classes: c.Classes, Tenants: c.Tenants, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held,
+		Classes: c.Classes, AnyClass: c.AnyClass, Tenants: c.Tenants, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held,
 		MostOpen: shares.open, Room: room,
 		Linger: linger, Keep: keep(c.Settings.Classes), Rest: closeTime, Last: last(c.Settings.Classes),
 		Life: life, Counts: counts, Server: server,
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -81,7 +81,7 @@
 		return fmt.Errorf("event code %d comes before any Context", e.Code)
 	}
 	if e.Code == wire.Provision {
-		set, err := config.ParseSettings(e.Conf)
+		set, _, err := config.ParseSettings(e.Conf)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", h.current, err)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,6 +28,7 @@
 // Front serves the clients of a router, who may come by several listeners.
 type Front struct {
 	Classes   []string            // names, by number
+	AnyClass  bool                // whatever class a request names, it is of the first
 	Tenants   []string            // names, by number; none: all clients are one customer
 	Deadlines []time.Duration     // for an invocation that states none, by class
 	Aims      []time.Duration     // after which an answer counts as late, by class; 0 or none: never
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -141,7 +141,9 @@
 // facts reads the names and values that come with an invocation and tells what is wrong with them.
 func (f *Front) facts(inv *relay.Invocation, facts []byte) (fault string) {
 	class, _ := meta.Fact(facts, "c")
-	if inv.Class = slices.Index(f.Classes, string(class)); inv.Class < 0 {
+	if f.AnyClass {
+		inv.Class = 0
+	} else if inv.Class = slices.Index(f.Classes, string(class)); inv.Class < 0 || len(class) == 0 {
 		return "unknown class"
 	}
 	inv.Remaining = f.Deadlines[inv.Class]
@@ -154,7 +156,9 @@
 	}
 	if len(f.Tenants) > 0 { // one that is not known has no share to go beyond
 		tenant, _ := meta.Fact(facts, "t")
-		inv.Tenant = slices.Index(f.Tenants, string(tenant))
+		if inv.Tenant = slices.Index(f.Tenants, string(tenant)); len(tenant) == 0 {
+			inv.Tenant = -1
+		}
 	}
 	retry, _ := meta.Fact(facts, "r")
 	inv.Retry = string(retry) == "1"
