Bound the fleet's sum at a cold server where many others vanish at once and a key is hot

Three lines of router.go: - learnUnit set what was carried, which is smoothed, against the warm weight of this moment: where nine of ten vanished, one server seemed to carry what ten had, and the cold one's part grew tenfold. - What was carried was smoothed over 10 s at the most, a few answers on a router with 2 requests a second, and the largest was kept. - coldRoom counted a key's part of at least 48 reads: with 16 reads a key with 0.4 of them seemed to have 0.13, and each of 300 routers sent its first.

Change: the warm weight is smoothed alike; carried over 32 answers also where that is longer than 10 s; a key's part is that of the reads there were, of 8 at least.

TestColdRoomInTheOwnZone only passes the new argument.

--- a/router.go
+++ b/router.go
@@ -138,7 +138,7 @@
 
 	rate              float64 // answers a second from warm caches, smoothed
 	served            int     // of them that were no misses
-	carried           float64 // and those a second, smoothed
+	carried, warm     float64 // and those a second, and the weight of warm caches, smoothed alike
 	rateAt            time.Duration
 	answers, arrived  int
 	arrivals          float64       // requests a second, smoothed
@@ -520,7 +520,7 @@
 	s.askedAt = r.now
 	expected := r.arrivals / rate // what this instance sees too rarely to count
 	if home {                     // a key seen but once may be a hot one all the same
-		expected *= max(s.weight/max(r.upWeight, 1e-9), r.part(q.Key))
+		expected *= max(s.weight/max(r.upWeight, 1e-9), float64(r.keys[q.Key])/float64(max(r.reads, 8)))
 	}
 	return r.chance()*max(s.asked, expected) < room
 }
@@ -950,7 +950,8 @@
 	if span := (r.now - r.rateAt).Seconds(); span >= 0.1 {
 		part := min(1, span/max(0.5, min(10, 32/max(r.rate, 1)))) // over at least 32 answers
 		r.rate += (float64(r.answers)/span - r.rate) * part
-		r.carried += (float64(r.served)/span - r.carried) * part
+		long := min(1, span/max(0.5, 32/max(r.rate, 1))) // as many even where they are few
+		r.carried += (float64(r.served)/span - r.carried) * long
 		r.arrivals += (float64(r.arrived)/span - r.arrivals) * part
 		r.answers, r.served, r.arrived, r.rateAt = 0, 0, 0, r.now
 		borne := badMost
@@ -969,7 +970,7 @@
 			r.paths[z] *= math.Exp(-span / healthFade)
 		}
 		r.lostIdle *= math.Exp(-span / idleFade)
-		r.learnUnit(span)
+		r.learnUnit(span, long)
 		for k, at := range r.held {
 			if (r.now - at).Seconds() > keyHeld {
 				delete(r.held, k)
@@ -1060,7 +1061,7 @@
 
 // learnUnit keeps what a unit of warm weight is seen to carry, for the cold budget; until
 // something is seen, the tenants' allowance over the fleet stands in.
-func (r *Router) learnUnit(span float64) {
+func (r *Router) learnUnit(span, part float64) {
 	warm, all, allowed := 0.0, 0.0, 0.0
 	for _, s := range r.caches {
 		w := s.Weight * r.near(s.Zone)
@@ -1071,8 +1072,9 @@
 	for i := range r.set.Tenants {
 		allowed += r.tenantRate(i)
 	}
-	if warm > 0 {
-		r.unit = max(r.carried/warm, r.unit*(1-span/30))
+	r.warm = cmp.Or(r.warm, warm)
+	if r.warm += (warm - r.warm) * part; warm > 0 { // many may vanish at once, and what they carried still be counted
+		r.unit = max(r.carried/r.warm, r.unit*(1-span/30))
 	}
 	r.unit = max(r.unit, allowed/max(all, 1e-9)/2)
 }
--- a/scale_test.go
+++ b/scale_test.go
@@ -356,7 +356,7 @@
 func TestColdRoomInTheOwnZone(t *testing.T) {
 	r := hundreds().routers[0]
 	r.carried, r.arrivals = 20, 20
-	r.learnUnit(0.1)
+	r.learnUnit(0.1, 1)
 	s, passed := r.caches[0], 0
 	for range 1000 {
 		r.now += 10 * time.Second // its part of a warm cache's is 0.3 requests a second, and half warm 0.17
