Rename what the front calls its connections' places: table, state, pending answers, evict

Only names: seats and seat are connTable and entry, standing is connState, sit is track, slot and slots are pendingAnswer and pending, makeRoom is evict, and room.go is conntable.go. Nothing else changes. The front's tests pass as before.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -29,12 +29,12 @@
 // conn is one client connection.
 type conn struct {
 	net.Conn
-	front  *Front
-	reader *buffer.Reader
-	slots  chan slot     // answers to come, in the order of the commands
-	freed  chan struct{} // told when one has been written
-	faults int           // commands that made no sense
-	client netip.Addr
+	front   *Front
+	reader  *buffer.Reader
+	pending chan pendingAnswer // answers to come, in the order of the commands
+	freed   chan struct{}      // told when one has been written
+	faults  int                // commands that made no sense
+	client  netip.Addr
 
 	long    *relay.Invocation // a write of which the value is still to come
 	longLen int
@@ -51,14 +51,14 @@
 	pieceBy time.Time // when a long value is coming: until when there must be more of it
 	restBy  time.Time // when end is set: until when the rest of a command may come
 
-	// Guarded by the front's seats.
-	seat     *list.Element
-	standing standing
-	standsAt time.Time
+	// Guarded by the front's conns.
+	entry      *list.Element
+	state      connState
+	stateSince time.Time
 }
 
-// sit tells the others what this connection is to them. c.mu is held.
-func (c *conn) sit() {
+// track tells the others what this connection is to them. c.mu is held.
+func (c *conn) track() {
 	to := silent
 	switch {
 	case c.out > 0:
@@ -70,7 +70,7 @@
 	case c.asked:
 		to = idle
 	}
-	c.front.seats.move(c, to)
+	c.front.conns.move(c, to)
 }
 
 // endIfIdle ends a connection if nothing is out on it. A command that has begun, or may be on its way where there was none
@@ -87,7 +87,7 @@
 // arm sets how long the next read may take: a client that says nothing, or never the rest of a command,
 // must hold neither a place nor, after SIGTERM, the program. c.mu is held.
 func (c *conn) arm() {
-	c.sit()
+	c.track()
 	var by time.Time
 	switch {
 	case c.woken:
@@ -125,7 +125,7 @@
 	if !own {
 		cancel() // the client has left: nothing that it asked for is wanted any more
 	}
-	close(c.slots)
+	close(c.pending)
 	<-done
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && (unread || c.answeredLately()) && ctx.Err() == nil {
 		// To close with something unread, or before something comes that is on its way, resets the connection, and the last
@@ -274,7 +274,7 @@
 // writeAnswers writes the answers in the order of their commands.
 func (c *conn) writeAnswers(ctx context.Context, cancel context.CancelFunc) {
 	broken := false
-	for s := range c.slots {
+	for s := range c.pending {
 		broken = !c.writeAnswer(ctx, &s, broken) || broken
 		if broken {
 			cancel() // ends the reading
--- a/internal/front/room.go
+++ b/internal/front/conntable.go
@@ -12,48 +12,48 @@
 	atOnce  = 16                     // connections that make room together
 )
 
-// standing is what a connection is to those that want its place.
-type standing uint8
+// connState is what a connection is to those that want its place.
+type connState uint8
 
 const (
-	busy    standing = iota // something is out on it
-	silent                  // it never had a command
-	halfway                 // a command has come in part
-	idle                    // it may ask again, here or on a new one
-	going                   // it ends at once
-	standings
+	busy    connState = iota // something is out on it
+	silent                   // it never had a command
+	halfway                  // a command has come in part
+	idle                     // it may ask again, here or on a new one
+	going                    // it ends at once
+	connStates
 )
 
-// seats knows the connections by standing, each in the order in which they came to it, so that to find the one that
+// connTable knows the connections by state, each in the order in which they came to it, so that to find the one that
 // goes costs the same however many there are.
-type seats struct {
+type connTable struct {
 	mu    sync.Mutex
-	lists [standings]list.List
+	lists [connStates]list.List
 }
 
-// move gives a connection its standing.
-func (s *seats) move(c *conn, to standing) {
+// move gives a connection its state.
+func (s *connTable) move(c *conn, to connState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.seat != nil {
-		if to == c.standing {
+	if c.entry != nil {
+		if to == c.state {
 			return
 		}
-		s.lists[c.standing].Remove(c.seat)
+		s.lists[c.state].Remove(c.entry)
 	}
-	c.standing, c.standsAt = to, time.Now()
-	c.seat = s.lists[to].PushBack(c)
+	c.state, c.stateSince = to, time.Now()
+	c.entry = s.lists[to].PushBack(c)
 }
 
 // leave forgets a connection.
-func (s *seats) leave(c *conn) {
+func (s *connTable) leave(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lists[c.standing].Remove(c.seat)
+	s.lists[c.state].Remove(c.entry)
 }
 
 // all are the connections that there are.
-func (s *seats) all() (conns []*conn) {
+func (s *connTable) all() (conns []*conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.lists {
@@ -64,9 +64,9 @@
 	return conns
 }
 
-// first is the connection that has had a standing longest, if that is for some time; s.mu is held.
-func (s *seats) first(of standing, now time.Time, least time.Duration) *conn {
-	if e := s.lists[of].Front(); e != nil && now.Sub(e.Value.(*conn).standsAt) >= least {
+// first is the connection that has had a state longest, if that is for some time; s.mu is held.
+func (s *connTable) first(of connState, now time.Time, least time.Duration) *conn {
+	if e := s.lists[of].Front(); e != nil && now.Sub(e.Value.(*conn).stateSince) >= least {
 		return e.Value.(*conn)
 	}
 	return nil
@@ -76,7 +76,7 @@
 // go at once, for they may come by the hundred. Else one that may ask again on a new one, then one that has only just
 // come and says nothing, and last one whose command may still come whole: the first to have begun, since most that do
 // come are shorter.
-func (s *seats) last(now time.Time) *conn {
+func (s *connTable) last(now time.Time) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ending := s.lists[going].Len()
@@ -104,7 +104,7 @@
 // surplus is the connection that goes where clients hold too many: if those that have asked are more than kept the one
 // that was used longest ago, and if all that have begun to ask are more than held that one too, or else the one
 // that has been at its command longest.
-func (s *seats) surplus(kept, held int) *conn {
+func (s *connTable) surplus(kept, held int) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	asked := s.lists[busy].Len() + s.lists[idle].Len()
@@ -120,16 +120,16 @@
 	return nil
 }
 
-// makeRoom waits for a place. Clients that connect and say nothing, or half a command, must not keep the
+// evict waits for a place. Clients that connect and say nothing, or half a command, must not keep the
 // others out, so where there is no place another connection goes.
-func (f *Front) makeRoom(places chan struct{}) {
+func (f *Front) evict(places chan struct{}) {
 	for {
 		select {
 		case places <- struct{}{}:
 			return
 		default:
 		}
-		if c := f.seats.last(time.Now()); c != nil {
+		if c := f.conns.last(time.Now()); c != nil {
 			c.endIfIdle(0)
 		}
 		select {
@@ -143,7 +143,7 @@
 // thin ends a connection where many are kept: clients hold only so many at once, and those that ask once and keep
 // theirs, or are long in asking, would leave the others none to ask on.
 func (f *Front) thin() {
-	if c := f.seats.surplus(f.MostKept, f.MostHeld); c != nil {
+	if c := f.conns.surplus(f.MostKept, f.MostHeld); c != nil {
 		c.endIfIdle(0)
 	}
 }
--- a/internal/front/room_test.go
+++ b/internal/front/conntable_test.go
@@ -13,57 +13,57 @@
 func TestWhoMakesRoom(t *testing.T) {
 	f := &Front{}
 	start := time.Now()
-	seat := func(to standing, age time.Duration) *conn {
+	entry := func(to connState, age time.Duration) *conn {
 		a, b := net.Pipe()
 		t.Cleanup(func() { a.Close(); b.Close() })
 		c := &conn{Conn: a, front: f, asked: to == idle, part: to == halfway}
-		f.seats.move(c, to)
-		c.standsAt = start.Add(-age)
+		f.conns.move(c, to)
+		c.stateSince = start.Add(-age)
 		if to == busy {
 			c.out = 1
 		}
 		return c
 	}
 	const second = time.Second
-	seat(busy, 9*second)
+	entry(busy, 9*second)
 	var silents []*conn
 	for i := range 2 * atOnce {
-		silents = append(silents, seat(silent, second-time.Duration(i)))
+		silents = append(silents, entry(silent, second-time.Duration(i)))
 	}
-	fresh := seat(silent, 0)
-	long, young := seat(halfway, 3*second), seat(halfway, second)
+	fresh := entry(silent, 0)
+	long, young := entry(halfway, 3*second), entry(halfway, second)
 	young.endIfIdle(time.Hour) // as in a drain: it has its time, and no place of its own
-	firstIdle, secondIdle := seat(idle, second), seat(idle, 0)
+	firstIdle, secondIdle := entry(idle, second), entry(idle, 0)
 	for _, want := range silents[:atOnce] {
-		if c := f.seats.last(start); c != want {
-			t.Fatalf("%v goes, want the first of the silent ones", c.standing)
+		if c := f.conns.last(start); c != want {
+			t.Fatalf("%v goes, want the first of the silent ones", c.state)
 		}
 		want.endIfIdle(0)
 	}
-	if c := f.seats.last(start); c != nil {
-		t.Fatalf("%v goes while %d are going", c.standing, atOnce)
+	if c := f.conns.last(start); c != nil {
+		t.Fatalf("%v goes while %d are going", c.state, atOnce)
 	}
 	for i, c := range silents {
 		if i >= atOnce {
 			c.endIfIdle(0)
 		}
-		f.seats.leave(c)
+		f.conns.leave(c)
 	}
 	for _, c := range []struct {
 		*conn
 		at time.Time
 	}{{long, start}, {firstIdle, start}, {secondIdle, start}, {nil, start}, {fresh, start.Add(hushed)}, {young, start}} {
-		if got := f.seats.last(c.at); got != c.conn {
+		if got := f.conns.last(c.at); got != c.conn {
 			t.Fatalf("%v goes, want %v", got, c.conn)
 		}
 		if c.conn == nil { // what has just come may be about to ask
 			continue
 		}
 		c.endIfIdle(0)
-		if got := f.seats.last(start); got != nil {
-			t.Fatalf("%v goes as well", got.standing)
+		if got := f.conns.last(start); got != nil {
+			t.Fatalf("%v goes as well", got.state)
 		}
-		f.seats.leave(c.conn)
+		f.conns.leave(c.conn)
 	}
 }
 
@@ -73,14 +73,14 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f := &Front{}
 			for range n {
-				f.seats.move(&conn{front: f}, silent)
+				f.conns.move(&conn{front: f}, silent)
 			}
 			late := time.Now().Add(time.Second)
 			for b.Loop() {
-				c := f.seats.last(late)
-				f.seats.move(c, busy)
-				f.seats.move(c, silent)
-				c.standsAt = time.Time{}
+				c := f.conns.last(late)
+				f.conns.move(c, busy)
+				f.conns.move(c, silent)
+				c.stateSince = time.Time{}
 			}
 		})
 	}
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -124,7 +124,7 @@
 	if line, err := bufio.NewReader(conn).ReadString('\n'); line != "MN\r\n" {
 		t.Fatalf("got %q, %v", line, err)
 	}
-	testprog.Until(t, "the others are done with", func() bool { return len(f.seats.all()) == 1 })
+	testprog.Until(t, "the others are done with", func() bool { return len(f.conns.all()) == 1 })
 	if n := len(served.came); n > 0 {
 		t.Errorf("%d requests of clients that had left were sent on", n)
 	}
@@ -142,9 +142,9 @@
 	conn := start(t, f)().(*net.TCPConn)
 	fmt.Fprint(conn, "mg k v O1 Pc=read,d=900\r\n")
 	testprog.Until(t, "the connection rests after its answer", func() bool {
-		f.seats.mu.Lock()
-		defer f.seats.mu.Unlock()
-		return f.seats.lists[idle].Len() == 1
+		f.conns.mu.Lock()
+		defer f.conns.mu.Unlock()
+		return f.conns.lists[idle].Len() == 1
 	})
 	f.Life.Tell(lifecycle.Stop)
 	raw, err := conn.SyscallConn()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,7 +48,7 @@
 	accepting atomic.Bool
 	closing   atomic.Int64 // if set, connections end once nothing is out on them, and what has begun has so long to come
 
-	seats seats
+	conns connTable
 	ahead atomic.Int64  // bytes of clients that wait behind their commands
 	last  chan struct{} // closed when all that is open has to be answered
 
@@ -117,7 +117,7 @@
 // accept takes the clients of one listener until it is closed.
 func (f *Front) accept(ctx context.Context, g *errgroup.Group, l net.Listener, places chan struct{}) {
 	for {
-		f.makeRoom(places)
+		f.evict(places)
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			<-places
@@ -135,17 +135,17 @@
 			nc.Close()
 			continue
 		}
-		c := &conn{Conn: nc, front: f, reader: reader, slots: make(chan slot, readAhead), freed: make(chan struct{}, 1),
+		c := &conn{Conn: nc, front: f, reader: reader, pending: make(chan pendingAnswer, readAhead), freed: make(chan struct{}, 1),
 			since: time.Now()}
 		if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 			c.client = a.AddrPort().Addr().Unmap()
 		}
-		f.seats.move(c, silent)
+		f.conns.move(c, silent)
 		f.thin()
 		g.Go(func() error {
 			defer func() { <-places }()
 			c.serve(ctx)
-			f.seats.leave(c)
+			f.conns.leave(c)
 			select {
 			case f.left <- struct{}{}:
 			default:
@@ -160,7 +160,7 @@
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	for {
-		if orNone && len(f.seats.all()) == 0 {
+		if orNone && len(f.conns.all()) == 0 {
 			return
 		}
 		select {
@@ -177,7 +177,7 @@
 // begun, or may be on their way on a connection that had none yet, have a while to come whole.
 func (f *Front) endIdle(rest time.Duration) {
 	f.closing.Store(int64(rest))
-	for _, c := range f.seats.all() {
+	for _, c := range f.conns.all() {
 		c.endIfIdle(rest)
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -194,14 +194,14 @@
 		bufio.NewReader(kept[i]).ReadString('\n')
 		// The answer may be here before its connection counts as idle, and the next one would be idle longer.
 		testprog.Until(t, "the connection is idle", func() bool {
-			f.seats.mu.Lock()
-			defer f.seats.mu.Unlock()
-			return f.seats.lists[idle].Len() == i+1
+			f.conns.mu.Lock()
+			defer f.conns.mu.Unlock()
+			return f.conns.lists[idle].Len() == i+1
 		})
 	}
 	untilOpen(t, f, 1) // the first client's command has been read too
 	f.thin()
-	ended, all := 0, f.seats.all()
+	ended, all := 0, f.conns.all()
 	for _, c := range all {
 		c.mu.Lock()
 		if c.end {
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -33,7 +33,7 @@
 	// From now on the connection counts as one on which something is out: it must not make room.
 	c.mu.Lock()
 	c.out++
-	c.sit()
+	c.track()
 	c.mu.Unlock()
 	defer func() {
 		c.reader.Long = false
--- a/internal/front/gather_test.go
+++ b/internal/front/gather_test.go
@@ -46,9 +46,9 @@
 	}
 	go send(second, 2)
 	testprog.Until(t, "one that waits for room counts as busy", func() bool { // and is no candidate to make room
-		f.seats.mu.Lock()
-		defer f.seats.mu.Unlock()
-		return f.seats.lists[busy].Len() == 2
+		f.conns.mu.Lock()
+		defer f.conns.mu.Unlock()
+		return f.conns.lists[busy].Len() == 2
 	})
 	fmt.Fprint(other, "mn\r\n")
 	if line, err := bufio.NewReader(other).ReadString('\n'); line != "MN\r\n" {
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -20,8 +20,8 @@
 	longest      = time.Hour        // that a client can be taken to wait
 )
 
-// slot is the place of one answer.
-type slot struct {
+// pendingAnswer is the place of one answer.
+type pendingAnswer struct {
 	line   string // an answer that was known at once
 	id     string
 	class  int
@@ -47,9 +47,9 @@
 	}
 	switch cmd.Verb {
 	case meta.Noop:
-		c.put(slot{line: c.front.here()})
+		c.put(pendingAnswer{line: c.front.here()})
 	case meta.Version:
-		c.put(slot{line: "VERSION hoptiller\r\n"})
+		c.put(pendingAnswer{line: "VERSION hoptiller\r\n"})
 	case meta.Quit:
 		return n, true, false
 	case meta.Unknown:
@@ -87,16 +87,16 @@
 // fault answers what makes no sense. A client that goes on with it is ended.
 func (c *conn) fault(line string) {
 	c.faults++
-	c.put(slot{line: line + "\r\n"})
+	c.put(pendingAnswer{line: line + "\r\n"})
 }
 
-func (c *conn) put(s slot) {
+func (c *conn) put(s pendingAnswer) {
 	c.mu.Lock()
 	c.out++
 	c.asked = true
-	c.sit()
+	c.track()
 	c.mu.Unlock()
-	c.slots <- s // has room: see command
+	c.pending <- s // has room: see command
 }
 
 // invocation makes one of a command, or tells what is wrong with it.
@@ -121,7 +121,7 @@
 
 // invoke starts an invocation; over is called once nothing is out for it.
 func (c *conn) invoke(ctx context.Context, inv *relay.Invocation, over func()) {
-	s := slot{id: string(inv.ID), class: inv.Class, write: inv.Write, answer: make(chan relay.Answer), at: time.Now()}
+	s := pendingAnswer{id: string(inv.ID), class: inv.Class, write: inv.Write, answer: make(chan relay.Answer), at: time.Now()}
 	c.front.Counts.Taken()
 	go func() {
 		a := c.front.Server.Serve(ctx, inv)
@@ -165,7 +165,7 @@
 	return ""
 }
 
-func (c *conn) writeAnswer(ctx context.Context, s *slot, broken bool) bool {
+func (c *conn) writeAnswer(ctx context.Context, s *pendingAnswer, broken bool) bool {
 	if s.answer == nil {
 		return !broken && c.write([]byte(s.line))
 	}
@@ -197,7 +197,7 @@
 }
 
 // writeFinal writes the final answer to an invocation.
-func (c *conn) writeFinal(ctx context.Context, s *slot, a *relay.Answer) bool {
+func (c *conn) writeFinal(ctx context.Context, s *pendingAnswer, a *relay.Answer) bool {
 	var b []byte
 	switch {
 	case a.Kind == hoptiller.StepServed && s.write:
