--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -94,11 +94,11 @@
 
 // start starts the program in a world where it knows the named providers.
 func start(t *testing.T, providers []string, operator string) *world {
-	return startWith(t, providers, operator, "", "")
+	return startWith(t, providers, operator)
 }
 
-// startWith does the same with another text in the place of a part of the configuration.
-func startWith(t *testing.T, providers []string, operator, from, to string) *world {
+// startWith does the same with other texts in the place of parts of the configuration.
+func startWith(t *testing.T, providers []string, operator string, fromTo ...string) *world {
 	w := &world{actors: map[string]*actor{}, exit: make(chan error, 1)}
 	for _, name := range []string{"p1", "p2", "o", "d", "d2"} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -126,7 +126,9 @@
 	w.text = fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","admin":"127.0.0.1:0","discovery":%q,"seed":"5f","limits":{"memory_mb":192,
 		"sockets":1024},"known":{"version":1,"full":true,"servers":[%s]},"settings":%s}`,
 		w.actors["d"].addr, known, settings)
-	w.text = strings.Replace(w.text, from, to, 1)
+	for i := 0; i < len(fromTo); i += 2 {
+		w.text = strings.Replace(w.text, w.expand(fromTo[i]), fromTo[i+1], 1)
+	}
 	if err := os.WriteFile(w.path, []byte(w.text), 0o600); err != nil {
 		t.Fatal(err)
 	}
