Force SIGTERM's crossings with clients, and starts while discovery and origin are down

SIGTERM meets a client that has said nothing, one in the middle of a command, one that rests and asks just then and one that rests until it is ended. Seven programs start at once, four times: discovery down, silent, unreachable or with too many callers, and the origin stopped; each serves within 10 s.

--- a/cmd/hoptiller/crossing_shutdown_test.go
+++ b/cmd/hoptiller/crossing_shutdown_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -98,3 +101,38 @@
 		c1 expect <closed>
 		program expect 0`)
 }
+
+// Crossings with SIGTERM: a client that has connected and said nothing, one in the middle of a command, one that rests and asks just
+// then, and one that rests until it is ended. Those who ask are answered, and each connection ends behind its last answer.
+func TestStopMeetsClients(t *testing.T) {
+	t.Parallel()
+	w := start(t, []string{"p1"}, "")
+	w.serveReads("x")
+	addr := w.actors["program"].addr
+	silent, half, asks, rests := dial(t, addr), dial(t, addr), dial(t, addr), dial(t, addr)
+	fmt.Fprint(half, "mg k2 v O02 Pc=re")
+	read := func(conn net.Conn, want string) {
+		t.Helper()
+		got := make([]byte, len(want))
+		if _, err := io.ReadFull(conn, got); string(got) != want || err != nil {
+			t.Errorf("got %q, %v, not %q", got, err, want)
+		}
+	}
+	for _, conn := range []net.Conn{asks, rests} {
+		fmt.Fprint(conn, "mn\r\n")
+		read(conn, "MN\r\n")
+	}
+	w.play(t, t.Name(), []string{"program close", "program wait * msg=stopping*"})
+	fmt.Fprint(silent, "mg k1 v O01 Pc=read,d=9000\r\n")
+	fmt.Fprint(half, "ad,d=9000\r\n")
+	fmt.Fprint(asks, "mg k3 v O03 Pc=read,d=9000\r\n")
+	read(silent, "VA 1 O01\r\nx\r\n")
+	read(half, "VA 1 O02\r\nx\r\n")
+	read(asks, "VA 1 O03\r\nx\r\n")
+	for _, conn := range []net.Conn{silent, half, asks, rests} {
+		if n, err := conn.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Errorf("behind the last answer: %d bytes, %v", n, err)
+		}
+	}
+	w.play(t, t.Name(), []string{"program expect 0"})
+}
--- /dev/null
+++ b/cmd/hoptiller/crossing_start_test.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"hoptiller/internal/testprog"
+)
+
+// readyIn is in what time a program that was started has to serve.
+const readyIn = 10 * time.Second
+
+// Seven programs start at once while discovery is down, says nothing, has too many callers or can't be reached, and the origin has
+// stopped. Each serves in time.
+func TestReadyWhateverIsDown(t *testing.T) {
+	t.Parallel()
+	closed := func() string { // an address where nobody listens
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	answering := func(answer string) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				fmt.Fprint(conn, answer)
+				if answer != "" {
+					conn.Close()
+				}
+			}
+		}()
+		return l.Addr().String()
+	}
+	late, _ := testprog.Late(t)
+	for name, discovery := range map[string]string{"down": closed(), "silent": answering(""), "unreachable": late,
+		"too many callers": answering("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","admin":"127.0.0.1:0","discovery":%q,"known":{"version":1,"full":true,"servers":[
+				{"id":"s-0000000f","addr":%q,"zone":"x","kind":"origin","cell":0,"state":"active","weight":1}]},"settings":%s}`,
+				discovery, closed(), settings)
+			path := filepath.Join(t.TempDir(), "config.json")
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			for i := range 7 {
+				t.Run(fmt.Sprint(i), func(t *testing.T) {
+					t.Parallel()
+					_, _, addrs := launch(t, []string{"RELAY_CONFIG=" + path})
+					conn := dial(t, addrs[0])
+					fmt.Fprint(conn, "mn\r\n")
+					if line, err := bufio.NewReader(conn).ReadString('\n'); line != "MN\r\n" || time.Since(began) > readyIn {
+						t.Errorf("got %q after %v, %v", line, time.Since(began), err)
+					}
+				})
+			}
+		})
+	}
+}
