--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -12,9 +12,12 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"hoptiller"
 	"hoptiller/internal/figures"
 	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/meta"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/testprog"
 )
@@ -186,3 +189,32 @@
 	conn.Close()
 	testprog.Await(t, served.left, "end of the request")
 }
+
+// Crossing: a client leaves while its long value, which has come whole, waits for room. It is not sent on.
+func TestLeavingWhileWaitingForRoom(t *testing.T) {
+	t.Parallel()
+	room := semaphore.NewWeighted(meta.MaxLong)
+	if !room.TryAcquire(meta.MaxLong) {
+		t.Fatal("no room")
+	}
+	served := until{make(chan string, 9), make(chan string, 9)}
+	f := &Front{MostConns: 4, MostOpen: 4, Room: room, Server: served}
+	conn := start(t, f)()
+	const length = 100 << 10
+	fmt.Fprintf(conn, "ms k %d O1 Pc=read,d=900\r\n", length)
+	testprog.Until(t, "the value waits for room", func() bool {
+		f.conns.mu.Lock()
+		defer f.conns.mu.Unlock()
+		return f.conns.lists[busy].Len() == 1
+	})
+	fmt.Fprintf(conn, "%s\r\n", strings.Repeat("x", length))
+	conn.Close()
+	room.Release(meta.MaxLong)
+	testprog.Until(t, "the connection is done with", func() bool { return len(f.conns.all()) == 0 })
+	if n := len(served.came); n > 0 {
+		t.Error("the request was sent on")
+	}
+	if !room.TryAcquire(meta.MaxLong) {
+		t.Error("its room was not given back")
+	}
+}
