--- a/cmd/hoptiller/crossing_clients_test.go
+++ b/cmd/hoptiller/crossing_clients_test.go
@@ -25,20 +25,12 @@
 // came reads the lines that come on a listener's connections until one is as wanted, and gives the others.
 func came(t *testing.T, l net.Listener, last string) (others []string) {
 	lines := make(chan string, 1000)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				r := bufio.NewReader(conn)
-				for text, err := r.ReadString('\n'); err == nil; text, err = r.ReadString('\n') {
-					lines <- strings.TrimRight(text, "\r\n")
-				}
-			}()
+	testprog.Accept(l, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for text, err := r.ReadString('\n'); err == nil; text, err = r.ReadString('\n') {
+			lines <- strings.TrimRight(text, "\r\n")
 		}
-	}()
+	})
 	for {
 		text := testprog.Await(t, lines, "line "+last)
 		if like(last, text) {
--- a/cmd/hoptiller/crossing_start_test.go
+++ b/cmd/hoptiller/crossing_start_test.go
@@ -20,31 +20,18 @@
 func TestReadyWhateverIsDown(t *testing.T) {
 	t.Parallel()
 	closed := func() string { // an address where nobody listens
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
+		l := testprog.Listen(t)
+		l.Close()
 		return l.Addr().String()
 	}
 	answering := func(answer string) string {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { l.Close() })
-		go func() {
-			for {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				fmt.Fprint(conn, answer)
-				if answer != "" {
-					conn.Close()
-				}
+		l := testprog.Listen(t)
+		testprog.Accept(l, func(conn net.Conn) {
+			fmt.Fprint(conn, answer)
+			if answer != "" {
+				conn.Close()
 			}
-		}()
+		})
 		return l.Addr().String()
 	}
 	late, _ := testprog.Late(t)
--- a/internal/origin/crossing_test.go
+++ b/internal/origin/crossing_test.go
@@ -20,29 +20,17 @@
 
 // serve starts an origin that handles each request, and a pool that knows it as number 1.
 func serve(t *testing.T, rest time.Duration, handle func(conn *net.TCPConn, path string) (more bool)) (*provider.Pool, *semaphore.Weighted) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
+	l := testprog.Listen(t)
+	testprog.Accept(l, func(conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
 		for {
-			conn, err := l.Accept()
-			if err != nil {
+			q, err := http.ReadRequest(r)
+			if err != nil || !handle(conn.(*net.TCPConn), q.URL.Path) {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				for {
-					q, err := http.ReadRequest(r)
-					if err != nil || !handle(conn.(*net.TCPConn), q.URL.Path) {
-						return
-					}
-				}
-			}()
 		}
-	}()
+	})
 	room := semaphore.NewWeighted(meta.MaxLong)
 	p := provider.New(provider.Settings{Share: 1, MostConns: 2, MostCalls: 1, ConnectTimeout: 5 * time.Second, Rest: rest,
 		Room: room}, Protocol{})
--- a/internal/provider/crossing_test.go
+++ b/internal/provider/crossing_test.go
@@ -17,21 +17,13 @@
 // lines hands over each line that comes on a listener's connections, and answers none.
 func lines(l net.Listener) <-chan string {
 	came := make(chan string, 100)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				r := bufio.NewReader(conn)
-				for text, err := r.ReadString('\n'); err == nil; text, err = r.ReadString('\n') {
-					came <- text
-				}
-				came <- "closed"
-			}()
+	testprog.Accept(l, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for text, err := r.ReadString('\n'); err == nil; text, err = r.ReadString('\n') {
+			came <- text
 		}
-	}()
+		came <- "closed"
+	})
 	return came
 }
 
@@ -93,11 +85,7 @@
 // resting makes a pool with one connection on which a call has had its answer, and which nobody reads. The server's side of it
 // is handed over as well.
 func resting(t *testing.T) (p *Pool, c *conn, server net.Conn) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
+	l := testprog.Listen(t)
 	p = New(Settings{Share: 4, MostConns: 4, MostCalls: 100, ConnectTimeout: time.Second}, Meta{})
 	t.Cleanup(p.Close)
 	p.Update(entry(l.Addr().String(), hoptiller.Ready), false)
@@ -183,11 +171,7 @@
 	for name, drain := range map[string]bool{"client leaves": false, "drain is told": true} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
+			l := testprog.Listen(t)
 			came := lines(l)
 			p := New(Settings{Share: 4, MostConns: 1, MostCalls: 100, ConnectTimeout: time.Second}, Meta{})
 			t.Cleanup(p.Close)
--- a/internal/testprog/serve.go
+++ b/internal/testprog/serve.go
@@ -33,3 +33,27 @@
 		return conn
 	}
 }
+
+// Accept hands each connection of a listener to a goroutine of its own until the listener is closed.
+func Accept(l net.Listener, handle func(net.Conn)) {
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(conn)
+		}
+	}()
+}
+
+// Listen listens on a free port until the test ends.
+func Listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
