Test that no call goes out where an ended one may still move the write deadline

Change: TestWriteDeadlineOfAnEndedCall, on a resting connection, asks for a further call before and after, and for the connection's end behind its last answer.

--- a/internal/provider/crossing_test.go
+++ b/internal/provider/crossing_test.go
@@ -204,3 +204,29 @@
 		})
 	}
 }
+
+// Crossing: a call's time ends as its last byte is written, so that the end of its time may still move the connection's write
+// deadline when the next call is written. No call goes out there any more; one that waits for its answer gets it.
+func TestWriteDeadlineOfAnEndedCall(t *testing.T) {
+	t.Parallel()
+	p, c, _ := resting(t)
+	c.load = 2
+	waits := &call{inv: named("01"), done: make(chan relay.Result, 1), sent: time.Now()}
+	c.calls = []*call{waits}
+	c.stopped(true)
+	if c.ending {
+		t.Error("a call that was written in time ends its connection")
+	}
+	c.stopped(false)
+	sent, status := c.send(t.Context(), t.Context(), &call{inv: named("02"), done: make(chan relay.Result, 1)})
+	if sent || status != hoptiller.OK || c.dead {
+		t.Errorf("another call: sent %v, status %d, connection dead %v", sent, status, c.dead)
+	}
+	p.mu.Lock()
+	c.calls = nil
+	c.leave()
+	p.mu.Unlock()
+	if !c.dead {
+		t.Error("the connection stays when its last call has its answer")
+	}
+}
