--- a/router.go
+++ b/router.go
@@ -20,7 +20,7 @@
 
 const (
 	watchFirst = 600 * time.Millisecond // usual wait after a first broken watch or failed call for the list
-	watchMost  = time.Second            // and after any: with the longest call under the 6 s in which a change is told
+	watchMost  = time.Second            // after any: with the longest call under 6 s
 
 	sweepTick = 10 * time.Millisecond // how finely deadlines and silence are watched
 
@@ -729,7 +729,7 @@
 	return true
 }
 
-// forgotten is when servers may no longer drop repeats of an attempt, counted from the earliest that it may have come.
+// forgotten is when servers may no longer drop repeats of an attempt, from when it may have come first.
 func (r *Router) forgotten(q *request, t *attempt) time.Duration {
 	return t.at + q.class.KeyTTL - 2*r.set.Tick
 }
@@ -1073,7 +1073,7 @@
 		allowed += r.tenantRate(i)
 	}
 	r.warm = cmp.Or(r.warm, warm)
-	if r.warm += (warm - r.warm) * part; warm > 0 { // many may vanish at once, and what they carried still be counted
+	if r.warm += (warm - r.warm) * part; warm > 0 { // many may vanish at once, with what they carried
 		r.unit = max(r.carried/r.warm, r.unit*(1-span/30))
 	}
 	r.unit = max(r.unit, allowed/max(all, 1e-9)/2)
