Tell every attempt only the time that is left when its first byte goes out

One request followed by its id through the started program (cmd/hoptiller/time_left_test.go on the program as it was): the cache server gets "mg k1 v O01 Pc=read,d=8994", answers EN after 100 ms, and the origin gets "X-Correlation-Id: 01", "X-Facts: c=read,d=9000". At fault: origin.Protocol.Append took the wait as "_" and passed inv.Facts on as the client had sent them. The same for writes sent again after a refusal ("X-Facts: c=cancel,d=9000,k=5"). Ruled out: the module's timeouts (first attempts state 8994) and the cache servers' protocol. A second cause showed in the test of pipelined commands: a command that waited 109 ms behind sixteen others of its connection told 8994, since its time was counted from when it was taken up and not from when it had come.

Change. provider.Attempt is all that a Protocol gets: its names and values are made by newAttempt from the time that conn.enter, the last look before the first byte, finds left. It is rounded down to whole milliseconds, and with less than one nothing is sent. The wait is worked out behind the connection's write lock and the dial. A request carries when its last byte had come and how long its client waits; the module's and the attempt's time both end with that, so what a limit's queue, a stall or the commands ahead took is no longer handed out again. buffer.Reader says when bytes had come: what came while nobody read counts as old as the read before. Of several d the shortest counts.

--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -21,8 +21,11 @@
 	Long bool      // much is to come: as much is read at once as a buffer holds
 	At   time.Time // when something was read last
 
-	raw  syscall.RawConn
-	rest []byte
+	raw      syscall.RawConn
+	rest     []byte
+	arrivals arrivals  // of rest
+	since    time.Time // what was read last had not come before this
+	drained  bool      // and nothing more was there then
 }
 
 // NewReader returns a Reader of a connection that the system has a descriptor for.
@@ -32,7 +35,16 @@
 		return nil, errors.New("not a connection of the system's")
 	}
 	raw, err := c.SyscallConn()
-	return &Reader{raw: raw}, err
+	return &Reader{raw: raw, since: time.Now()}, err
+}
+
+// Arrived is when the byte in front of an offset in what is handed over had come at the earliest: what came while nobody read
+// may have waited since the read before. It is for take, which gets those bytes from Next or Again.
+func (r *Reader) Arrived(offset int) time.Time {
+	if at, known := r.arrivals.before(offset); known {
+		return at
+	}
+	return r.since
 }
 
 // Unread tells how much has come that was not taken.
@@ -79,19 +91,21 @@
 	var buf *Buffer
 	var n int
 	var failed error
+	var waited bool
+	most := r.most()
 	err := r.raw.Read(func(fd uintptr) bool {
 		buf = Get()
 		for failed = syscall.EINTR; failed == syscall.EINTR; {
-			n, failed = syscall.Read(int(fd), buf[:r.most()])
+			n, failed = syscall.Read(int(fd), buf[:most])
 		}
 		if failed == syscall.EAGAIN {
 			Put(buf)
-			buf = nil
+			buf, waited = nil, true
 			return false
 		}
 		return true
 	})
-	r.At = time.Now()
+	r.readAt(time.Now(), waited, n < most)
 	defer func() { Put(buf) }()
 	switch {
 	case err != nil:
@@ -104,12 +118,27 @@
 	// Not while the descriptor is in use above: a close waits for that, and take may wait for whoever closes.
 	if len(r.rest) > 0 {
 		r.rest = append(r.rest, buf[:n]...)
+		r.arrivals.add(len(r.rest), r.since)
 		return r.Again(take)
 	}
-	r.keep(buf[take(buf[:n]):n])
+	if used := take(buf[:n]); used < n {
+		r.keep(buf[used:n])
+		r.arrivals.add(n-used, r.since)
+	}
 	return nil
 }
 
+// readAt notes a read: whether it had to wait, and whether it left nothing unread.
+func (r *Reader) readAt(now time.Time, waited, drained bool) {
+	switch {
+	case waited:
+		r.since = now
+	case r.drained:
+		r.since = r.At
+	}
+	r.At, r.drained = now, drained
+}
+
 func (r *Reader) most() int {
 	if r.Long {
 		return Size
@@ -119,7 +148,9 @@
 
 // Again hands over what is left without reading more.
 func (r *Reader) Again(take func(b []byte) (used int)) error {
-	r.keep(r.rest[take(r.rest):])
+	used := take(r.rest)
+	r.keep(r.rest[used:])
+	r.arrivals.drop(used)
 	return nil
 }
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -161,7 +161,7 @@
 				return 0
 			}
 			for n := -1; n != 0 && !last && !full && c.long == nil && used < len(b); used += n {
-				n, last, full = c.command(ctx, b[used:])
+				n, last, full = c.command(ctx, b, used)
 			}
 			return used
 		})
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -71,6 +71,9 @@
 				tail = tail[n:]
 				used += n
 			}
+			if left == 0 && tail == "" {
+				inv.Arrived = c.reader.Arrived(used)
+			}
 			return used
 		}); err != nil {
 			free()
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"slices"
-	"strconv"
 	"time"
 
 	"hoptiller"
@@ -17,7 +16,6 @@
 	readAhead    = 16               // commands of one connection that are begun before the first is answered
 	mostFaults   = 8                // commands of one connection that make no sense before it is ended
 	writeTimeout = 10 * time.Second // for a client that does not read its answers
-	longest      = time.Hour        // that a client can be taken to wait
 )
 
 // pendingAnswer is the place of one answer.
@@ -30,14 +28,14 @@
 	at     time.Time // when it came
 }
 
-// command takes the command at the start of b, if it is whole. last tells that nothing more is read, full
+// command takes the command that begins in b at an offset, if it is whole. last tells that nothing more is read, full
 // that the command must wait until another one is answered.
-func (c *conn) command(ctx context.Context, b []byte) (used int, last, full bool) {
+func (c *conn) command(ctx context.Context, b []byte, offset int) (used int, last, full bool) {
 	closing := c.front.rest() > 0
 	if c.full(readAhead) || closing && c.full(1) {
 		return 0, false, true
 	}
-	cmd, n, err := meta.ParseCommand(b)
+	cmd, n, err := meta.ParseCommand(b[offset:])
 	switch {
 	case err != nil:
 		c.fault(err.Error())
@@ -69,6 +67,7 @@
 			c.long, c.longLen = inv, cmd.Long
 			return n, false, false
 		default:
+			inv.Arrived = c.reader.Arrived(offset + n)
 			c.invoke(ctx, inv, func() {})
 		}
 	}
@@ -146,13 +145,12 @@
 	} else if inv.Class = slices.Index(f.Classes, string(class)); inv.Class < 0 || len(class) == 0 {
 		return "unknown class"
 	}
-	inv.Remaining = f.Deadlines[inv.Class]
-	if d, ok := meta.Fact(facts, "d"); ok {
-		ms, err := strconv.ParseInt(string(d), 10, 64)
-		if err != nil || ms <= 0 || ms > longest.Milliseconds() {
-			return "bad deadline"
-		}
-		inv.Remaining = time.Duration(ms) * time.Millisecond
+	wait, stated, err := meta.Deadline(facts)
+	if err != nil {
+		return err.Error()
+	}
+	if inv.Wait = wait; !stated {
+		inv.Wait = f.Deadlines[inv.Class]
 	}
 	if len(f.Tenants) > 0 { // one that is not known has no share to go beyond
 		tenant, _ := meta.Fact(facts, "t")
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -86,7 +86,6 @@
 		g.mu.Lock()
 		delete(g.waiting, id)
 		g.mu.Unlock()
-		inv.Remaining -= time.Since(g.start) - asked
 	}
 	if turn.Verdict == limit.No {
 		g.met(turn.Limit)
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -73,7 +73,7 @@
 	g, b, met := newGuard(t, fmt.Sprintf(one, "50s"))
 	answers := make(chan relay.Answer, 2)
 	serve := func(ctx context.Context) {
-		answers <- g.Serve(ctx, &relay.Invocation{Key: []byte("k"), Remaining: time.Minute})
+		answers <- g.Serve(ctx, &relay.Invocation{Key: []byte("k"), Arrived: time.Now(), Wait: time.Minute})
 	}
 	go serve(context.Background())
 	testprog.Await(t, b.come, "invocation at the relay")
@@ -83,7 +83,7 @@
 		t.Errorf("%+v", a)
 	}
 	b.go_ <- true
-	if inv := testprog.Await(t, b.come, "the next one at the relay"); inv.Remaining >= time.Minute || inv.Narrow == nil {
+	if inv := testprog.Await(t, b.come, "the next one at the relay"); time.Until(inv.Deadline()) >= time.Minute || inv.Narrow == nil {
 		t.Errorf("what was waited is not taken off: %+v", inv)
 	}
 	b.go_ <- true
@@ -145,7 +145,7 @@
 				if (i+j)%7 == 0 {
 					cancel()
 				}
-				g.Serve(ctx, &relay.Invocation{Key: []byte("k"), Remaining: time.Minute})
+				g.Serve(ctx, &relay.Invocation{Key: []byte("k"), Arrived: time.Now(), Wait: time.Minute})
 				cancel()
 				count.Add(1)
 			}
@@ -201,7 +201,7 @@
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			g := New(nothing{}, &behind{}, load(b, c.text), func(string) {})
-			inv := &relay.Invocation{Key: []byte("k500:x"), Remaining: time.Minute}
+			inv := &relay.Invocation{Key: []byte("k500:x"), Arrived: time.Now(), Wait: time.Minute}
 			b.ReportAllocs()
 			for b.Loop() {
 				g.Serve(context.Background(), inv)
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"time"
 )
 
 // The limits of what is read.
@@ -165,9 +166,55 @@
 	return nil, false
 }
 
-// AppendCommand writes a command for a provider: as it came, but for the fact
-// d, which becomes how many milliseconds the router will wait. A value is the caller's to write, with a line's end.
-func AppendCommand(b []byte, c *Command, wait int64) []byte {
+// deadlineFact is the name of how long, in milliseconds, whoever sent a list of names and values waits for the answer.
+const deadlineFact = "d"
+
+// MaxDeadline is the longest time that a list can be taken to state.
+const MaxDeadline = time.Hour
+
+// ErrDeadline is the fault of a list whose d is no whole number of milliseconds from 1 to MaxDeadline.
+var ErrDeadline = errors.New("bad deadline")
+
+// Deadline reads how long the sender of a list of names and values waits for the answer. Where it is stated more than once the
+// shortest counts. Without any it tells that none is stated.
+func Deadline(facts []byte) (wait time.Duration, stated bool, err error) {
+	for item := range bytes.SplitSeq(facts, []byte(",")) {
+		name, value, ok := bytes.Cut(item, []byte("="))
+		if !ok || string(name) != deadlineFact {
+			continue
+		}
+		milliseconds, bad := strconv.ParseInt(string(value), 10, 64)
+		if bad != nil || milliseconds <= 0 || milliseconds > MaxDeadline.Milliseconds() {
+			return 0, true, ErrDeadline
+		}
+		if next := time.Duration(milliseconds) * time.Millisecond; !stated || next < wait {
+			wait, stated = next, true
+		}
+	}
+	return wait, stated, nil
+}
+
+// AppendFacts writes a list of names and values as it came, but for each time d that it states, which becomes left in whole
+// milliseconds. It is rounded down: nobody is told of more time than there is.
+func AppendFacts(b, facts []byte, left time.Duration) []byte {
+	for i, rest := 0, facts; len(rest) > 0; i++ {
+		var item []byte
+		item, rest, _ = bytes.Cut(rest, []byte(","))
+		if i > 0 {
+			b = append(b, ',')
+		}
+		if name, _, ok := bytes.Cut(item, []byte("=")); ok && string(name) == deadlineFact {
+			b = append(append(b, deadlineFact...), '=')
+			b = strconv.AppendInt(b, left.Milliseconds(), 10)
+		} else {
+			b = append(b, item...)
+		}
+	}
+	return b
+}
+
+// AppendCommand writes a command for a cache server. A value is the caller's to write, with a line's end.
+func AppendCommand(b []byte, c *Command) []byte {
 	if c.Verb == Set {
 		b = append(append(b, "ms "...), c.Key...)
 		b = strconv.AppendInt(append(b, ' '), int64(max(len(c.Value), c.Long)), 10)
@@ -176,19 +223,7 @@
 	}
 	b = append(append(b, " O"...), c.ID...)
 	if len(c.Facts) > 0 {
-		b = append(b, " P"...)
-		for i, rest := 0, c.Facts; len(rest) > 0; i++ {
-			var item []byte
-			item, rest, _ = bytes.Cut(rest, []byte(","))
-			if i > 0 {
-				b = append(b, ',')
-			}
-			if bytes.HasPrefix(item, []byte("d=")) {
-				b = strconv.AppendInt(append(b, "d="...), wait, 10)
-			} else {
-				b = append(b, item...)
-			}
-		}
+		b = append(append(b, " P"...), c.Facts...)
 	}
 	return append(b, "\r\n"...)
 }
--- a/internal/meta/meta_test.go
+++ b/internal/meta/meta_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 )
 
 func TestAppendCommandChangesOnlyTheWait(t *testing.T) {
@@ -13,6 +14,7 @@
 		"mg k1 v O9b1f Pd=480,c=read,size=9\r\n":            "mg k1 v O9b1f Pd=77,c=read,size=9\r\n",
 		"ms k1 5 O9b1f Pc=put,d=480,k=5c\r\nhel\r\n\r\n":    "ms k1 5 O9b1f Pc=put,d=77,k=5c\r\nhel\r\n\r\n",
 		"mg k1 v O9b1f Pc=read\r\n":                         "mg k1 v O9b1f Pc=read\r\n",
+		"mg k1 v O9b1f Pd=480,c=read,d=9000,d=\r\n":         "mg k1 v O9b1f Pd=77,c=read,d=77,d=77\r\n",
 		"mg  k1   v O9b1f Pc=read,d=480,dd=3,d\r\nmn\r\n":   "mg k1 v O9b1f Pc=read,d=77,dd=3,d\r\n",
 		"ms k1 0 O9b1f Pc=put,d=480,k=5c\r\n\r\nms k1 1 O8": "ms k1 0 O9b1f Pc=put,d=77,k=5c\r\n\r\n",
 	} {
@@ -20,7 +22,7 @@
 		if err != nil || n == 0 {
 			t.Fatalf("%q: %d bytes, %v", in, n, err)
 		}
-		if got := whole(&c, 77); string(got) != want {
+		if got := whole(&c, 77*time.Millisecond+999*time.Microsecond); string(got) != want {
 			t.Errorf("%q is passed on as %q, want %q", in, got, want)
 		}
 		for cut := range n { // nothing is a command before it is whole
@@ -32,8 +34,10 @@
 }
 
 // whole writes a command with its value.
-func whole(c *Command, wait int64) []byte {
-	b := AppendCommand(nil, c, wait)
+func whole(c *Command, left time.Duration) []byte {
+	passed := *c
+	passed.Facts = AppendFacts(nil, c.Facts, left)
+	b := AppendCommand(nil, &passed)
 	if c.Verb == Set && c.Long == 0 {
 		b = append(append(b, c.Value...), "\r\n"...)
 	}
@@ -78,7 +82,7 @@
 		if c, n, err := ParseCommand(b); n < 0 || n > len(b) || len(c.Value) > MaxValue {
 			t.Errorf("command of %d bytes: %v", n, err)
 		} else if err == nil && n > 0 && (c.Verb == Get || c.Verb == Set) {
-			again, used, err := ParseCommand(whole(&c, 5))
+			again, used, err := ParseCommand(whole(&c, 5*time.Millisecond))
 			if err != nil || used == 0 || !bytes.Equal(again.Key, c.Key) || !bytes.Equal(again.Value, c.Value) ||
 				!bytes.Equal(again.ID, c.ID) {
 				t.Errorf("%q is passed on as %+v, %v", b, again, err)
@@ -89,3 +93,32 @@
 		}
 	})
 }
+
+// How long a client waits is what it states; where it states several times the shortest, and what is no time is told.
+func TestDeadline(t *testing.T) {
+	for facts, want := range map[string]struct {
+		wait   time.Duration
+		stated bool
+		err    error
+	}{
+		"":                    {0, false, nil},
+		"c=read":              {0, false, nil},
+		"c=read,d,dd=7":       {0, false, nil},
+		"c=read,d=480":        {480 * time.Millisecond, true, nil},
+		"d=1":                 {time.Millisecond, true, nil},
+		"d=480,c=read,d=90":   {90 * time.Millisecond, true, nil},
+		"d=90,c=read,d=480":   {90 * time.Millisecond, true, nil},
+		"d=3600000":           {time.Hour, true, nil},
+		"d=3600001":           {0, true, ErrDeadline},
+		"d=0":                 {0, true, ErrDeadline},
+		"d=-1":                {0, true, ErrDeadline},
+		"d=":                  {0, true, ErrDeadline},
+		"d=4e2":               {0, true, ErrDeadline},
+		"d=480,d=soon":        {0, true, ErrDeadline},
+		"d=99999999999999999": {0, true, ErrDeadline},
+	} {
+		if wait, stated, err := Deadline([]byte(facts)); wait != want.wait || stated != want.stated || !errors.Is(err, want.err) {
+			t.Errorf("%q: %v, %v, %v", facts, wait, stated, err)
+		}
+	}
+}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"time"
 
 	"hoptiller"
 	"hoptiller/internal/http1"
@@ -19,14 +18,14 @@
 type Protocol struct{}
 
 // Append implements provider.Protocol.
-func (Protocol) Append(b []byte, inv *relay.Invocation, host string, _ time.Duration) (head []byte, tail string) {
+func (Protocol) Append(b []byte, a *provider.Attempt) (head []byte, tail string) {
 	method, length := "GET", -1
-	if inv.Write {
-		method, length = "PUT", inv.Length()
+	if a.Write {
+		method, length = "PUT", a.Length
 	}
-	return http1.AppendRequest(b, method, string(http1.AppendPath(nil, inv.Key)), host, length,
-		http1.Header{Name: "X-Correlation-Id", Value: string(inv.ID)},
-		http1.Header{Name: "X-Facts", Value: string(inv.Facts)}), ""
+	return http1.AppendRequest(b, method, string(http1.AppendPath(nil, a.Key)), a.Host, length,
+		http1.Header{Name: "X-Correlation-Id", Value: string(a.ID)},
+		http1.Header{Name: "X-Facts", Value: string(a.Facts)}), ""
 }
 
 // Parse implements provider.Protocol.
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -131,19 +131,20 @@
 // send writes a call, unless the connection has ended or is to end since it was chosen; then another may be. If it fails,
 // it tells how: until the last byte is written the server can't have begun the call. The client may have left since the call
 // was picked, its time be over, or the directory have spoken, and a drain binds when a call is sent; so the last look at all of
-// these is here, behind everything that waits.
+// these is here, behind everything that waits, and it says how much time the server is told.
 func (c *conn) send(begin, ctx context.Context, out *call) (sent bool, status hoptiller.Status) {
 	c.write.Lock() // calls are queued in the order in which they are written
 	defer c.write.Unlock()
 	p := c.pool
-	end, _ := ctx.Deadline()
+	left, again, status := c.enter(begin, ctx, out)
+	if again || status != hoptiller.OK {
+		return false, status
+	}
 	by, _ := begin.Deadline()
 	buf := buffer.Get()
 	defer buffer.Put(buf)
-	head, tail := p.proto.Append(buf[:0], out.inv, c.host, time.Until(end))
-	if again, status := c.enter(begin, out); again || status != hoptiller.OK {
-		return false, status
-	}
+	attempt, free := newAttempt(buf[:], out.inv, c.host, left)
+	head, tail := p.proto.Append(free, attempt)
 	c.SetWriteDeadline(by)
 	stop := context.AfterFunc(ctx, func() { c.SetWriteDeadline(time.Unix(1, 0)) })
 	err := c.put(head, out.inv, tail)
@@ -168,29 +169,30 @@
 }
 
 // enter is the last look before a call's first byte: it queues the call if it is still wanted, listed and in time, and if the
-// connection can still carry it; else another may.
-func (c *conn) enter(begin context.Context, out *call) (again bool, status hoptiller.Status) {
+// connection can still carry it; else another may. Of one that is queued it says how much time is left.
+func (c *conn) enter(begin, ctx context.Context, out *call) (left time.Duration, again bool, status hoptiller.Status) {
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	left = timeLeft(ctx)
 	switch {
 	case c.dead || c.ending || c.body != nil:
 		c.leave()
-		return true, hoptiller.OK
+		return 0, true, hoptiller.OK
 	case begin.Err() != nil:
 		c.leave()
-		return false, notBegun(begin)
-	case c.server.Phase != hoptiller.Ready:
+		return 0, false, notBegun(begin)
+	case c.server.Phase != hoptiller.Ready || left < leastLeft:
 		c.leave()
-		return false, hoptiller.Moot
+		return 0, false, hoptiller.Moot
 	case len(c.calls) == 0 && c.useful && !c.reader.Resting(): // it has ended while it rested, or says what nobody asked for
 		c.leave()
 		p.drop(c)
-		return true, hoptiller.OK
+		return 0, true, hoptiller.OK
 	}
 	out.sent = time.Now()
 	c.calls = append(c.calls, out)
-	return false, hoptiller.OK
+	return left, false, hoptiller.OK
 }
 
 // stopped is told whether the call's end can no longer cut off what is written. Where it may, nothing more is to be.
--- a/internal/provider/protocol.go
+++ b/internal/provider/protocol.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"time"
 
 	"hoptiller"
 	"hoptiller/internal/meta"
@@ -12,9 +11,8 @@
 
 // Protocol is how a kind of server is spoken to.
 type Protocol interface {
-	// Append writes the call of an invocation but for its value, if it is a write, and what is to follow that;
-	// wait is how long the router will wait.
-	Append(b []byte, inv *relay.Invocation, host string, wait time.Duration) (head []byte, tail string)
+	// Append writes an attempt but for its value, if it is a write, and what is to follow that.
+	Append(b []byte, a *Attempt) (head []byte, tail string)
 	// Parse reads the answer to the call of inv at the start of b.
 	Parse(b []byte, inv *relay.Invocation) (Reply, error)
 }
@@ -77,12 +75,12 @@
 type Meta struct{}
 
 // Append implements Protocol.
-func (Meta) Append(b []byte, inv *relay.Invocation, _ string, wait time.Duration) (head []byte, tail string) {
-	c := meta.Command{Verb: meta.Get, Key: inv.Key, ID: inv.ID, Facts: inv.Facts, Long: inv.Length()}
-	if inv.Write {
+func (Meta) Append(b []byte, a *Attempt) (head []byte, tail string) {
+	c := meta.Command{Verb: meta.Get, Key: a.Key, ID: a.ID, Facts: a.Facts, Long: a.Length}
+	if a.Write {
 		c.Verb, tail = meta.Set, "\r\n"
 	}
-	return meta.AppendCommand(b, &c, max(1, wait.Milliseconds())), tail
+	return meta.AppendCommand(b, &c), tail
 }
 
 // Parse implements Protocol.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,26 +19,30 @@
 
 // Invocation is one client request.
 type Invocation struct {
-	Key       []byte
-	ID        []byte        // as the client named it
-	Facts     []byte        // names and values that came with it
-	Value     []byte        // of a write
-	Long      *buffer.Chain // the same where it is long; nothing may use it once the final answer is known
-	Write     bool
-	Class     int
-	Tenant    int // the customer by number; -1: none that is known
-	Retry     bool
-	Remaining time.Duration // until the client gives up
+	Key     []byte
+	ID      []byte        // as the client named it
+	Facts   []byte        // names and values that came with it
+	Value   []byte        // of a write
+	Long    *buffer.Chain // the same where it is long; nothing may use it once the final answer is known
+	Write   bool
+	Class   int
+	Tenant  int // the customer by number; -1: none that is known
+	Retry   bool
+	Arrived time.Time     // when its last byte came
+	Wait    time.Duration // that the client waits for the answer, from then on
 
 	Client netip.Addr          // not valid where it is not known
 	Narrow hoptiller.Narrowing // what an operator forbids it; nil: nothing
 }
 
+// Deadline is when the client gives up.
+func (inv *Invocation) Deadline() time.Time { return inv.Arrived.Add(inv.Wait) }
+
 // request is what the module is told of it.
-func (inv *Invocation) request(id uint32) hoptiller.Request {
+func (inv *Invocation) request(id uint32, now time.Time) hoptiller.Request {
 	return hoptiller.Request{
 		ID: id, Class: inv.Class, Tenant: inv.Tenant, Key: keyNumber(inv.Key), Write: inv.Write, Retry: inv.Retry,
-		Remaining: inv.Remaining, Narrow: inv.Narrow,
+		Remaining: max(0, inv.Deadline().Sub(now)), Narrow: inv.Narrow,
 	}
 }
 
@@ -80,7 +84,7 @@
 
 // Caller makes invoker calls to one kind of server.
 type Caller interface {
-	// Call makes one call and returns when it has ended, or ctx has. All of it is written while begin lasts, which ends with
+	// Call makes one call and returns when it has ended, or ctx has, which is not to outlast the client's deadline. All of it is written while begin lasts, which ends with
 	// ctx at the latest, or nothing is sent.
 	Call(begin, ctx context.Context, server uint32, inv *Invocation) Result
 	// Update tells what is now known of a server; moved tells that it runs
@@ -211,7 +215,7 @@
 		r.liveMu.Unlock()
 	}()
 
-	step := r.core.Pick(r.now(), inv.request(id))
+	step := r.core.Pick(r.now(), inv.request(id, time.Now()))
 	defer context.AfterFunc(ctx, func() { r.core.Gone(r.now(), id) })()
 	for {
 		r.closeIdle(step.CloseIdle)
@@ -250,6 +254,9 @@
 // end with the client's leaving: the module hears of that, and withdraws the call if it is to end.
 func (r *Relay) call(client context.Context, l *live, inv *Invocation, step hoptiller.Step) Result {
 	end := time.Now().Add(step.Timeout)
+	if deadline := inv.Deadline(); deadline.Before(end) {
+		end = deadline
+	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(client), end)
 	defer cancel()
 	by, cause := end, error(nil)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -80,7 +80,7 @@
 }
 
 func invocation(class int, write bool) *Invocation {
-	return &Invocation{Key: []byte("k"), ID: []byte("1"), Class: class, Write: write, Remaining: 5 * time.Second}
+	return &Invocation{Key: []byte("k"), ID: []byte("1"), Class: class, Write: write, Arrived: time.Now(), Wait: 5 * time.Second}
 }
 
 // A miss goes to the origin, once the call that missed has ended; the answer is the one that was made for it.
@@ -213,11 +213,40 @@
 
 // The module is told all that it decides by: also whose request it is, or all would count as the first customer's.
 func TestRequest(t *testing.T) {
-	inv := &Invocation{Key: []byte("00000000000000ff"), Class: 1, Tenant: 3, Write: true, Retry: true, Remaining: time.Second}
+	now := time.Now()
+	inv := &Invocation{Key: []byte("00000000000000ff"), Class: 1, Tenant: 3, Write: true, Retry: true, Arrived: now.Add(-time.Second), Wait: 2 * time.Second}
 	want := hoptiller.Request{ID: 7, Class: 1, Tenant: 3, Key: 255, Write: true, Retry: true, Remaining: time.Second}
-	if got := inv.request(7); got != want {
+	if got := inv.request(7, now); got != want {
 		t.Errorf("%+v, want %+v", got, want)
 	}
+	if got := inv.request(7, now.Add(time.Minute)); got.Remaining != 0 {
+		t.Errorf("of a request whose time is over %v remain", got.Remaining)
+	}
+}
+
+// An attempt ends with the client's time, also where the process stood still after it was picked, and sooner where the module or an
+// operator's policy says so.
+func TestAttemptEndsWithTheClientsTime(t *testing.T) {
+	for name, c := range map[string]struct{ step, client, want time.Duration }{
+		"the step's time is the shorter": {time.Second, time.Minute, time.Second},
+		"the client's is":                {time.Minute, time.Second, time.Second},
+		"the client's is over":           {time.Minute, -time.Second, -time.Second},
+	} {
+		r, _, _ := newRelay(nil, nil)
+		ends := make(chan time.Time, 1)
+		r.providers = timing(func(_, ctx context.Context) {
+			end, _ := ctx.Deadline()
+			ends <- end
+		})
+		inv := invocation(0, false)
+		before := time.Now()
+		inv.Arrived, inv.Wait = before.Add(c.client-time.Second), time.Second
+		r.call(t.Context(), &live{}, inv, hoptiller.Step{Kind: hoptiller.StepCall, Provider: 1, Timeout: c.step})
+		end := testprog.Await(t, ends, "attempt")
+		if end.Before(before.Add(c.want)) || end.After(time.Now().Add(c.want)) {
+			t.Errorf("%s: %v", name, end.Sub(before))
+		}
+	}
 }
 
 // An attempt's time to begin ends when its client leaves or when it is withdrawn, and for a repeat with the window in which
