Test the time that is told under an operator's policy, and times that can't be one

The issue asks for an attempt that a policy gives less time (narrow.hop: 100 ms of the client's 9 s) and for d=0, no number and huge ones on real sockets. Both held before; go test -run 'TimeLeft|BadTimes' ./cmd/hoptiller passes.

--- a/cmd/hoptiller/time_left_test.go
+++ b/cmd/hoptiller/time_left_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"strconv"
@@ -141,3 +142,31 @@
 		t.Errorf("%q tells of more than the %v that are left", last.line, most)
 	}
 }
+
+// An operator's policy gives an attempt less time than its client has: the server is told of that.
+func TestTimeLeftUnderAPolicy(t *testing.T) {
+	t.Parallel()
+	const most = 100 * time.Millisecond // of bookings, in narrow.hop
+	w := start(t, []string{"p1"}, "narrow.hop")
+	fmt.Fprint(dial(t, w.actors["program"].addr), "ms k1 1 O01 Pc=book,d=9000,k=1\r\nv\r\n")
+	if a := w.attemptAt(t, "o", "PUT /k1 *"); a.left <= 0 || a.left > most {
+		t.Errorf("%q tells of more than the policy's %v", a.line, most)
+	}
+}
+
+// A time that can't be one is one clear error, and nothing is sent for it.
+func TestBadTimes(t *testing.T) {
+	t.Parallel()
+	w := start(t, []string{"p1"}, "")
+	for _, time := range []string{"0", "-5", "", "soon", "1e3", "3600001", "99999999999999999999", "9000,d=0"} {
+		client := dial(t, w.actors["program"].addr)
+		fmt.Fprintf(client, "mg k1 v O01 Pc=read,d=%s\r\n", time)
+		if line, err := bufio.NewReader(client).ReadString('\n'); line != "CLIENT_ERROR bad deadline\r\n" {
+			t.Errorf("d=%s: %q, %v", time, line, err)
+		}
+	}
+	fmt.Fprint(dial(t, w.actors["program"].addr), "mg k2 v O02 Pc=read,d=9000\r\n")
+	if line := testprog.Await(t, w.actors["p1"].lines, "attempt").text; !like("mg k2 *", line) {
+		t.Errorf("first came %q", line)
+	}
+}
