Rename the package of connections to servers: provider is upstream

No behaviour changes. Inside it give is abandon, spoilt failUnreadable, see observe, gone unreachable, goesOnWithin answerStall.

--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -30,8 +30,8 @@
 	"hoptiller/internal/meta"
 	"hoptiller/internal/origin"
 	"hoptiller/internal/plan"
-	"hoptiller/internal/provider"
 	"hoptiller/internal/relay"
+	"hoptiller/internal/upstream"
 )
 
 const (
@@ -151,13 +151,13 @@
 	}
 	var fleet *fleet
 	room := semaphore.NewWeighted(int64(max(shares.long, meta.MaxLong)))
-	providers := provider.New(provider.Settings{
+	providers := upstream.New(upstream.Settings{
 		Share: sharing(c), MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
 		Kept: places.Kept(c.Settings.Balancers, p.Limits.Places), Places: p.Limits.Places, Called: counts.Called, Reports: reports,
 		Seen: func(id uint32, up bool) { fleet.saw(id, up) },
-	}, provider.Meta{})
-	origins := provider.New(provider.Settings{
+	}, upstream.Meta{})
+	origins := upstream.New(upstream.Settings{
 		Share: 1, MostConns: shares.origins, MostCalls: 1, Kept: shares.origins,
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
 		Room: room, Called: counts.Called, Rest: originRest,
--- a/internal/origin/crossing_test.go
+++ b/internal/origin/crossing_test.go
@@ -13,13 +13,13 @@
 
 	"hoptiller"
 	"hoptiller/internal/meta"
-	"hoptiller/internal/provider"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/testprog"
+	"hoptiller/internal/upstream"
 )
 
 // serve starts an origin that handles each request, and a pool that knows it as number 1.
-func serve(t *testing.T, rest time.Duration, handle func(conn *net.TCPConn, path string) (more bool)) (*provider.Pool, *semaphore.Weighted) {
+func serve(t *testing.T, rest time.Duration, handle func(conn *net.TCPConn, path string) (more bool)) (*upstream.Pool, *semaphore.Weighted) {
 	l := testprog.Listen(t)
 	testprog.Accept(l, func(conn net.Conn) {
 		defer conn.Close()
@@ -32,7 +32,7 @@
 		}
 	})
 	room := semaphore.NewWeighted(meta.MaxLong)
-	p := provider.New(provider.Settings{Share: 1, MostConns: 2, MostCalls: 1, ConnectTimeout: 5 * time.Second, Rest: rest,
+	p := upstream.New(upstream.Settings{Share: 1, MostConns: 2, MostCalls: 1, ConnectTimeout: 5 * time.Second, Rest: rest,
 		Room: room}, Protocol{})
 	p.Update(relay.Server{Addr: l.Addr().String(), Server: hoptiller.Server{ID: 1, Phase: hoptiller.Ready}}, false)
 	t.Cleanup(p.Close)
@@ -40,7 +40,7 @@
 }
 
 // call makes a call and tells how it ended and with which value or receipt.
-func call(t *testing.T, p *provider.Pool, inv *relay.Invocation) (status hoptiller.Status, value string) {
+func call(t *testing.T, p *upstream.Pool, inv *relay.Invocation) (status hoptiller.Status, value string) {
 	ctx, cancel := context.WithTimeout(t.Context(), testprog.Patience)
 	defer cancel()
 	r := p.Call(ctx, ctx, 1, inv)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -1,5 +1,5 @@
 // Package origin is the protocol of the origin, HTTP/1.1, for invoker calls
-// over a provider.Pool.
+// over a upstream.Pool.
 package origin
 
 import (
@@ -7,8 +7,8 @@
 
 	"hoptiller"
 	"hoptiller/internal/http1"
-	"hoptiller/internal/provider"
 	"hoptiller/internal/relay"
+	"hoptiller/internal/upstream"
 )
 
 // notRun is the header by which the origin says that a call never ran.
@@ -17,8 +17,8 @@
 // Protocol is how the origin is spoken to.
 type Protocol struct{}
 
-// Append implements provider.Protocol.
-func (Protocol) Append(b []byte, a *provider.Attempt) (head []byte, tail string) {
+// Append implements upstream.Protocol.
+func (Protocol) Append(b []byte, a *upstream.Attempt) (head []byte, tail string) {
 	method, length := "GET", -1
 	if a.Write {
 		method, length = "PUT", a.Length
@@ -28,28 +28,28 @@
 		http1.Header{Name: "X-Facts", Value: string(a.Facts)}), ""
 }
 
-// Parse implements provider.Protocol.
-func (Protocol) Parse(b []byte, inv *relay.Invocation) (provider.Reply, error) {
+// Parse implements upstream.Protocol.
+func (Protocol) Parse(b []byte, inv *relay.Invocation) (upstream.Reply, error) {
 	h, body, n, long, err := http1.ParseAnswer(b, notRun)
 	if err != nil || n == 0 {
-		return provider.Reply{}, err
+		return upstream.Reply{}, err
 	}
-	r := provider.Reply{N: n, Status: hoptiller.ServerError, Keep: !h.Close}
+	r := upstream.Reply{N: n, Status: hoptiller.ServerError, Keep: !h.Close}
 	toEnd := long && !h.Chunked && h.Length < 0
 	switch {
 	case toEnd: // whatever follows the head, this connection is of no more use
 		if r.Keep = false; h.Status == 200 {
-			r.Status, r.Long, r.Length = hoptiller.OK, provider.ToEnd{}, -1
+			r.Status, r.Long, r.Length = hoptiller.OK, upstream.ToEnd{}, -1
 			return r, nil
 		}
-	case h.Status == 200 && inv.Write && (long || !provider.Receipt(body)):
-		return provider.Reply{}, errReceipt
+	case h.Status == 200 && inv.Write && (long || !upstream.Receipt(body)):
+		return upstream.Reply{}, errReceipt
 	case long && h.Status != 200: // nobody wants it
-		return provider.Reply{}, http1.ErrFormat
+		return upstream.Reply{}, http1.ErrFormat
 	case long && h.Chunked:
 		r.Status, r.Long, r.Length = hoptiller.OK, &http1.Chunks{}, -1
 	case long:
-		r.Status, r.Long, r.Length = hoptiller.OK, &provider.Counted{Left: h.Length}, h.Length
+		r.Status, r.Long, r.Length = hoptiller.OK, &upstream.Counted{Left: h.Length}, h.Length
 	case h.Status == 200:
 		r.Status, r.Data = hoptiller.OK, body
 	}
--- a/internal/provider/body.go
+++ b/internal/upstream/body.go
@@ -1,4 +1,4 @@
-package provider
+package upstream
 
 import (
 	"errors"
@@ -15,7 +15,7 @@
 	longLately = 10 * time.Second // after a long value calls share no connection for so long
 )
 
-var errGivenUp = errors.New("value given up")
+var errAbandoned = errors.New("value given up")
 
 // body is a long value that is still coming. Until it has ended, the connection is its reader's alone. It is a
 // relay.Body.
@@ -62,7 +62,7 @@
 
 // Close implements relay.Body.
 func (b *body) Close() {
-	b.end(errGivenUp)
+	b.end(errAbandoned)
 }
 
 // end gives the connection back, or ends it where the value did not come whole.
@@ -88,7 +88,7 @@
 func (b *body) hand() bool {
 	p := b.conn.pool
 	p.mu.Lock()
-	if b.out.givenUp || b.conn.dead {
+	if b.out.abandoned || b.conn.dead {
 		b.conn.body = nil
 		p.end(b.conn, hoptiller.Cancelled)
 		p.mu.Unlock()
--- a/internal/provider/conn.go
+++ b/internal/upstream/conn.go
@@ -1,4 +1,4 @@
-package provider
+package upstream
 
 import (
 	"bytes"
@@ -16,8 +16,8 @@
 	"hoptiller/internal/relay"
 )
 
-// goesOnWithin is how long an answer that has begun may stop before its end.
-const goesOnWithin = 150 * time.Millisecond
+// answerStall is how long an answer that has begun may stop before its end.
+const answerStall = 150 * time.Millisecond
 
 // conn is one connection. Its calls are answered in order.
 type conn struct {
@@ -41,10 +41,10 @@
 
 // call is one call that waits for its answer.
 type call struct {
-	inv     *relay.Invocation
-	sent    time.Time
-	done    chan relay.Result // has room for the one result
-	givenUp bool
+	inv       *relay.Invocation
+	sent      time.Time
+	done      chan relay.Result // has room for the one result
+	abandoned bool
 }
 
 // drop closes a connection whose other side has ended or broken it: what is out on it is reset.
@@ -67,10 +67,10 @@
 	c.calls = nil
 }
 
-// spoilt ends a connection on which something has come that can't be read. The server did answer the
+// failUnreadable ends a connection on which something has come that can't be read. The server did answer the
 // first call, which may have run. Those behind it end by this router's choice and no fault of theirs.
 // p.mu is held.
-func (p *Pool) spoilt(c *conn) {
+func (p *Pool) failUnreadable(c *conn) {
 	calls := c.calls
 	if len(calls) > 0 {
 		c.calls = calls[1:]
@@ -81,11 +81,11 @@
 	}
 }
 
-// give gives a call up, unless its answer has come meanwhile. Only the end of its connection tells the
+// abandon gives a call up, unless its answer has come meanwhile. Only the end of its connection tells the
 // server, and that ends all calls on it; so where there are others, the connection only takes no more
 // calls, and ends with the last of them. A router that wants to call again must not wait for that: until
 // then the call counts as still out.
-func (p *Pool) give(c *conn, out *call) (r relay.Result, ended bool) {
+func (p *Pool) abandon(c *conn, out *call) (r relay.Result, ended bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
@@ -96,7 +96,7 @@
 	// Its answer may still come, when the invocation's buffer has gone back to the pool.
 	inv := *out.inv
 	inv.ID = bytes.Clone(inv.ID)
-	out.inv, out.givenUp = &inv, true
+	out.inv, out.abandoned = &inv, true
 	c.ending = true
 	if c.dropIfUnused(); c.dead {
 		return r, false
@@ -119,7 +119,7 @@
 		return
 	}
 	for _, out := range c.calls {
-		if !out.givenUp {
+		if !out.abandoned {
 			return
 		}
 	}
@@ -252,7 +252,7 @@
 			next = r.Again // what has come behind it
 		}
 		if r.Unread() > 0 {
-			c.SetReadDeadline(time.Now().Add(goesOnWithin))
+			c.SetReadDeadline(time.Now().Add(answerStall))
 		} else {
 			c.SetReadDeadline(time.Time{})
 		}
@@ -261,11 +261,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrShortBuffer) {
-		p.spoilt(c)
+		p.failUnreadable(c)
 		return
 	}
 	if !c.useful && !c.dead {
-		p.see(c.server, false)
+		p.observe(c.server, false)
 	}
 	p.drop(c)
 }
@@ -284,7 +284,7 @@
 		out := c.calls[0]
 		reply, err := p.proto.Parse(b[used:], out.inv)
 		if err != nil {
-			p.spoilt(c)
+			p.failUnreadable(c)
 			return used, nil, false
 		}
 		if reply.N == 0 {
@@ -295,7 +295,7 @@
 			p.set.Reports.Take(c.server.ID, reply.Report)
 		}
 		c.calls, c.useful = c.calls[1:], true
-		p.see(c.server, true)
+		p.observe(c.server, true)
 		if s := c.server; out.sent.After(s.passed) {
 			s.passed = out.sent
 		}
@@ -308,7 +308,7 @@
 			return used, c.body, true
 		}
 		r := relay.Result{Status: reply.Status}
-		if reply.Status == hoptiller.OK && !out.givenUp {
+		if reply.Status == hoptiller.OK && !out.abandoned {
 			r.Data = bytes.Clone(reply.Data)
 		}
 		if c.leave(); !reply.Keep {
--- a/internal/provider/dial.go
+++ b/internal/upstream/dial.go
@@ -1,4 +1,4 @@
-package provider
+package upstream
 
 import (
 	"context"
@@ -77,7 +77,7 @@
 		err = errMoved
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		p.see(s, false)
+		p.observe(s, false)
 	}
 	if d.err = err; err == nil {
 		c := &conn{Conn: nc, pool: p, server: s, host: s.Name, reader: reader, load: 1}
--- a/internal/provider/find.go
+++ b/internal/upstream/find.go
@@ -1,4 +1,4 @@
-package provider
+package upstream
 
 import (
 	"context"
@@ -85,13 +85,13 @@
 	return oldest != nil
 }
 
-// see notes that a server has no process, since it refused a connection or ended one before it answered anything, or that it
+// observe notes that a server has no process, since it refused a connection or ended one before it answered anything, or that it
 // has answered again. p.mu is held.
-func (p *Pool) see(s *server, up bool) {
-	if s.gone != up { // as before
+func (p *Pool) observe(s *server, up bool) {
+	if s.unreachable != up { // as before
 		return
 	}
-	if s.gone = !up; p.set.Seen != nil {
+	if s.unreachable = !up; p.set.Seen != nil {
 		p.set.Seen(s.ID, up)
 	}
 }
--- a/internal/provider/provider.go
+++ b/internal/upstream/pool.go
@@ -1,7 +1,7 @@
-// Package provider makes invoker calls over pooled connections: to the slot
+// Package upstream makes attempts at requests over pooled connections: to the slot
 // caches in the memcache meta protocol, and to any other server for which
 // there is a Protocol.
-package provider
+package upstream
 
 import (
 	"context"
@@ -52,12 +52,12 @@
 
 type server struct {
 	relay.Server
-	conns   []*conn // all that are open, those used last at the end
-	dialing int
-	gone    bool          // it has no process, as far as is seen
-	next    *dial         // how the next of those ends; nil: nobody waits for that
-	typical time.Duration // smoothed time from a call to its answer
-	passed  time.Time     // when the latest call that has an answer was sent
+	conns       []*conn // all that are open, those used last at the end
+	dialing     int
+	unreachable bool          // it has no process, as far as is seen
+	next        *dial         // how the next of those ends; nil: nobody waits for that
+	typical     time.Duration // smoothed time from a call to its answer
+	passed      time.Time     // when the latest call that has an answer was sent
 }
 
 // New returns a Pool without servers.
@@ -149,7 +149,7 @@
 	case r = <-out.done:
 	case <-ctx.Done():
 		var answered bool
-		if r, answered = p.give(c, out); !answered {
+		if r, answered = p.abandon(c, out); !answered {
 			r.Status = ended(ctx)
 			return r
 		}
--- a/internal/provider/time_left_test.go
+++ b/internal/upstream/time_left_test.go
@@ -1,4 +1,4 @@
-package provider
+package upstream
 
 import (
 	"context"
--- a/internal/provider/whole.go
+++ b/internal/upstream/whole.go
@@ -1,4 +1,4 @@
-package provider
+package upstream
 
 import (
 	"bytes"
@@ -30,12 +30,12 @@
 // Copy implements relay.Body.
 func (w *whole) Copy(write func(piece []byte) error) error {
 	if !w.begun.CompareAndSwap(false, true) {
-		return errGivenUp
+		return errAbandoned
 	}
 	defer w.free()
 	for _, part := range w.value.Parts(nil) {
 		if w.given.Load() {
-			return errGivenUp
+			return errAbandoned
 		}
 		if err := write(part); err != nil {
 			return err
