--- a/bench_test.go
+++ b/bench_test.go
@@ -24,7 +24,7 @@
 				now += 100 * time.Microsecond
 				id := f.Reserve()
 				step := f.Pick(now, Request{ID: id, Key: mix(uint64(i % 1000)), Remaining: 4 * time.Second})
-				f.Report(now, CallID{id, step.Attempt}, step.Provider, OK, 10*time.Millisecond)
+				f.Report(now, AttemptID{id, step.Attempt}, step.Server, OK, 10*time.Millisecond)
 				if i%100 == 0 {
 					f.Tick(now)
 				}
--- a/facade.go
+++ b/facade.go
@@ -7,47 +7,47 @@
 	"time"
 )
 
-// StepKind says what is to be done next for an invocation.
+// StepKind says what is to be done next for a request.
 type StepKind uint8
 
-// The steps of an invocation. All but StepCall end it.
+// The steps of a request. All but StepCall end it.
 const (
 	StepServed StepKind = iota // its answer is the client's
-	StepCall                   // make an invoker call and report how it ended
+	StepCall                   // make an attempt and report how it ended
 	StepReject                 // refuse it; trying again is harmless
 	StepFail                   // end it and promise nothing
 )
 
-// Step is the decision on an invocation's next move.
+// Step is the decision on a request's next move.
 type Step struct {
 	Kind       StepKind
-	Provider   uint32        // StepCall: whom to call
+	Server     uint32        // StepCall: whom to call
 	Attempt    int           // StepCall: the call's number
 	Timeout    time.Duration // StepCall: how long to wait for its answer
 	By         time.Duration // StepCall: when the last byte of it must be written; 0: while its time lasts
 	RetryAfter time.Duration // StepReject: when the client should come back
-	CloseIdle  []uint32      // providers whose idle connections must go before the step is taken
+	CloseIdle  []uint32      // servers whose idle connections must go before the step is taken
 }
 
-// CallID names one invoker call.
-type CallID struct {
-	Invocation uint32
-	Attempt    int
+// AttemptID names one attempt.
+type AttemptID struct {
+	Request uint32
+	Attempt int
 }
 
-// Orders are what is to be done beside the steps of invocations.
+// Orders are what is to be done beside the steps of requests.
 type Orders struct {
-	Cancelled []CallID // calls to give up and report at once
-	CloseIdle []uint32 // providers whose idle connections are to be closed
-	List      bool     // ask the directory for the whole list
-	Watch     bool     // watch the directory for changes
-	Unwatch   bool     // end the watch
+	Cancelled []AttemptID // calls to give up and report at once
+	CloseIdle []uint32    // servers whose idle connections are to be closed
+	List      bool        // ask the directory for the whole list
+	Watch     bool        // watch the directory for changes
+	Unwatch   bool        // end the watch
 	Logs      []string
 	Next      time.Duration // when Tick is due again; 0 if it is not
 }
 
 // Facade puts a Router behind calls that block no longer than its lock: Pick
-// for an invocation that came in, Report for each call that ended, Tick when
+// for a request that came in, Report for each call that ended, Tick when
 // time has passed. It may be used by many goroutines. Like the Router it does
 // no I/O and reads no clock: now is the caller's, and what is said with an
 // earlier now than was heard before counts as said then.
@@ -69,11 +69,11 @@
 
 const countEvery = 100 * time.Millisecond // so often Members is brought up to date, and at each word of the directory
 
-// open is an invocation that still has a step to come.
+// open is a request that still has a step to come.
 type open struct {
 	step  Step
 	ready bool // step is not yet handed out
-	final bool // and ends the invocation
+	final bool // and ends the request
 	calls int
 	out   bool // a call is out
 	gone  bool
@@ -87,7 +87,7 @@
 // NewFacade returns a Facade over a new Router. Whenever Tick should be called
 // before the time that it last gave, wake is called.
 func NewFacade(now time.Duration, set Settings, seed uint64, wake func()) *Facade {
-	// An invocation has one call out at a time here: a second copy would wait for the first one's end, and what the
+	// A request has one call out at a time here: a second copy would wait for the first one's end, and what the
 	// Router holds to be out there would never be. What is silent is withdrawn, which sockets always allow.
 	set.SecondCopies, set.MayCancel = false, true
 	// On sockets a list comes only on a watch, and a pushed one too: whoever pushes it has no other way here.
@@ -105,7 +105,7 @@
 	return f.now
 }
 
-// Reserve gives out the number for an invocation's Pick, so that a call of it
+// Reserve gives out the number for a request's Pick, so that a call of it
 // can be found before it is made.
 func (f *Facade) Reserve() uint32 {
 	f.mu.Lock()
@@ -116,7 +116,7 @@
 	return f.last
 }
 
-// Pick decides the first step of an invocation, whose q.ID is from Reserve.
+// Pick decides the first step of a request, whose q.ID is from Reserve.
 func (f *Facade) Pick(now time.Duration, q Request) Step {
 	now = f.enter(now)
 	defer f.mu.Unlock()
@@ -125,28 +125,28 @@
 }
 
 // Report tells how a call ended and decides the next step. An answer that
-// came is the client's even if the Router has just given the invocation up:
+// came is the client's even if the Router has just given the request up:
 // nothing else has been said to the client yet.
-func (f *Facade) Report(now time.Duration, call CallID, provider uint32, status Status, took time.Duration) Step {
+func (f *Facade) Report(now time.Duration, call AttemptID, server uint32, status Status, took time.Duration) Step {
 	now = f.enter(now)
 	defer f.mu.Unlock()
-	o := f.open[call.Invocation]
+	o := f.open[call.Request]
 	if o == nil {
 		return Step{Kind: StepFail}
 	}
 	o.out = false
 	f.router.Outcome(now, Outcome{
-		Request: call.Invocation, Attempt: call.Attempt, Server: provider, Status: status, Latency: took,
+		Request: call.Request, Attempt: call.Attempt, Server: server, Status: status, Latency: took,
 		Closed: status == OK || o.final || o.gone,
 	})
 	if status == OK {
-		delete(f.open, call.Invocation)
+		delete(f.open, call.Request)
 		return Step{Kind: StepServed, CloseIdle: f.takeIdle()}
 	}
-	return f.step(call.Invocation)
+	return f.step(call.Request)
 }
 
-// Gone tells that an invocation's client has left. A call that is out is still
+// Gone tells that a request's client has left. A call that is out is still
 // to be reported.
 func (f *Facade) Gone(now time.Duration, id uint32) {
 	now = f.enter(now)
@@ -165,7 +165,7 @@
 	f.count()
 }
 
-// Members tells how many slot caches are listed, and how many of them the Router avoids. It takes no lock.
+// Members tells how many cache servers are listed, and how many of them the Router avoids. It takes no lock.
 func (f *Facade) Members() (listed, avoided int) { return int(f.listed.Load()), int(f.avoided.Load()) }
 
 // count brings up to date what Members tells; f.mu is held.
@@ -198,14 +198,14 @@
 	return s.Phase == Draining || r.health(s)*r.path(s.Zone) < avoidedAt
 }
 
-// CacheState is a slot cache as it is seen here.
+// CacheState is a cache server as it is seen here.
 type CacheState struct {
 	ID      uint32
 	Zone    int
 	Avoided bool
 }
 
-// Caches are the slot caches that are listed, in no order. It is for what is asked for seldom.
+// Caches are the cache servers that are listed, in no order. It is for what is asked for seldom.
 func (f *Facade) Caches() (all []CacheState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -244,7 +244,7 @@
 	return orders
 }
 
-// step hands out what the Router has decided for an invocation. It always has: a Router ends or
+// step hands out what the Router has decided for a request. It always has: a Router ends or
 // sends on whatever has no call out. One that does not is a bug, and the client must not wait for it.
 func (f *Facade) step(id uint32) Step {
 	o := f.open[id]
@@ -272,7 +272,7 @@
 
 func (a *actions) Send(request, server uint32, timeout time.Duration) {
 	if o := a.open[request]; o != nil {
-		o.step = Step{Kind: StepCall, Provider: server, Attempt: o.calls, Timeout: timeout, By: a.router.repeatBy(request)}
+		o.step = Step{Kind: StepCall, Server: server, Attempt: o.calls, Timeout: timeout, By: a.router.repeatBy(request)}
 		o.ready = true
 		o.calls++
 	}
@@ -305,7 +305,7 @@
 }
 
 func (a *actions) Cancel(request uint32, attempt int) {
-	a.orders.Cancelled = append(a.orders.Cancelled, CallID{request, attempt})
+	a.orders.Cancelled = append(a.orders.Cancelled, AttemptID{request, attempt})
 	a.wake()
 }
 
--- a/facade_test.go
+++ b/facade_test.go
@@ -27,14 +27,14 @@
 	f, _ := newFacade(nil)
 	id := f.Reserve()
 	step := f.Pick(time.Hour, Request{ID: id, Key: 7, Remaining: 3 * time.Second})
-	if step.Kind != StepCall || step.Provider == 9 || step.Attempt != 0 || step.Timeout <= 0 {
+	if step.Kind != StepCall || step.Server == 9 || step.Attempt != 0 || step.Timeout <= 0 {
 		t.Fatalf("first step %+v", step)
 	}
-	step = f.Report(time.Hour+time.Millisecond, CallID{id, 0}, step.Provider, Miss, time.Millisecond)
-	if step.Kind != StepCall || step.Provider != 9 || step.Attempt != 1 {
+	step = f.Report(time.Hour+time.Millisecond, AttemptID{id, 0}, step.Server, Miss, time.Millisecond)
+	if step.Kind != StepCall || step.Server != 9 || step.Attempt != 1 {
 		t.Fatalf("step after a miss %+v", step)
 	}
-	step = f.Report(time.Hour+time.Second/2, CallID{id, 1}, 9, OK, time.Second/2)
+	step = f.Report(time.Hour+time.Second/2, AttemptID{id, 1}, 9, OK, time.Second/2)
 	if step.Kind != StepServed || len(f.open) != 0 {
 		t.Errorf("step after an answer %+v, %d open", step, len(f.open))
 	}
@@ -50,14 +50,14 @@
 		before := *woken
 		late := time.Hour + 2*time.Second
 		orders := f.Tick(late)
-		if len(orders.Cancelled) == 0 || orders.Cancelled[0] != (CallID{id, 0}) || *woken == before {
+		if len(orders.Cancelled) == 0 || orders.Cancelled[0] != (AttemptID{id, 0}) || *woken == before {
 			t.Fatalf("orders when the time is up: %+v", orders)
 		}
 		want := StepFail
 		if status == OK {
 			want = StepServed
 		}
-		if got := f.Report(late, CallID{id, 0}, step.Provider, status, 2*time.Second); got.Kind != want {
+		if got := f.Report(late, AttemptID{id, 0}, step.Server, status, 2*time.Second); got.Kind != want {
 			t.Errorf("%v: step %+v, want %v", status, got, want)
 		}
 		if len(f.open) != 0 {
@@ -73,20 +73,20 @@
 		f, _ := newFacade(nil)
 		id := f.Reserve()
 		step := f.Pick(time.Hour, Request{ID: id, Class: 1, Key: 7, Write: true, Remaining: 3 * time.Second})
-		got := f.Report(time.Hour+time.Millisecond, CallID{id, 0}, step.Provider, status, time.Millisecond)
-		if step.Provider != 9 || got.Kind != want {
+		got := f.Report(time.Hour+time.Millisecond, AttemptID{id, 0}, step.Server, status, time.Millisecond)
+		if step.Server != 9 || got.Kind != want {
 			t.Errorf("after status %d: %+v, want kind %d", status, got, want)
 		}
 		// A read is called again whatever became of it: to refuse it would lose what costs one more call.
 		id = f.Reserve()
 		step = f.Pick(time.Hour, Request{ID: id, Key: 7, Remaining: 3 * time.Second})
-		if got := f.Report(time.Hour, CallID{id, 0}, step.Provider, status, 0); got.Kind != StepCall {
+		if got := f.Report(time.Hour, AttemptID{id, 0}, step.Server, status, 0); got.Kind != StepCall {
 			t.Errorf("a read after status %d: %+v", status, got)
 		}
 	}
 }
 
-// The client's leaving ends the invocation and cancels its call; what is reported later does no harm.
+// The client's leaving ends the request and cancels its call; what is reported later does no harm.
 func TestFacadeGone(t *testing.T) {
 	f, _ := newFacade(nil)
 	id := f.Reserve()
@@ -96,7 +96,7 @@
 		t.Errorf("orders %+v", orders)
 	}
 	for range 2 {
-		got := f.Report(time.Hour+time.Second, CallID{id, 0}, step.Provider, Cancelled, time.Second)
+		got := f.Report(time.Hour+time.Second, AttemptID{id, 0}, step.Server, Cancelled, time.Second)
 		if got.Kind != StepFail || len(f.open) != 0 {
 			t.Errorf("step %+v, %d open", got, len(f.open))
 		}
@@ -119,11 +119,11 @@
 		if orders := f.Tick(time.Hour + time.Millisecond); len(orders.Cancelled) != c.cancelled {
 			t.Errorf("%s: orders %+v", name, orders)
 		}
-		if s := f.router.known[step.Provider]; s.out != 1 {
+		if s := f.router.known[step.Server]; s.out != 1 {
 			t.Errorf("%s: %d count as out", name, s.out)
 		}
-		f.Report(time.Hour+time.Second, CallID{id, 0}, step.Provider, OK, time.Second)
-		if s := f.router.known[step.Provider]; s.out != 0 || s.heard != f.now || len(f.open) != 0 || len(f.router.reqs) != 0 {
+		f.Report(time.Hour+time.Second, AttemptID{id, 0}, step.Server, OK, time.Second)
+		if s := f.router.known[step.Server]; s.out != 0 || s.heard != f.now || len(f.open) != 0 || len(f.router.reqs) != 0 {
 			t.Errorf("%s: after its answer %d out, heard at %v, %d open", name, s.out, s.heard, len(f.open))
 		}
 	}
@@ -167,7 +167,7 @@
 		id := f.Reserve()
 		step := f.Pick(time.Hour, Request{ID: id, Key: 7, Remaining: 3 * time.Second})
 		if i == 0 { // it is known to answer fast
-			f.Report(time.Hour+time.Millisecond, CallID{id, 0}, step.Provider, OK, 50*time.Millisecond)
+			f.Report(time.Hour+time.Millisecond, AttemptID{id, 0}, step.Server, OK, 50*time.Millisecond)
 			continue
 		}
 		for now := time.Hour; now < time.Hour+time.Second; now += 10 * time.Millisecond {
@@ -176,8 +176,8 @@
 				t.Fatalf("withdrawn: %v after %v", withdrawn, now-time.Hour)
 			}
 			if withdrawn {
-				f.Report(now, CallID{id, 0}, step.Provider, Cancelled, now-time.Hour)
-				if out := f.router.known[step.Provider].out; out != 0 {
+				f.Report(now, AttemptID{id, 0}, step.Server, Cancelled, now-time.Hour)
+				if out := f.router.known[step.Server].out; out != 0 {
 					t.Errorf("%d calls count as out at the silent provider", out)
 				}
 				return
@@ -191,9 +191,9 @@
 func TestFacadeOvertaken(t *testing.T) {
 	for _, overtaken := range []bool{true, false} {
 		f, _ := newFacade(nil)
-		ask := func(now time.Duration) (CallID, uint32) {
+		ask := func(now time.Duration) (AttemptID, uint32) {
 			id := f.Reserve()
-			return CallID{id, 0}, f.Pick(now, Request{ID: id, Key: 7, Remaining: 3 * time.Second}).Provider
+			return AttemptID{id, 0}, f.Pick(now, Request{ID: id, Key: 7, Remaining: 3 * time.Second}).Server
 		}
 		answer := func(now time.Duration) {
 			call, p := ask(now - 30*time.Millisecond)
@@ -226,13 +226,13 @@
 		if step.By != 0 {
 			t.Errorf("effect %d: the first attempt must be written by %v", effect, step.By)
 		}
-		sent := f.Report(time.Hour+10*time.Millisecond, CallID{id, 0}, step.Provider, Reset, time.Millisecond)
+		sent := f.Report(time.Hour+10*time.Millisecond, AttemptID{id, 0}, step.Server, Reset, time.Millisecond)
 		if sent.Kind != StepCall || sent.By != want {
 			t.Errorf("effect %d: the repeat is %+v, to be written by %v", effect, sent, want)
 		}
 		other := f.Reserve()
 		step = f.Pick(time.Hour+time.Second, Request{ID: other, Class: 1, Key: 7, Write: true, Remaining: 3 * time.Second})
-		step = f.Report(time.Hour+time.Second, CallID{other, 0}, step.Provider, ConnectFailed, 0)
+		step = f.Report(time.Hour+time.Second, AttemptID{other, 0}, step.Server, ConnectFailed, 0)
 		if step.Kind != StepCall || step.By != 0 {
 			t.Errorf("effect %d: one that was never sent is followed by %+v", effect, step)
 		}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -36,7 +36,7 @@
 	faults  int                // commands that made no sense
 	client  netip.Addr
 
-	long    *relay.Invocation // a write of which the value is still to come
+	long    *relay.Request // a write of which the value is still to come
 	longLen int
 
 	mu    sync.Mutex
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -22,13 +22,13 @@
 	"hoptiller/internal/testprog"
 )
 
-// until serves an invocation until its client has left, and tells of both.
+// until serves a request until its client has left, and tells of both.
 type until struct{ came, left chan string }
 
-func (u until) Serve(ctx context.Context, inv *relay.Invocation) relay.Answer {
-	u.came <- string(inv.ID)
+func (u until) Serve(ctx context.Context, req *relay.Request) relay.Answer {
+	u.came <- string(req.ID)
 	<-ctx.Done()
-	u.left <- string(inv.ID)
+	u.left <- string(req.ID)
 	return relay.Answer{Kind: hoptiller.StepFail}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,9 +20,9 @@
 	"hoptiller/internal/relay"
 )
 
-// Server carries an invocation to its final answer, as *relay.Relay does.
+// Server carries a request to its final answer, as *relay.Relay does.
 type Server interface {
-	Serve(ctx context.Context, inv *relay.Invocation) relay.Answer
+	Serve(ctx context.Context, req *relay.Request) relay.Answer
 }
 
 // Front serves the clients of a router, who may come by several listeners.
@@ -30,12 +30,12 @@
 	Classes   []string            // names, by number
 	AnyClass  bool                // whatever class a request names, it is of the first
 	Tenants   []string            // names, by number; none: all clients are one customer
-	Deadlines []time.Duration     // for an invocation that states none, by class
+	Deadlines []time.Duration     // for a request that states none, by class
 	Aims      []time.Duration     // after which an answer counts as late, by class; 0 or none: never
 	MostConns int                 // client connections at once
 	MostKept  int                 // of those that have asked, beyond which idle ones are ended as others come; 0: no limit
 	MostHeld  int                 // of those that have asked or begun to; 0: no limit
-	MostOpen  int                 // invocations at once beyond the first of each connection
+	MostOpen  int                 // requests at once beyond the first of each connection
 	Linger    time.Duration       // for which connections are still accepted after a stop
 	Keep      time.Duration       // for which those that are open are served after it, while there are any
 	Rest      time.Duration       // which commands that have begun have after that to come whole
@@ -55,7 +55,7 @@
 	left chan struct{} // told when a connection has ended
 
 	mu   sync.Mutex
-	open map[string]bool // the ids of invocations that are not answered
+	open map[string]bool // the ids of requests that are not answered
 }
 
 // Ready tells whether new clients are taken and wanted.
@@ -192,7 +192,7 @@
 	return time.Duration(rest)
 }
 
-// crowded tells that a connection may have only one more invocation open, so that those which send
+// crowded tells that a connection may have only one more request open, so that those which send
 // hundreds ahead take no places of those which wait for their answers.
 func (f *Front) crowded() bool {
 	f.mu.Lock()
@@ -200,7 +200,7 @@
 	return len(f.open) >= f.MostOpen
 }
 
-// begin takes an id. The answers of two invocations with one id could not be told apart, at a provider
+// begin takes an id. The answers of two requests with one id could not be told apart, at a server
 // either, whoever sent them.
 func (f *Front) begin(id string) bool {
 	f.mu.Lock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -17,10 +17,10 @@
 	"hoptiller/internal/testprog"
 )
 
-// counter serves every invocation and keeps count of how many it had at once.
+// counter serves every request and keeps count of how many it had at once.
 type counter struct{ open, most atomic.Int64 }
 
-func (c *counter) Serve(context.Context, *relay.Invocation) relay.Answer {
+func (c *counter) Serve(context.Context, *relay.Request) relay.Answer {
 	n := c.open.Add(1)
 	for most := c.most.Load(); n > most && !c.most.CompareAndSwap(most, n); most = c.most.Load() {
 	}
@@ -32,7 +32,7 @@
 }
 
 // However many commands clients send ahead, only so many are open, and each is answered in its place.
-func TestOpenInvocationsAreBounded(t *testing.T) {
+func TestOpenRequestsAreBounded(t *testing.T) {
 	served := &counter{}
 	conn := start(t, &Front{MostConns: 4, MostOpen: 3, Server: served})()
 	const commands = 200
@@ -50,7 +50,7 @@
 		}
 	}
 	if most := served.most.Load(); most < 1 || most > 3 {
-		t.Errorf("%d invocations at once, 3 are allowed", most)
+		t.Errorf("%d requests at once, 3 are allowed", most)
 	}
 }
 
@@ -81,10 +81,10 @@
 	}
 }
 
-// untilOpen waits until so many invocations are open.
+// untilOpen waits until so many requests are open.
 func untilOpen(t *testing.T, f *Front, n int) {
 	t.Helper()
-	testprog.Until(t, fmt.Sprint(n, " invocations are open"), func() bool {
+	testprog.Until(t, fmt.Sprint(n, " requests are open"), func() bool {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return len(f.open) == n
@@ -222,27 +222,27 @@
 // holder serves when it may.
 type holder chan struct{}
 
-func (h holder) Serve(context.Context, *relay.Invocation) relay.Answer {
+func (h holder) Serve(context.Context, *relay.Request) relay.Answer {
 	<-h
 	return relay.Answer{Kind: hoptiller.StepServed, Data: []byte("x")}
 }
 
-// An invocation carries its customer's number, so that each is held to its own share; one who is not known has none,
+// A request carries its customer's number, so that each is held to its own share; one who is not known has none,
 // and where there are no customers all are the first.
 func TestTenants(t *testing.T) {
 	for facts, want := range map[string]int{"c=read,t=brno,d=9": 1, "c=read,t=praha": 0, "c=read,t=nobody": -1, "c=read": -1} {
 		f := &Front{Classes: []string{"read"}, Deadlines: []time.Duration{time.Second}, Tenants: []string{"praha", "brno"}}
-		inv := &relay.Invocation{}
-		if fault := f.facts(inv, []byte(facts)); fault != "" || inv.Tenant != want {
-			t.Errorf("%s: customer %d, want %d, %s", facts, inv.Tenant, want, fault)
+		req := &relay.Request{}
+		if fault := f.facts(req, []byte(facts)); fault != "" || req.Tenant != want {
+			t.Errorf("%s: customer %d, want %d, %s", facts, req.Tenant, want, fault)
 		}
-		if f.Tenants = nil; f.facts(inv, []byte(facts)) != "" {
+		if f.Tenants = nil; f.facts(req, []byte(facts)) != "" {
 			t.Fatal(facts)
 		}
 	}
-	inv := &relay.Invocation{}
-	if (&Front{Classes: []string{"read"}, Deadlines: []time.Duration{time.Second}}).facts(inv, []byte("c=read,t=x")); inv.Tenant != 0 {
-		t.Errorf("customer %d where there are none", inv.Tenant)
+	req := &relay.Request{}
+	if (&Front{Classes: []string{"read"}, Deadlines: []time.Duration{time.Second}}).facts(req, []byte("c=read,t=x")); req.Tenant != 0 {
+		t.Errorf("customer %d where there are none", req.Tenant)
 	}
 }
 
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -24,11 +24,11 @@
 	return most
 }
 
-// gather reads the long value of the write that has begun, and starts its invocation when it is whole. It takes room
+// gather reads the long value of the write that has begun, and starts its request when it is whole. It takes room
 // for all of it first: with a part each, all would wait for each other. Until there is some the client waits
 // too, since nothing is read. last tells that nothing more is read.
 func (c *conn) gather(ctx context.Context) (last bool, err error) {
-	inv, length := c.long, c.longLen
+	req, length := c.long, c.longLen
 	c.long = nil
 	// From now on the connection counts as one on which something is out: it must not make room.
 	c.mu.Lock()
@@ -42,7 +42,7 @@
 		c.part, c.pieceBy = false, time.Time{}
 		c.settle()
 	}()
-	ended := func() { c.front.ended(string(inv.ID)) }
+	ended := func() { c.front.ended(string(req.ID)) }
 	room := int64(length)
 	if err := c.front.Room.Acquire(ctx, room); err != nil {
 		ended()
@@ -72,7 +72,7 @@
 				used += n
 			}
 			if left == 0 && tail == "" {
-				inv.Arrived = c.reader.Arrived(used)
+				req.Arrived = c.reader.Arrived(used)
 			}
 			return used
 		}); err != nil {
@@ -92,7 +92,7 @@
 		ended()
 		return false, io.EOF
 	}
-	inv.Long = value
-	c.invoke(ctx, inv, free)
+	req.Long = value
+	c.invoke(ctx, req, free)
 	return false, nil
 }
--- a/internal/front/gather_test.go
+++ b/internal/front/gather_test.go
@@ -17,15 +17,15 @@
 	"hoptiller/internal/testprog"
 )
 
-// taker tells of each invocation and serves it when it may.
+// taker tells of each request and serves it when it may.
 type taker struct{ begun, serve chan string }
 
-func (s taker) Serve(ctx context.Context, inv *relay.Invocation) relay.Answer {
+func (s taker) Serve(ctx context.Context, req *relay.Request) relay.Answer {
 	value := ""
-	for _, part := range inv.Long.Parts(nil) {
+	for _, part := range req.Long.Parts(nil) {
 		value += string(part)
 	}
-	s.begun <- string(inv.ID) + " " + value
+	s.begun <- string(req.ID) + " " + value
 	return relay.Answer{Kind: hoptiller.StepServed, Data: []byte(<-s.serve)}
 }
 
@@ -41,7 +41,7 @@
 		fmt.Fprintf(conn, "ms k %d O%d Pc=read,d=900\r\n%s\r\n", len(value), id, value)
 	}
 	send(first, 1)
-	if got := testprog.Await(t, s.begun, "invocation"); got != "1 "+value {
+	if got := testprog.Await(t, s.begun, "request"); got != "1 "+value {
 		t.Fatalf("%.9q of %d bytes", got, len(got))
 	}
 	go send(second, 2)
@@ -63,7 +63,7 @@
 	if line, err := bufio.NewReader(first).ReadString('\n'); line != "HD O1 cc1\r\n" {
 		t.Errorf("%q, %v", line, err)
 	}
-	if got := testprog.Await(t, s.begun, "invocation"); got != "2 "+value {
+	if got := testprog.Await(t, s.begun, "request"); got != "2 "+value {
 		t.Fatalf("%.9q of %d bytes", got, len(got))
 	}
 	testprog.Give(t, s.serve, "c2", "the word to answer")
@@ -93,7 +93,7 @@
 		line, _ := bufio.NewReader(conn).ReadString('\n')
 		return line == "HD O1 cc1\r\n"
 	})
-	if got := testprog.Await(t, s.begun, "invocation"); got != "1 "+value {
+	if got := testprog.Await(t, s.begun, "request"); got != "1 "+value {
 		t.Errorf("%.9q of %d bytes", got, len(got))
 	}
 }
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -56,7 +56,7 @@
 		if c.front.crowded() && c.full(1) {
 			return 0, false, true
 		}
-		inv, fault := c.invocation(&cmd)
+		req, fault := c.request(&cmd)
 		switch {
 		case fault != "" && cmd.Long > 0: // what follows is a value
 			c.fault(fault)
@@ -64,11 +64,11 @@
 		case fault != "":
 			c.fault(fault)
 		case cmd.Long > 0:
-			c.long, c.longLen = inv, cmd.Long
+			c.long, c.longLen = req, cmd.Long
 			return n, false, false
 		default:
-			inv.Arrived = c.reader.Arrived(offset + n)
-			c.invoke(ctx, inv, func() {})
+			req.Arrived = c.reader.Arrived(offset + n)
+			c.invoke(ctx, req, func() {})
 		}
 	}
 	// One that is to go and was not silent for that is ended behind what it has asked by now.
@@ -98,10 +98,10 @@
 	c.pending <- s // has room: see command
 }
 
-// invocation makes one of a command, or tells what is wrong with it.
-func (c *conn) invocation(cmd *meta.Command) (inv *relay.Invocation, fault string) {
-	inv = &relay.Invocation{Write: cmd.Verb == meta.Set, Client: c.client}
-	if fault := c.front.facts(inv, cmd.Facts); fault != "" {
+// request makes one of a command, or tells what is wrong with it.
+func (c *conn) request(cmd *meta.Command) (req *relay.Request, fault string) {
+	req = &relay.Request{Write: cmd.Verb == meta.Set, Client: c.client}
+	if fault := c.front.facts(req, cmd.Facts); fault != "" {
 		return nil, "CLIENT_ERROR " + fault
 	}
 	if !c.front.begin(string(cmd.ID)) {
@@ -114,16 +114,16 @@
 		b = append(b, s...)
 		return b[from:len(b):len(b)]
 	}
-	inv.Key, inv.ID, inv.Facts, inv.Value = keep(cmd.Key), keep(cmd.ID), keep(cmd.Facts), keep(cmd.Value)
-	return inv, ""
+	req.Key, req.ID, req.Facts, req.Value = keep(cmd.Key), keep(cmd.ID), keep(cmd.Facts), keep(cmd.Value)
+	return req, ""
 }
 
-// invoke starts an invocation; over is called once nothing is out for it.
-func (c *conn) invoke(ctx context.Context, inv *relay.Invocation, over func()) {
-	s := pendingAnswer{id: string(inv.ID), class: inv.Class, write: inv.Write, answer: make(chan relay.Answer), at: time.Now()}
+// invoke starts a request; over is called once nothing is out for it.
+func (c *conn) invoke(ctx context.Context, req *relay.Request, over func()) {
+	s := pendingAnswer{id: string(req.ID), class: req.Class, write: req.Write, answer: make(chan relay.Answer), at: time.Now()}
 	c.front.Counts.Taken()
 	go func() {
-		a := c.front.Server.Serve(ctx, inv)
+		a := c.front.Server.Serve(ctx, req)
 		over()
 		c.front.ended(s.id)
 		select {
@@ -137,29 +137,29 @@
 	c.put(s)
 }
 
-// facts reads the names and values that come with an invocation and tells what is wrong with them.
-func (f *Front) facts(inv *relay.Invocation, facts []byte) (fault string) {
+// facts reads the names and values that come with a request and tells what is wrong with them.
+func (f *Front) facts(req *relay.Request, facts []byte) (fault string) {
 	class, _ := meta.Fact(facts, "c")
 	if f.AnyClass {
-		inv.Class = 0
-	} else if inv.Class = slices.Index(f.Classes, string(class)); inv.Class < 0 || len(class) == 0 {
+		req.Class = 0
+	} else if req.Class = slices.Index(f.Classes, string(class)); req.Class < 0 || len(class) == 0 {
 		return "unknown class"
 	}
 	wait, stated, err := meta.Deadline(facts)
 	if err != nil {
 		return err.Error()
 	}
-	if inv.Wait = wait; !stated {
-		inv.Wait = f.Deadlines[inv.Class]
+	if req.Wait = wait; !stated {
+		req.Wait = f.Deadlines[req.Class]
 	}
 	if len(f.Tenants) > 0 { // one that is not known has no share to go beyond
 		tenant, _ := meta.Fact(facts, "t")
-		if inv.Tenant = slices.Index(f.Tenants, string(tenant)); len(tenant) == 0 {
-			inv.Tenant = -1
+		if req.Tenant = slices.Index(f.Tenants, string(tenant)); len(tenant) == 0 {
+			req.Tenant = -1
 		}
 	}
 	retry, _ := meta.Fact(facts, "r")
-	inv.Retry = string(retry) == "1"
+	req.Retry = string(retry) == "1"
 	return ""
 }
 
@@ -194,7 +194,7 @@
 	return written
 }
 
-// writeFinal writes the final answer to an invocation.
+// writeFinal writes the final answer to a request.
 func (c *conn) writeFinal(ctx context.Context, s *pendingAnswer, a *relay.Answer) bool {
 	var b []byte
 	switch {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -22,7 +22,7 @@
 
 // Server carries an invocation to its final answer.
 type Server interface {
-	Serve(ctx context.Context, inv *relay.Invocation) relay.Answer
+	Serve(ctx context.Context, inv *relay.Request) relay.Answer
 }
 
 // Listener hears of servers.
@@ -62,7 +62,7 @@
 func (g *Guard) Counts() (in, waiting int) { return g.control.Counts() }
 
 // Serve carries an invocation to its final answer, which may be that a limit is met.
-func (g *Guard) Serve(ctx context.Context, inv *relay.Invocation) relay.Answer {
+func (g *Guard) Serve(ctx context.Context, inv *relay.Request) relay.Answer {
 	tenant, _ := meta.Fact(inv.Facts, "customer")
 	b := g.control.Find(inv.Class, inv.Key, tenant, inv.Client)
 	if inv.Narrow = b.Narrowing(); b.Free() {
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -33,14 +33,14 @@
 
 // behind is the relay: it says who has come and answers when it is told to.
 type behind struct {
-	come chan *relay.Invocation
+	come chan *relay.Request
 	go_  chan bool
 	out  atomic.Int64
 	most atomic.Int64
 	told []relay.Server
 }
 
-func (b *behind) Serve(ctx context.Context, inv *relay.Invocation) relay.Answer {
+func (b *behind) Serve(ctx context.Context, inv *relay.Request) relay.Answer {
 	n := b.out.Add(1)
 	for m := b.most.Load(); n > m && !b.most.CompareAndSwap(m, n); m = b.most.Load() {
 	}
@@ -56,7 +56,7 @@
 func (b *behind) Knows(uint32) bool                           { return true }
 
 func newGuard(t testing.TB, text string) (*Guard, *behind, chan string) {
-	b := &behind{come: make(chan *relay.Invocation, 1000), go_: make(chan bool, 1000)}
+	b := &behind{come: make(chan *relay.Request, 1000), go_: make(chan bool, 1000)}
 	met := make(chan string, 10000)
 	return New(b, b, load(t, text), func(limit string) { met <- limit }), b, met
 }
@@ -73,13 +73,13 @@
 	g, b, met := newGuard(t, fmt.Sprintf(one, "50s"))
 	answers := make(chan relay.Answer, 2)
 	serve := func(ctx context.Context) {
-		answers <- g.Serve(ctx, &relay.Invocation{Key: []byte("k"), Arrived: time.Now(), Wait: time.Minute})
+		answers <- g.Serve(ctx, &relay.Request{Key: []byte("k"), Arrived: time.Now(), Wait: time.Minute})
 	}
 	go serve(context.Background())
 	testprog.Await(t, b.come, "invocation at the relay")
 	go serve(context.Background())
 	await(t, g, 1)
-	if a := g.Serve(context.Background(), &relay.Invocation{}); a.Kind != hoptiller.StepReject || a.RetryAfter <= 0 || testprog.Await(t, met, "limit that was met") != "concurrency of route r" {
+	if a := g.Serve(context.Background(), &relay.Request{}); a.Kind != hoptiller.StepReject || a.RetryAfter <= 0 || testprog.Await(t, met, "limit that was met") != "concurrency of route r" {
 		t.Errorf("%+v", a)
 	}
 	b.go_ <- true
@@ -101,7 +101,7 @@
 	cancel()
 	testprog.Await(t, answers, "answer")
 	g.Adopt(load(t, fmt.Sprintf(one, "2ms")))
-	if a := g.Serve(context.Background(), &relay.Invocation{}); a.Kind != hoptiller.StepReject || testprog.Await(t, met, "limit that was met") != "queue of route r" {
+	if a := g.Serve(context.Background(), &relay.Request{}); a.Kind != hoptiller.StepReject || testprog.Await(t, met, "limit that was met") != "queue of route r" {
 		t.Errorf("%+v", a)
 	}
 	b.go_ <- true
@@ -145,7 +145,7 @@
 				if (i+j)%7 == 0 {
 					cancel()
 				}
-				g.Serve(ctx, &relay.Invocation{Key: []byte("k"), Arrived: time.Now(), Wait: time.Minute})
+				g.Serve(ctx, &relay.Request{Key: []byte("k"), Arrived: time.Now(), Wait: time.Minute})
 				cancel()
 				count.Add(1)
 			}
@@ -165,7 +165,7 @@
 		return relay.Server{Server: hoptiller.Server{ID: id, Zone: zone, Phase: phase}}
 	}
 	allowed := func(id uint32) bool {
-		return g.control.Find(0, nil, nil, (&relay.Invocation{}).Client).Narrowing().Allows(id)
+		return g.control.Find(0, nil, nil, (&relay.Request{}).Client).Narrowing().Allows(id)
 	}
 	g.Told(hoptiller.ListFull, []relay.Server{server(1, 0, hoptiller.Ready), server(2, 1, hoptiller.Ready)})
 	g.Told(hoptiller.ListFailed, nil)
@@ -183,7 +183,7 @@
 
 type nothing struct{}
 
-func (nothing) Serve(context.Context, *relay.Invocation) relay.Answer {
+func (nothing) Serve(context.Context, *relay.Request) relay.Answer {
 	return relay.Answer{Kind: hoptiller.StepServed}
 }
 
@@ -201,7 +201,7 @@
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			g := New(nothing{}, &behind{}, load(b, c.text), func(string) {})
-			inv := &relay.Invocation{Key: []byte("k500:x"), Arrived: time.Now(), Wait: time.Minute}
+			inv := &relay.Request{Key: []byte("k500:x"), Arrived: time.Now(), Wait: time.Minute}
 			b.ReportAllocs()
 			for b.Loop() {
 				g.Serve(context.Background(), inv)
--- a/internal/origin/crossing_test.go
+++ b/internal/origin/crossing_test.go
@@ -40,10 +40,10 @@
 }
 
 // call makes a call and tells how it ended and with which value or receipt.
-func call(t *testing.T, p *upstream.Pool, inv *relay.Invocation) (status hoptiller.Status, value string) {
+func call(t *testing.T, p *upstream.Pool, req *relay.Request) (status hoptiller.Status, value string) {
 	ctx, cancel := context.WithTimeout(t.Context(), testprog.Patience)
 	defer cancel()
-	r := p.Call(ctx, ctx, 1, inv)
+	r := p.Call(ctx, ctx, 1, req)
 	value = string(r.Data)
 	if r.Body != nil {
 		if err := r.Body.Copy(func(piece []byte) error { value += string(piece); return nil }); err != nil {
@@ -84,7 +84,7 @@
 				}
 				return false
 			})
-			inv := &relay.Invocation{Key: []byte("k"), ID: []byte("1"), Write: c.write, Value: []byte("x")}
+			req := &relay.Request{Key: []byte("k"), ID: []byte("1"), Write: c.write, Value: []byte("x")}
 			if c.reset {
 				go func() {
 					defer close(begun)
@@ -97,7 +97,7 @@
 					})
 				}()
 			}
-			if status, value := call(t, p, inv); status != c.status || value != c.value {
+			if status, value := call(t, p, req); status != c.status || value != c.value {
 				t.Errorf("status %d, value %q", status, value)
 			}
 		})
@@ -118,7 +118,7 @@
 	})
 	for i := range 5 {
 		path := fmt.Sprint("/", i)
-		if status, value := call(t, p, &relay.Invocation{Key: []byte(path[1:]), ID: []byte("1")}); status != hoptiller.OK || value != path {
+		if status, value := call(t, p, &relay.Request{Key: []byte(path[1:]), ID: []byte("1")}); status != hoptiller.OK || value != path {
 			t.Errorf("%s: status %d, value %q", path, status, value)
 		}
 		if got := testprog.Await(t, next, "request"); got != path {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -1,4 +1,4 @@
-// Package origin is the protocol of the origin, HTTP/1.1, for invoker calls
+// Package origin is the protocol of the origin, HTTP/1.1, for attempts
 // over a upstream.Pool.
 package origin
 
@@ -29,7 +29,7 @@
 }
 
 // Parse implements upstream.Protocol.
-func (Protocol) Parse(b []byte, inv *relay.Invocation) (upstream.Reply, error) {
+func (Protocol) Parse(b []byte, req *relay.Request) (upstream.Reply, error) {
 	h, body, n, long, err := http1.ParseAnswer(b, notRun)
 	if err != nil || n == 0 {
 		return upstream.Reply{}, err
@@ -42,7 +42,7 @@
 			r.Status, r.Long, r.Length = hoptiller.OK, upstream.ToEnd{}, -1
 			return r, nil
 		}
-	case h.Status == 200 && inv.Write && (long || !upstream.Receipt(body)):
+	case h.Status == 200 && req.Write && (long || !upstream.Receipt(body)):
 		return upstream.Reply{}, errReceipt
 	case long && h.Status != 200: // nobody wants it
 		return upstream.Reply{}, http1.ErrFormat
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -9,9 +9,9 @@
 
 // What the origin says, as PROTOCOL's table has it. What can't be read may have run.
 func TestOutcomes(t *testing.T) {
-	read, write := &relay.Invocation{}, &relay.Invocation{Write: true}
+	read, write := &relay.Request{}, &relay.Request{Write: true}
 	for in, want := range map[string]struct {
-		inv    *relay.Invocation
+		req    *relay.Request
 		status hoptiller.Status
 		data   string
 		fault  bool
@@ -27,7 +27,7 @@
 		"ICY 200 OK\r\nContent-Length: 3\r\n\r\na b":                                         {read, 0, "", true},
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n": {read, 0, "", true},
 	} {
-		r, err := Protocol{}.Parse([]byte(in), want.inv)
+		r, err := Protocol{}.Parse([]byte(in), want.req)
 		if (err != nil) != want.fault || err == nil && (r.Status != want.status || string(r.Data) != want.data || r.N != len(in)) {
 			t.Errorf("%q: %+v, %v", in, r, err)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,6 @@
-// Package relay carries invocations from a front to the providers and back.
+// Package relay carries requests from a front to cache servers and origin, and the answers back.
 // What is to be done it asks of the hoptiller.Facade; how it is done is the
-// Callers' affair. It knows neither the clients' protocol nor the providers'.
+// Upstreams' affair. It knows neither the clients' protocol nor the servers'.
 package relay
 
 import (
@@ -17,8 +17,8 @@
 	"hoptiller/internal/buffer"
 )
 
-// Invocation is one client request.
-type Invocation struct {
+// Request is one client request.
+type Request struct {
 	Key     []byte
 	ID      []byte        // as the client named it
 	Facts   []byte        // names and values that came with it
@@ -36,25 +36,25 @@
 }
 
 // Deadline is when the client gives up.
-func (inv *Invocation) Deadline() time.Time { return inv.Arrived.Add(inv.Wait) }
+func (req *Request) Deadline() time.Time { return req.Arrived.Add(req.Wait) }
 
-// request is what the module is told of it.
-func (inv *Invocation) request(id uint32, now time.Time) hoptiller.Request {
+// decisionInput is what the module is told of it.
+func (req *Request) decisionInput(id uint32, now time.Time) hoptiller.Request {
 	return hoptiller.Request{
-		ID: id, Class: inv.Class, Tenant: inv.Tenant, Key: keyNumber(inv.Key), Write: inv.Write, Retry: inv.Retry,
-		Remaining: max(0, inv.Deadline().Sub(now)), Narrow: inv.Narrow,
+		ID: id, Class: req.Class, Tenant: req.Tenant, Key: keyNumber(req.Key), Write: req.Write, Retry: req.Retry,
+		Remaining: max(0, req.Deadline().Sub(now)), Narrow: req.Narrow,
 	}
 }
 
 // Length is that of its value.
-func (inv *Invocation) Length() int {
-	if inv.Long != nil {
-		return inv.Long.Len()
+func (req *Request) Length() int {
+	if req.Long != nil {
+		return req.Long.Len()
 	}
-	return len(inv.Value)
+	return len(req.Value)
 }
 
-// Result is how an invoker call ended.
+// Result is how an attempt ended.
 type Result struct {
 	Status hoptiller.Status
 	Data   []byte // the value or the receipt
@@ -74,7 +74,7 @@
 	Close()
 }
 
-// Answer is the final answer to an invocation.
+// Answer is the final answer to a request.
 type Answer struct {
 	Kind       hoptiller.StepKind // anything but StepCall
 	Data       []byte
@@ -82,11 +82,11 @@
 	RetryAfter time.Duration
 }
 
-// Caller makes invoker calls to one kind of server.
-type Caller interface {
+// Upstream makes attempts to one kind of server.
+type Upstream interface {
 	// Call makes one call and returns when it has ended, or ctx has, which is not to outlast the client's deadline. All of it is written while begin lasts, which ends with
 	// ctx at the latest, or nothing is sent.
-	Call(begin, ctx context.Context, server uint32, inv *Invocation) Result
+	Call(begin, ctx context.Context, server uint32, req *Request) Result
 	// Update tells what is now known of a server; moved tells that it runs
 	// elsewhere or anew, so that its old connections lead nowhere.
 	Update(s Server, moved bool)
@@ -111,13 +111,13 @@
 	List()
 }
 
-// Relay carries the invocations of one router.
+// Relay carries the requests of one router.
 type Relay struct {
-	core      *hoptiller.Facade
-	providers Caller
-	origins   Caller
-	start     time.Time
-	wake      chan struct{}
+	core    *hoptiller.Facade
+	caches  Upstream
+	origins Upstream
+	start   time.Time
+	wake    chan struct{}
 
 	mu      sync.RWMutex
 	servers map[uint32]Server
@@ -126,16 +126,16 @@
 	live   map[uint32]*live
 }
 
-// live is an invocation that is being carried.
+// live is a request that is being carried.
 type live struct {
 	withdrawn int // calls that were cancelled, up to this number
 	cancel    context.CancelFunc
 }
 
 // New returns a Relay that decides by set.
-func New(set hoptiller.Settings, seed uint64, providers, origins Caller) *Relay {
+func New(set hoptiller.Settings, seed uint64, caches, origins Upstream) *Relay {
 	r := &Relay{
-		providers: providers, origins: origins, start: time.Now(), wake: make(chan struct{}, 1),
+		caches: caches, origins: origins, start: time.Now(), wake: make(chan struct{}, 1),
 		servers: map[uint32]Server{}, live: map[uint32]*live{},
 	}
 	r.core = hoptiller.NewFacade(r.now(), set, seed, func() {
@@ -153,13 +153,13 @@
 	return time.Duration(r.start.UnixNano()) + time.Since(r.start)
 }
 
-// Members tells how many slot caches are listed, and how many of them are avoided now.
+// Members tells how many cache servers are listed, and how many of them are avoided now.
 func (r *Relay) Members() (listed, avoided int) { return r.core.Members() }
 
-// Caches are the slot caches that are listed, as they are seen here.
+// Caches are the cache servers that are listed, as they are seen here.
 func (r *Relay) Caches() []hoptiller.CacheState { return r.core.Caches() }
 
-// Run carries out the orders that belong to no invocation, until ctx ends.
+// Run carries out the orders that belong to no request, until ctx ends.
 func (r *Relay) Run(ctx context.Context, dir Directory) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -190,10 +190,10 @@
 	}
 }
 
-func (r *Relay) withdraw(c hoptiller.CallID) {
+func (r *Relay) withdraw(c hoptiller.AttemptID) {
 	r.liveMu.Lock()
 	defer r.liveMu.Unlock()
-	if l := r.live[c.Invocation]; l != nil {
+	if l := r.live[c.Request]; l != nil {
 		l.withdrawn = max(l.withdrawn, c.Attempt+1)
 		if l.cancel != nil {
 			l.cancel()
@@ -201,9 +201,9 @@
 	}
 }
 
-// Serve carries one invocation to its final answer. When ctx ends its client
+// Serve carries one request to its final answer. When ctx ends its client
 // has left, and the answer matters to no one; it returns when nothing is out for it.
-func (r *Relay) Serve(ctx context.Context, inv *Invocation) Answer {
+func (r *Relay) Serve(ctx context.Context, req *Request) Answer {
 	id := r.core.Reserve()
 	l := &live{}
 	r.liveMu.Lock()
@@ -215,7 +215,7 @@
 		r.liveMu.Unlock()
 	}()
 
-	step := r.core.Pick(r.now(), inv.request(id, time.Now()))
+	step := r.core.Pick(r.now(), req.decisionInput(id, time.Now()))
 	defer context.AfterFunc(ctx, func() { r.core.Gone(r.now(), id) })()
 	for {
 		r.closeIdle(step.CloseIdle)
@@ -223,13 +223,13 @@
 			return Answer{Kind: step.Kind, RetryAfter: step.RetryAfter}
 		}
 		sent := r.now()
-		result := r.call(ctx, l, inv, step)
+		result := r.call(ctx, l, req, step)
 		now := r.now()
 		if ctx.Err() != nil { // whatever it comes to, no other call follows
 			r.core.Gone(now, id)
 		}
-		call := hoptiller.CallID{Invocation: id, Attempt: step.Attempt}
-		step = r.core.Report(now, call, step.Provider, result.Status, now-sent)
+		call := hoptiller.AttemptID{Request: id, Attempt: step.Attempt}
+		step = r.core.Report(now, call, step.Server, result.Status, now-sent)
 		if step.Kind == hoptiller.StepServed {
 			r.closeIdle(step.CloseIdle)
 			return Answer{Kind: step.Kind, Data: result.Data, Body: result.Body}
@@ -241,7 +241,7 @@
 			// One call is out at a time, whatever else the connection carries, and this one still is.
 			call.Attempt = step.Attempt
 			r.core.Gone(r.now(), id)
-			r.core.Report(r.now(), call, step.Provider, hoptiller.Moot, 0)
+			r.core.Report(r.now(), call, step.Server, hoptiller.Moot, 0)
 			return Answer{Kind: hoptiller.StepFail}
 		}
 	}
@@ -252,9 +252,9 @@
 
 // call makes one call, unless it has been withdrawn before it began. It begins only while the client is there, but does not
 // end with the client's leaving: the module hears of that, and withdraws the call if it is to end.
-func (r *Relay) call(client context.Context, l *live, inv *Invocation, step hoptiller.Step) Result {
+func (r *Relay) call(client context.Context, l *live, req *Request, step hoptiller.Step) Result {
 	end := time.Now().Add(step.Timeout)
-	if deadline := inv.Deadline(); deadline.Before(end) {
+	if deadline := req.Deadline(); deadline.Before(end) {
 		end = deadline
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(client), end)
@@ -275,10 +275,10 @@
 	if withdrawn {
 		return Result{Status: hoptiller.Moot}
 	}
-	return r.callerOf(step.Provider).Call(begin, ctx, step.Provider, inv)
+	return r.callerOf(step.Server).Call(begin, ctx, step.Server, req)
 }
 
-func (r *Relay) callerOf(id uint32) Caller {
+func (r *Relay) callerOf(id uint32) Upstream {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.caller(r.servers[id])
@@ -350,11 +350,11 @@
 	r.caller(s).Update(s, known && (old.Addr != s.Addr || old.Started != s.Started))
 }
 
-func (r *Relay) caller(s Server) Caller {
+func (r *Relay) caller(s Server) Upstream {
 	if s.Origin {
 		return r.origins
 	}
-	return r.providers
+	return r.caches
 }
 
 // keyNumber makes the Router's number of a key: what its hexadecimal digits
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -27,7 +27,7 @@
 	c.asked = append(c.asked, fmt.Sprintf(format, args...))
 }
 
-func (c *caller) Call(_, ctx context.Context, server uint32, inv *Invocation) Result {
+func (c *caller) Call(_, ctx context.Context, server uint32, req *Request) Result {
 	c.note("call %d", server)
 	if c.block != nil {
 		c.block <- struct{}{}
@@ -79,15 +79,15 @@
 	return r, p, o
 }
 
-func invocation(class int, write bool) *Invocation {
-	return &Invocation{Key: []byte("k"), ID: []byte("1"), Class: class, Write: write, Arrived: time.Now(), Wait: 5 * time.Second}
+func request(class int, write bool) *Request {
+	return &Request{Key: []byte("k"), ID: []byte("1"), Class: class, Write: write, Arrived: time.Now(), Wait: 5 * time.Second}
 }
 
 // A miss goes to the origin, once the call that missed has ended; the answer is the one that was made for it.
 func TestMissGoesToTheOrigin(t *testing.T) {
 	ended := false
 	r, p, o := newRelay([]Result{{Status: hoptiller.Miss, End: func() bool { ended = true; return true }}}, []Result{{Status: hoptiller.OK, Data: []byte("v")}})
-	a := r.Serve(context.Background(), invocation(0, false))
+	a := r.Serve(context.Background(), request(0, false))
 	if a.Kind != hoptiller.StepServed || string(a.Data) != "v" || !ended {
 		t.Errorf("%+v, the first call's end %v", a, ended)
 	}
@@ -95,7 +95,7 @@
 		t.Errorf("asked %v", got)
 	}
 	if len(r.live) != 0 {
-		t.Error("an invocation that is over is held")
+		t.Error("a request that is over is held")
 	}
 }
 
@@ -104,7 +104,7 @@
 	for status, want := range map[hoptiller.Status]hoptiller.StepKind{hoptiller.Reset: hoptiller.StepFail,
 		hoptiller.ServerError: hoptiller.StepFail, hoptiller.Timeout: hoptiller.StepFail} {
 		r, _, o := newRelay([]Result{{}}, []Result{{Status: status}})
-		if a := r.Serve(context.Background(), invocation(1, true)); a.Kind != want {
+		if a := r.Serve(context.Background(), request(1, true)); a.Kind != want {
 			t.Errorf("status %d: %+v", status, a)
 		}
 		if got := o.said(); len(got) != 1 {
@@ -116,19 +116,19 @@
 // Where every call is turned away the client is told that trying again is harmless, and when.
 func TestTurnedAway(t *testing.T) {
 	r, _, o := newRelay([]Result{{}}, []Result{{Status: hoptiller.Full}})
-	a := r.Serve(context.Background(), invocation(1, true))
+	a := r.Serve(context.Background(), request(1, true))
 	if a.Kind != hoptiller.StepReject || a.RetryAfter != 2*time.Second || len(o.said()) > 3 {
 		t.Errorf("%+v", a)
 	}
 }
 
-// When its client leaves, an invocation's call ends, and so does the invocation.
+// When its client leaves, a request's call ends, and so does the request.
 func TestClientLeaves(t *testing.T) {
 	r, p, _ := newRelay([]Result{{}}, nil)
 	p.block = make(chan struct{})
 	ctx, leave := context.WithCancel(context.Background())
 	done := make(chan Answer)
-	go func() { done <- r.Serve(ctx, invocation(0, false)) }()
+	go func() { done <- r.Serve(ctx, request(0, false)) }()
 	testprog.Await(t, p.block, "call")
 	leave()
 	if a := testprog.Await(t, done, "answer"); a.Kind == hoptiller.StepServed || len(r.live) != 0 {
@@ -141,12 +141,12 @@
 	r, p, _ := newRelay([]Result{{}}, nil)
 	p.block = make(chan struct{})
 	done := make(chan Answer)
-	go func() { done <- r.Serve(context.Background(), invocation(0, false)) }()
+	go func() { done <- r.Serve(context.Background(), request(0, false)) }()
 	testprog.Await(t, p.block, "call")
-	r.withdraw(hoptiller.CallID{Invocation: 1, Attempt: 0})
-	r.withdraw(hoptiller.CallID{Invocation: 1, Attempt: 1})
-	r.withdraw(hoptiller.CallID{Invocation: 1, Attempt: 2})
-	r.withdraw(hoptiller.CallID{Invocation: 77, Attempt: 0}) // over already
+	r.withdraw(hoptiller.AttemptID{Request: 1, Attempt: 0})
+	r.withdraw(hoptiller.AttemptID{Request: 1, Attempt: 1})
+	r.withdraw(hoptiller.AttemptID{Request: 1, Attempt: 2})
+	r.withdraw(hoptiller.AttemptID{Request: 77, Attempt: 0}) // over already
 	testprog.Await(t, done, "answer")
 	if got := p.said(); len(got) != 1 {
 		t.Errorf("asked %v", got)
@@ -175,7 +175,7 @@
 	if got := p.said(); !slices.Equal(got, want) {
 		t.Errorf("told %v", got)
 	}
-	if a := r.Serve(context.Background(), invocation(0, false)); a.Kind == hoptiller.StepServed {
+	if a := r.Serve(context.Background(), request(0, false)); a.Kind == hoptiller.StepServed {
 		t.Error("served by a cache that has left")
 	}
 }
@@ -214,12 +214,12 @@
 // The module is told all that it decides by: also whose request it is, or all would count as the first customer's.
 func TestRequest(t *testing.T) {
 	now := time.Now()
-	inv := &Invocation{Key: []byte("00000000000000ff"), Class: 1, Tenant: 3, Write: true, Retry: true, Arrived: now.Add(-time.Second), Wait: 2 * time.Second}
+	req := &Request{Key: []byte("00000000000000ff"), Class: 1, Tenant: 3, Write: true, Retry: true, Arrived: now.Add(-time.Second), Wait: 2 * time.Second}
 	want := hoptiller.Request{ID: 7, Class: 1, Tenant: 3, Key: 255, Write: true, Retry: true, Remaining: time.Second}
-	if got := inv.request(7, now); got != want {
+	if got := req.decisionInput(7, now); got != want {
 		t.Errorf("%+v, want %+v", got, want)
 	}
-	if got := inv.request(7, now.Add(time.Minute)); got.Remaining != 0 {
+	if got := req.decisionInput(7, now.Add(time.Minute)); got.Remaining != 0 {
 		t.Errorf("of a request whose time is over %v remain", got.Remaining)
 	}
 }
@@ -234,14 +234,14 @@
 	} {
 		r, _, _ := newRelay(nil, nil)
 		ends := make(chan time.Time, 1)
-		r.providers = timing(func(_, ctx context.Context) {
+		r.caches = timing(func(_, ctx context.Context) {
 			end, _ := ctx.Deadline()
 			ends <- end
 		})
-		inv := invocation(0, false)
+		req := request(0, false)
 		before := time.Now()
-		inv.Arrived, inv.Wait = before.Add(c.client-time.Second), time.Second
-		r.call(t.Context(), &live{}, inv, hoptiller.Step{Kind: hoptiller.StepCall, Provider: 1, Timeout: c.step})
+		req.Arrived, req.Wait = before.Add(c.client-time.Second), time.Second
+		r.call(t.Context(), &live{}, req, hoptiller.Step{Kind: hoptiller.StepCall, Server: 1, Timeout: c.step})
 		end := testprog.Await(t, ends, "attempt")
 		if end.Before(before.Add(c.want)) || end.After(time.Now().Add(c.want)) {
 			t.Errorf("%s: %v", name, end.Sub(before))
@@ -256,11 +256,11 @@
 	type times struct{ begin, ctx context.Context }
 	calls := make(chan times)
 	over := make(chan bool)
-	r.providers = timing(func(begin, ctx context.Context) { calls <- times{begin, ctx}; <-over })
+	r.caches = timing(func(begin, ctx context.Context) { calls <- times{begin, ctx}; <-over })
 	client, leave := context.WithCancel(t.Context())
 	l := &live{}
-	step := hoptiller.Step{Kind: hoptiller.StepCall, Provider: 1, Timeout: 20 * time.Second}
-	go r.call(client, l, invocation(0, false), step)
+	step := hoptiller.Step{Kind: hoptiller.StepCall, Server: 1, Timeout: 20 * time.Second}
+	go r.call(client, l, request(0, false), step)
 	c := testprog.Await(t, calls, "call")
 	leave()
 	testprog.Await(t, c.begin.Done(), "end of the time to begin when the client has left")
@@ -269,7 +269,7 @@
 	}
 	over <- true
 
-	go r.call(t.Context(), l, invocation(0, false), step)
+	go r.call(t.Context(), l, request(0, false), step)
 	c = testprog.Await(t, calls, "call")
 	r.liveMu.Lock()
 	l.cancel()
@@ -279,7 +279,7 @@
 	over <- true
 
 	step.By = r.now() + 5*time.Second
-	go r.call(t.Context(), &live{}, invocation(0, false), step)
+	go r.call(t.Context(), &live{}, request(0, false), step)
 	c = testprog.Await(t, calls, "call")
 	by, _ := c.begin.Deadline()
 	end, _ := c.ctx.Deadline()
@@ -289,10 +289,10 @@
 	over <- true
 }
 
-// timing is a Caller that looks only at a call's times.
+// timing is a Upstream that looks only at a call's times.
 type timing func(begin, ctx context.Context)
 
-func (c timing) Call(begin, ctx context.Context, _ uint32, _ *Invocation) Result {
+func (c timing) Call(begin, ctx context.Context, _ uint32, _ *Request) Result {
 	c(begin, ctx)
 	return Result{Status: hoptiller.Moot}
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -25,9 +25,9 @@
 
 // newAttempt makes an attempt that tells how much time is left. The facts go to the start of buf, and what is behind them is
 // free.
-func newAttempt(buf []byte, inv *relay.Invocation, host string, left time.Duration) (a *Attempt, free []byte) {
-	facts := meta.AppendFacts(buf[:0], inv.Facts, left)
-	a = &Attempt{Key: inv.Key, ID: inv.ID, Facts: facts[:len(facts):len(facts)], Host: host, Write: inv.Write, Length: inv.Length()}
+func newAttempt(buf []byte, req *relay.Request, host string, left time.Duration) (a *Attempt, free []byte) {
+	facts := meta.AppendFacts(buf[:0], req.Facts, left)
+	a = &Attempt{Key: req.Key, ID: req.ID, Facts: facts[:len(facts):len(facts)], Host: host, Write: req.Write, Length: req.Length()}
 	return a, facts[len(facts):]
 }
 
--- a/internal/upstream/body_test.go
+++ b/internal/upstream/body_test.go
@@ -15,7 +15,7 @@
 )
 
 func ask(p *Pool, id string) relay.Result {
-	return p.Call(context.Background(), context.Background(), 1, &relay.Invocation{Key: []byte("k"), ID: []byte(id), Facts: []byte("c=read")})
+	return p.Call(context.Background(), context.Background(), 1, &relay.Request{Key: []byte("k"), ID: []byte(id), Facts: []byte("c=read")})
 }
 
 // A call behind a long value can be given up but not ended, since the value would be cut off; later calls go elsewhere.
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	behind := make(chan relay.Result, 1)
 	go func() {
-		behind <- p.Call(ctx, ctx, 1, &relay.Invocation{Key: []byte("k"), ID: []byte("02"), Facts: []byte("c=read")})
+		behind <- p.Call(ctx, ctx, 1, &relay.Request{Key: []byte("k"), ID: []byte("02"), Facts: []byte("c=read")})
 	}()
 	until(t, p, "two calls on it", func(s *server) bool { return len(s.conns[0].calls) == 2 })
 	testprog.Give(t, begin, true, "the word to begin")
--- a/internal/upstream/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -37,8 +37,8 @@
 }
 
 // named is a read that can be told from others.
-func named(id string) *relay.Invocation {
-	return &relay.Invocation{Key: []byte("k"), ID: []byte(id), Facts: []byte("c=read")}
+func named(id string) *relay.Request {
+	return &relay.Request{Key: []byte("k"), ID: []byte(id), Facts: []byte("c=read")}
 }
 
 // Crossing: a client leaves, or the window for its repeat closes, while the connection to the server is still coming up. The
@@ -124,7 +124,7 @@
 				t.Fatal(err)
 			}
 			testprog.Until(t, "the end has come", func() bool { return !c.reader.Resting() })
-			sent, status := c.send(t.Context(), t.Context(), &call{inv: named("01"), done: make(chan relay.Result, 1)})
+			sent, status := c.send(t.Context(), t.Context(), &call{req: named("01"), done: make(chan relay.Result, 1)})
 			if sent || status != hoptiller.OK || !c.dead || p.total != 0 {
 				t.Errorf("sent %v, status %d, dead %v, %d connections", sent, status, c.dead, p.total)
 			}
@@ -146,7 +146,7 @@
 		t.Fatal(err)
 	}
 	testprog.Until(t, "the answer has been read", c.reader.Resting) // and its reader waits for the lock
-	out := &call{inv: named("01"), done: make(chan relay.Result, 1), sent: time.Now()}
+	out := &call{req: named("01"), done: make(chan relay.Result, 1), sent: time.Now()}
 	c.calls = append(c.calls, out)
 	p.mu.Unlock()
 	if r := testprog.Await(t, out.done, "end of the call"); r.Status != hoptiller.Reset {
@@ -211,14 +211,14 @@
 	t.Parallel()
 	p, c, _ := resting(t)
 	c.load = 2
-	waits := &call{inv: named("01"), done: make(chan relay.Result, 1), sent: time.Now()}
+	waits := &call{req: named("01"), done: make(chan relay.Result, 1), sent: time.Now()}
 	c.calls = []*call{waits}
 	c.stopped(true)
 	if c.ending {
 		t.Error("a call that was written in time ends its connection")
 	}
 	c.stopped(false)
-	sent, status := c.send(t.Context(), t.Context(), &call{inv: named("02"), done: make(chan relay.Result, 1)})
+	sent, status := c.send(t.Context(), t.Context(), &call{req: named("02"), done: make(chan relay.Result, 1)})
 	if sent || status != hoptiller.OK || c.dead {
 		t.Errorf("another call: sent %v, status %d, connection dead %v", sent, status, c.dead)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,7 +34,7 @@
 	Called         func()                   // told of each call that was written whole; nil: nobody is
 }
 
-// Pool has the connections to all servers of a kind. It is a relay.Caller.
+// Pool has the connections to all servers of a kind. It is a relay.Upstream.
 type Pool struct {
 	set    Settings
 	proto  Protocol
@@ -67,7 +67,7 @@
 	return p
 }
 
-// Update implements relay.Caller.
+// Update implements relay.Upstream.
 func (p *Pool) Update(entry relay.Server, moved bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -87,7 +87,7 @@
 	}
 }
 
-// Forget implements relay.Caller.
+// Forget implements relay.Upstream.
 func (p *Pool) Forget(id uint32) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -101,7 +101,7 @@
 	return true
 }
 
-// CloseIdle implements relay.Caller.
+// CloseIdle implements relay.Upstream.
 func (p *Pool) CloseIdle(id uint32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -131,9 +131,9 @@
 	}
 }
 
-// Call implements relay.Caller.
-func (p *Pool) Call(begin, ctx context.Context, id uint32, inv *relay.Invocation) relay.Result {
-	out := &call{inv: inv, done: make(chan relay.Result, 1)}
+// Call implements relay.Upstream.
+func (p *Pool) Call(begin, ctx context.Context, id uint32, req *relay.Request) relay.Result {
+	out := &call{req: req, done: make(chan relay.Result, 1)}
 	var c *conn
 	for sent := false; !sent; {
 		var status hoptiller.Status
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -42,7 +42,7 @@
 	return relay.Server{Addr: addr, Server: hoptiller.Server{ID: 1, Phase: phase}}
 }
 
-var read = &relay.Invocation{Key: []byte("k"), ID: []byte("01"), Facts: []byte("c=read,d=9")}
+var read = &relay.Request{Key: []byte("k"), ID: []byte("01"), Facts: []byte("c=read,d=9")}
 
 // answer reads commands and answers each with a text.
 func answer(text string) func(net.Conn, *bufio.Reader) {
--- a/internal/upstream/protocol.go
+++ b/internal/upstream/protocol.go
@@ -13,8 +13,8 @@
 type Protocol interface {
 	// Append writes an attempt but for its value, if it is a write, and what is to follow that.
 	Append(b []byte, a *Attempt) (head []byte, tail string)
-	// Parse reads the answer to the call of inv at the start of b.
-	Parse(b []byte, inv *relay.Invocation) (Reply, error)
+	// Parse reads the answer to the call of req at the start of b.
+	Parse(b []byte, req *relay.Request) (Reply, error)
 }
 
 // Reply is an answer as it was read.
@@ -71,7 +71,7 @@
 	return !bytes.ContainsFunc(b, func(r rune) bool { return r <= ' ' || r == 0x7f })
 }
 
-// Meta is the protocol of the slot caches.
+// Meta is the protocol of the cache servers.
 type Meta struct{}
 
 // Append implements Protocol.
@@ -84,8 +84,8 @@
 }
 
 // Parse implements Protocol.
-func (Meta) Parse(b []byte, inv *relay.Invocation) (Reply, error) {
-	a, n, err := meta.ParseAnswer(b, string(inv.ID))
+func (Meta) Parse(b []byte, req *relay.Request) (Reply, error) {
+	a, n, err := meta.ParseAnswer(b, string(req.ID))
 	if err != nil || n == 0 {
 		return Reply{}, err
 	}
@@ -98,7 +98,7 @@
 	case meta.Miss:
 		r.Status = hoptiller.Miss
 	default:
-		if inv.Write != (a.Kind == meta.Stored) {
+		if req.Write != (a.Kind == meta.Stored) {
 			return Reply{}, meta.ErrAnswer
 		}
 		if r.Status, r.Data = hoptiller.OK, a.Data; a.Long > 0 {
--- a/internal/upstream/time_left_test.go
+++ b/internal/upstream/time_left_test.go
@@ -32,7 +32,7 @@
 		name  string
 		write bool
 	}{{"read", false}, {"write", true}} {
-		stated := &relay.Invocation{Key: []byte("k"), ID: []byte("02"), Facts: []byte("c=x,d=30000"), Write: c.write, Value: []byte("v")}
+		stated := &relay.Request{Key: []byte("k"), ID: []byte("02"), Facts: []byte("c=x,d=30000"), Write: c.write, Value: []byte("v")}
 		t.Run(c.name+", the dial comes up late", func(t *testing.T) {
 			t.Parallel()
 			p, listen := late(t)
@@ -93,7 +93,7 @@
 		480*time.Millisecond - time.Nanosecond: "d=479",
 		time.Hour + 999*time.Microsecond:       "d=3600000",
 	} {
-		a, _ := newAttempt(make([]byte, 100), &relay.Invocation{Facts: []byte("d=9000")}, "", left)
+		a, _ := newAttempt(make([]byte, 100), &relay.Request{Facts: []byte("d=9000")}, "", left)
 		if string(a.Facts) != want {
 			t.Errorf("%v: %s, want %s", left, a.Facts, want)
 		}
@@ -101,7 +101,7 @@
 	p, c, server := resting(t)
 	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(leastLeft-1))
 	defer cancel()
-	sent, status := c.send(t.Context(), ctx, &call{inv: named("01"), done: make(chan relay.Result, 1)})
+	sent, status := c.send(t.Context(), ctx, &call{req: named("01"), done: make(chan relay.Result, 1)})
 	if sent || status != hoptiller.Moot || c.load != 0 {
 		t.Errorf("sent %v, status %d, %d attempts on the connection", sent, status, c.load)
 	}
@@ -124,7 +124,7 @@
 		"c=read,dd=480,xd=3,d":     "c=read,dd=480,xd=3,d",
 	} {
 		buf := make([]byte, 16) // too short for most: what is behind the facts is free all the same
-		a, free := newAttempt(buf, &relay.Invocation{Facts: []byte(facts), ID: []byte("1"), Key: []byte("k")}, "host", 77*time.Millisecond)
+		a, free := newAttempt(buf, &relay.Request{Facts: []byte(facts), ID: []byte("1"), Key: []byte("k")}, "host", 77*time.Millisecond)
 		if string(a.Facts) != want {
 			t.Errorf("%q: %q, want %q", facts, a.Facts, want)
 		}
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -75,7 +75,7 @@
 	}
 	p.set.Room.Release(most - held)
 	switch {
-	case err == nil && b.out.inv.Write:
+	case err == nil && b.out.req.Write:
 		defer w.free()
 		receipt := bytes.Join(w.value.Parts(nil), nil)
 		if len(receipt) > mostReceipt || !Receipt(receipt) {
