Count bytes as old as the last read that looked for them

A read whose deadline has passed returns before it looks at the socket, and was still taken to have found it empty. A pipelined command that had come before would have been given the time since. Found by reading; the test of buffer.Reader fails without the change (28 us too young).

--- a/internal/buffer/arrival_test.go
+++ b/internal/buffer/arrival_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -42,7 +44,8 @@
 		conns <- conn
 		return err
 	})()
-	r, err := NewReader(testprog.Await(t, conns, "connection"))
+	conn := testprog.Await(t, conns, "connection")
+	r, err := NewReader(conn)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,6 +61,11 @@
 	first := r.At
 	io.WriteString(client, "yz")
 	testprog.Until(t, "more has come", r.Waiting)
+	conn.SetReadDeadline(time.Unix(1, 0))
+	if err := r.Next(func(b []byte) int { return len(b) }); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a read whose time is over: %v", err)
+	}
+	conn.SetReadDeadline(time.Time{})
 	if read(1); !arrived.Equal(first) {
 		t.Errorf("what had come before the read counts as of %v after the read before", arrived.Sub(first))
 	}
--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -105,7 +105,9 @@
 		}
 		return true
 	})
-	r.readAt(time.Now(), waited, n < most)
+	if err == nil || waited { // else it did not even look whether something is there
+		r.readAt(time.Now(), waited, n < most)
+	}
 	defer func() { Put(buf) }()
 	switch {
 	case err != nil:
