--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -122,7 +122,7 @@
 		return nil
 	}
 	if int(e.Buffer) >= len(h.lists) || h.lists[e.Buffer] == nil {
-		return fmt.Errorf("Endpoints names list %d, which was never given", e.Buffer)
+		return fmt.Errorf("event Endpoints names list %d, which was never given", e.Buffer)
 	}
 	router.List(h.reader.Clock, e.Scope, h.lists[e.Buffer])
 	return nil
