Rename internal/figures to internal/metrics, with its identifiers in the field's terms

Cause: what is counted is named figures, counts, taken, ended and called; the field's words are metrics, counters, accepted, finished and attempts. The JSON names that operators read stay. In cmd/hoptiller the type metrics is processMetrics, as the package has its name now. No behaviour changes. Measured: go build, go vet, and go test ./cmd/hoptiller ./internal/front ./internal/fleet/drive . pass.

--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -12,24 +12,24 @@
 	"hoptiller"
 	"hoptiller/internal/admin"
 	"hoptiller/internal/directory"
-	"hoptiller/internal/figures"
 	"hoptiller/internal/fleet/notes"
 	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/front"
 	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/loads"
+	"hoptiller/internal/metrics"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/unit"
 )
 
 // metrics are what operators read of this process.
-type metrics struct {
-	figures.Snapshot
+type processMetrics struct {
+	metrics.Snapshot
 	Fleet *peers.Summary `json:"fleet,omitempty"` // as the routers see one another
 }
 
 // calls are what operators can ask of this process.
-func calls(life *lifecycle.State, f *front.Front, counts *figures.Counts, reports *loads.Table, r *relay.Relay, fleet *peers.Peers) map[string]admin.Call {
+func calls(life *lifecycle.State, f *front.Front, counts *metrics.Counters, reports *loads.Table, r *relay.Relay, fleet *peers.Peers) map[string]admin.Call {
 	told := func(e lifecycle.Event) func() (bool, []byte) {
 		return func() (bool, []byte) {
 			yes := life.Tell(e)
@@ -39,7 +39,7 @@
 	all := map[string]admin.Call{
 		"/v1/readyz": {Method: "GET", Do: func() (bool, []byte) { return f.Ready(), state(life) }},
 		"/v1/metrics": {Method: "GET", Do: func() (bool, []byte) {
-			s := metrics{Snapshot: counts.Snapshot()}
+			s := processMetrics{Snapshot: counts.Snapshot()}
 			s.Members, s.Unavailable = r.Members()
 			s.Reports = reports.Summary()
 			if fleet != nil {
--- a/cmd/hoptiller/load_test.go
+++ b/cmd/hoptiller/load_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"hoptiller/internal/figures"
+	"hoptiller/internal/metrics"
 )
 
 // serveReads has p1 answer whatever it is asked.
@@ -55,7 +55,7 @@
 		})
 	}
 	operator := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	metrics := func() (s figures.Snapshot) {
+	readMetrics := func() (s metrics.Snapshot) {
 		r, err := operator.Get("http://" + w.admin + "/v1/metrics")
 		if err != nil {
 			t.Fatal(err)
@@ -67,14 +67,14 @@
 		return s
 	}
 	for range calls {
-		if s := metrics(); s.Pending > 2*clients || s.Members != 1 { // an answer is counted just after it is written
+		if s := readMetrics(); s.Pending > 2*clients || s.Members != 1 { // an answer is counted just after it is written
 			t.Errorf("%+v with %d clients", s, clients)
 		}
 	}
 	all.Wait()
 	for late := time.Now().Add(patience); ; { // the last is counted once it is written
-		s := metrics()
-		if s.Downstream["read"] == (figures.Downstream{Completed: clients * each}) && s.Pending == 0 && s.Upstream == clients*each {
+		s := readMetrics()
+		if s.Downstream["read"] == (metrics.Downstream{Completed: clients * each}) && s.Pending == 0 && s.Upstream == clients*each {
 			return
 		}
 		if time.Now().After(late) {
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -18,7 +18,6 @@
 	"hoptiller/internal/admin"
 	"hoptiller/internal/config"
 	"hoptiller/internal/directory"
-	"hoptiller/internal/figures"
 	"hoptiller/internal/fleet/aside"
 	"hoptiller/internal/fleet/places"
 	"hoptiller/internal/fleet/view"
@@ -28,6 +27,7 @@
 	"hoptiller/internal/loads"
 	"hoptiller/internal/logs"
 	"hoptiller/internal/meta"
+	"hoptiller/internal/metrics"
 	"hoptiller/internal/origin"
 	"hoptiller/internal/plan"
 	"hoptiller/internal/relay"
@@ -143,7 +143,7 @@
 		slog.Info("fleet assumed", "what", what)
 	}
 	reports := loads.New(c.Reports)
-	counts, life := figures.New(c.Classes), lifecycle.New()
+	counts, life := metrics.New(c.Classes), lifecycle.New()
 	c.Settings.Places = p.Limits.Places
 	shares := divide(c, &p.Limits)
 	if shares.heap > 0 {
@@ -154,13 +154,13 @@
 	providers := upstream.New(upstream.Settings{
 		Share: sharing(c), MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
-		Kept: places.Kept(c.Settings.Balancers, p.Limits.Places), Places: p.Limits.Places, Called: counts.Called, Reports: reports,
+		Kept: places.Kept(c.Settings.Balancers, p.Limits.Places), Places: p.Limits.Places, Called: counts.AttemptSent, Reports: reports,
 		Seen: func(id uint32, up bool) { fleet.saw(id, up) },
 	}, upstream.Meta{})
 	origins := upstream.New(upstream.Settings{
 		Share: 1, MostConns: shares.origins, MostCalls: 1, Kept: shares.origins,
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
-		Room: room, Called: counts.Called, Rest: originRest,
+		Room: room, Called: counts.AttemptSent, Rest: originRest,
 	}, origin.Protocol{})
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	var server front.Server = r
--- a/cmd/hoptiller/together.go
+++ b/cmd/hoptiller/together.go
@@ -12,12 +12,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hoptiller/internal/config"
-	"hoptiller/internal/figures"
 	"hoptiller/internal/fleet/aside"
 	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/metrics"
 	"hoptiller/internal/plan"
 	"hoptiller/internal/relay"
 )
@@ -26,7 +26,7 @@
 type fleet struct {
 	peers  *peers.Peers // nil: the view is off
 	phase  func() view.Phase
-	counts *figures.Counts
+	counts *metrics.Counters
 	config *config.Config
 
 	at   time.Time // when requests were last counted
@@ -39,7 +39,7 @@
 
 // newFleet opens the view where the settings and the operator's file, which goes before, have it on. What
 // the platform forbids no file allows.
-func newFleet(c *config.Config, stated plan.Fleet, counts *figures.Counts, life *lifecycle.State, r *relay.Relay, caches *aside.Caches) *fleet {
+func newFleet(c *config.Config, stated plan.Fleet, counts *metrics.Counters, life *lifecycle.State, r *relay.Relay, caches *aside.Caches) *fleet {
 	f := &fleet{counts: counts, config: c, at: time.Now()}
 	why := ""
 	switch {
@@ -94,7 +94,7 @@
 // tell is what this router says of itself.
 func (f *fleet) tell() view.Details {
 	if now := time.Now(); now.Sub(f.at) >= rateTime {
-		n := f.counts.Requests()
+		n := f.counts.AcceptedTotal()
 		f.rate = float64(n-f.seen) / now.Sub(f.at).Seconds()
 		f.at, f.seen = now, n
 	}
--- a/cmd/hoptiller/together_test.go
+++ b/cmd/hoptiller/together_test.go
@@ -12,10 +12,10 @@
 
 	"hoptiller/internal/command"
 	"hoptiller/internal/config"
-	"hoptiller/internal/figures"
 	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/metrics"
 	"hoptiller/internal/plan"
 )
 
@@ -39,7 +39,7 @@
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
-		if f := newFleet(conf, plan.Fleet{View: c.file}, figures.New(conf.Classes), lifecycle.New(), nil, nil); (f.peers != nil) != c.on {
+		if f := newFleet(conf, plan.Fleet{View: c.file}, metrics.New(conf.Classes), lifecycle.New(), nil, nil); (f.peers != nil) != c.on {
 			t.Errorf("%s: on %v", name, f.peers != nil)
 		}
 		other, err := config.Parse([]byte(strings.Replace(text, `"selfIndex":0`, `"selfIndex":1`, 1)))
--- a/internal/fleet/drive/fleet.go
+++ b/internal/fleet/drive/fleet.go
@@ -16,9 +16,9 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"hoptiller/internal/figures"
 	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/fleet/release"
+	"hoptiller/internal/metrics"
 	"hoptiller/internal/plan"
 )
 
@@ -43,7 +43,7 @@
 // answer is what one router says.
 type answer struct {
 	view    *peers.Report
-	metrics *figures.Snapshot
+	metrics *metrics.Snapshot
 	err     string
 }
 
@@ -73,7 +73,7 @@
 	return all
 }
 
-func (f *fleet) metrics(ctx context.Context, addr string) (*figures.Snapshot, error) {
+func (f *fleet) metrics(ctx context.Context, addr string) (*metrics.Snapshot, error) {
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/metrics", nil)
 	if err != nil {
 		return nil, err
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	defer r.Body.Close()
-	s := &figures.Snapshot{}
+	s := &metrics.Snapshot{}
 	return s, json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(s)
 }
 
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -15,9 +15,9 @@
 	"golang.org/x/sync/semaphore"
 
 	"hoptiller"
-	"hoptiller/internal/figures"
 	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/meta"
+	"hoptiller/internal/metrics"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/testprog"
 )
@@ -113,7 +113,7 @@
 	}
 	served := until{make(chan string, 100), make(chan string, 100)}
 	f := &Front{MostConns: 99, MostOpen: 99, Server: served, Classes: []string{"read"}, Deadlines: []time.Duration{time.Second}}
-	f.Life, f.Counts = lifecycle.New(), figures.New(f.Classes)
+	f.Life, f.Counts = lifecycle.New(), metrics.New(f.Classes)
 	done := make(chan error, 1)
 	ctx, end := context.WithCancel(t.Context())
 	go func() { done <- f.Serve(ctx, l) }()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,8 +15,8 @@
 	"golang.org/x/sync/semaphore"
 
 	"hoptiller/internal/buffer"
-	"hoptiller/internal/figures"
 	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/metrics"
 	"hoptiller/internal/relay"
 )
 
@@ -42,7 +42,7 @@
 	Last      time.Duration       // after a stop, when whatever is still open is answered as failed; 0: it has its time
 	Room      *semaphore.Weighted // bytes of long values that are held at once, of the longest at least
 	Life      *lifecycle.State
-	Counts    *figures.Counts
+	Counts    *metrics.Counters
 	Server    Server
 
 	accepting atomic.Bool
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/figures"
 	"hoptiller/internal/lifecycle"
+	"hoptiller/internal/metrics"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/testprog"
 )
@@ -57,7 +57,7 @@
 // start serves clients until the test ends and returns a function that connects one.
 func start(t *testing.T, f *Front) (connect func() net.Conn) {
 	f.Classes, f.Deadlines = []string{"read"}, []time.Duration{time.Second}
-	f.Life, f.Counts = lifecycle.New(), figures.New(f.Classes)
+	f.Life, f.Counts = lifecycle.New(), metrics.New(f.Classes)
 	return testprog.Serve(t, func(ctx context.Context, l net.Listener) error { return f.Serve(ctx, l) })
 }
 
@@ -147,7 +147,7 @@
 		t.Fatal(err)
 	}
 	f := &Front{MostConns: 4, MostOpen: 4, Keep: time.Hour, Server: hold, Classes: []string{"read"}, Deadlines: []time.Duration{time.Second}}
-	f.Life, f.Counts = lifecycle.New(), figures.New(f.Classes)
+	f.Life, f.Counts = lifecycle.New(), metrics.New(f.Classes)
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(context.Background(), l) }()
 	conn, err := net.Dial("tcp", l.Addr().String())
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/figures"
 	"hoptiller/internal/meta"
+	"hoptiller/internal/metrics"
 	"hoptiller/internal/relay"
 )
 
@@ -121,7 +121,7 @@
 // invoke starts a request; over is called once nothing is out for it.
 func (c *conn) invoke(ctx context.Context, req *relay.Request, over func()) {
 	s := pendingAnswer{id: string(req.ID), class: req.Class, write: req.Write, answer: make(chan relay.Answer), at: time.Now()}
-	c.front.Counts.Taken()
+	c.front.Counts.Accepted()
 	go func() {
 		a := c.front.Server.Serve(ctx, req)
 		over()
@@ -173,24 +173,24 @@
 	case <-c.front.last: // this process ends: the client must hear so before that
 		a.Kind = hoptiller.StepFail
 	case <-ctx.Done():
-		c.front.Counts.Ended(s.class, figures.Failed)
+		c.front.Counts.Finished(s.class, metrics.Failed)
 		return false
 	}
 	written := !broken && c.writeFinal(ctx, s, &a)
 	if a.Body != nil {
 		a.Body.Close()
 	}
-	how := figures.Failed
+	how := metrics.Failed
 	switch {
 	case a.Kind == hoptiller.StepServed && written:
-		how = figures.Completed
+		how = metrics.Completed
 		if aim := c.front.Aims; aim != nil && aim[s.class] > 0 && time.Since(s.at) > aim[s.class] {
 			c.front.Counts.Late(s.class)
 		}
 	case a.Kind == hoptiller.StepReject:
-		how = figures.Rejected
+		how = metrics.Rejected
 	}
-	c.front.Counts.Ended(s.class, how)
+	c.front.Counts.Finished(s.class, how)
 	return written
 }
 
