Rename admit and guard to admission and admission/middleware, one file per subject

Cause: admit and guard hid that they are admission control and the middleware that applies it; rooms, tickets, turns and bounds stood for route limits, requests, decisions and constraints. Change: internal/admit is internal/admission, split into admission.go, constraints.go and pools.go; internal/guard is internal/admission/middleware. Two packages stay, since the lab's simulator uses the first one without the relay. Control is Controller, Turn is Decision, Bound is Constraints, Ask is Admit, Leave is CancelWait, Done is Finish, Adopt is SetPlan, Guard is Handler. The names of limits that operators read stay. No behaviour changes.

--- a/cmd/hoptiller/reload.go
+++ b/cmd/hoptiller/reload.go
@@ -8,9 +8,9 @@
 	"slices"
 	"strings"
 
+	"hoptiller/internal/admission/middleware"
 	"hoptiller/internal/config"
 	"hoptiller/internal/directory"
-	"hoptiller/internal/guard"
 	"hoptiller/internal/logs"
 	"hoptiller/internal/plan"
 )
@@ -19,13 +19,13 @@
 // clients, providers and all that it has learned. It takes all of both files that can be taken without a restart,
 // or, where anything is wrong with one of them, nothing of either.
 type reloader struct {
-	serve  *serveCmd
-	config *config.Config
-	plan   *plan.Plan
-	dir    *directory.Client
-	guard  *guard.Guard // nil without an operator's file
-	log    *logs.Log
-	fleet  *fleet
+	serve     *serveCmd
+	config    *config.Config
+	plan      *plan.Plan
+	dir       *directory.Client
+	admission *middleware.Handler // nil without an operator's file
+	log       *logs.Log
+	fleet     *fleet
 }
 
 func (l *reloader) run(ctx context.Context, hup <-chan os.Signal) {
@@ -58,8 +58,8 @@
 	if later := restart(changes); later != "" {
 		slog.Warn("reload needs a restart for a part", "part", later)
 	}
-	if l.guard != nil {
-		l.guard.Adopt(p)
+	if l.admission != nil {
+		l.admission.SetPlan(p)
 	}
 	l.plan = p
 	l.fleet.adopt(p.Fleet)
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -16,13 +16,13 @@
 
 	"hoptiller"
 	"hoptiller/internal/admin"
+	"hoptiller/internal/admission/middleware"
 	"hoptiller/internal/config"
 	"hoptiller/internal/directory"
 	"hoptiller/internal/fleet/aside"
 	"hoptiller/internal/fleet/places"
 	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/front"
-	"hoptiller/internal/guard"
 	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/loads"
 	"hoptiller/internal/logs"
@@ -165,9 +165,9 @@
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	var server front.Server = r
 	var listener directory.Listener = r
-	var g *guard.Guard
+	var g *middleware.Handler
 	if s.File != "" {
-		g = guard.New(r, r, p, func(limit string) { slog.Info("limit hit", "limit", limit) })
+		g = middleware.New(r, r, p, func(limit string) { slog.Info("limit hit", "limit", limit) })
 		server, listener = g, g
 	}
 	caches := aside.New(listener)
@@ -206,7 +206,7 @@
 		group.Go(func() error { return fleet.peers.Run(ctx) })
 	}
 	group.Go(func() error {
-		l := &reloader{serve: s, config: c, plan: p, dir: dir, guard: g, log: log, fleet: fleet}
+		l := &reloader{serve: s, config: c, plan: p, dir: dir, admission: g, log: log, fleet: fleet}
 		l.run(ctx, hup)
 		return nil
 	})
--- a/internal/admit/admit_test.go
+++ b/internal/admission/admission_test.go
@@ -1,4 +1,4 @@
-package admit
+package admission
 
 import (
 	"net/netip"
@@ -33,61 +33,61 @@
 	return p
 }
 
-func bound(c *Control, class int, key string) *Bound {
-	return c.Find(class, []byte(key), nil, netip.Addr{})
+func constraintsFor(c *Controller, class int, key string) *Constraints {
+	return c.Lookup(class, []byte(key), nil, netip.Addr{})
 }
 
 func TestRateAndQueue(t *testing.T) {
 	c := New(load(t, "policy p {\n\tconcurrency 1\n\tqueue 1 for 50ms\n\trate 10/s burst 4\n}\nroute r {\n\tpolicy p\n}\n"))
-	b := bound(c, 0, "k")
+	b := constraintsFor(c, 0, "k")
 	for id, want := range []limit.Verdict{limit.Go, limit.Wait, limit.No, limit.No, limit.No} {
-		turn, _ := c.Ask(0, uint64(id+1), b)
-		if turn.Verdict != want || want == limit.Wait && turn.Until != 50*time.Millisecond || want == limit.No && (turn.After <= 0 || turn.Limit == "") {
-			t.Errorf("%d: %+v", id+1, turn)
+		decision, _ := c.Admit(0, uint64(id+1), b)
+		if decision.Verdict != want || want == limit.Wait && decision.WaitUntil != 50*time.Millisecond || want == limit.No && (decision.RetryAfter <= 0 || decision.Limit == "") {
+			t.Errorf("%d: %+v", id+1, decision)
 		}
-		if id == 4 && turn.Limit != "rate of route r" {
-			t.Errorf("%+v", turn)
+		if id == 4 && decision.Limit != "rate of route r" {
+			t.Errorf("%+v", decision)
 		}
 	}
-	if others := c.Done(time.Millisecond, 1, limit.Well); len(others) != 1 || others[0].ID != 2 || others[0].Verdict != limit.Go {
+	if others := c.Finish(time.Millisecond, 1, limit.Well); len(others) != 1 || others[0].RequestID != 2 || others[0].Verdict != limit.Go {
 		t.Errorf("%+v", others)
 	}
-	if waited, _, _ := c.Leave(2*time.Millisecond, 2); waited {
+	if waited, _, _ := c.CancelWait(2*time.Millisecond, 2); waited {
 		t.Error("one that is in leaves the queue")
 	}
 }
 
-// What is worth most makes room for itself, at the cost of the lowest; and a place at a route's limit is given back by
-// one that loses its place in the queue of all.
+// A request of high priority sheds one of the lowest; and a request that is shed from the shared queue gives back its
+// place at its route's limit.
 func TestPriorities(t *testing.T) {
 	c := New(load(t, "limits {\n\tconcurrency 1\n\tqueue 1 for 50ms\n}\npolicy low {\n\tconcurrency 2\n}\npolicy high {\n\tpriority 9\n}\n"+
 		"route view {\n\tclass view\n\tpolicy low\n}\nroute book {\n\tclass book\n\tpolicy high\n}\n"))
-	view, book := bound(c, 0, "k"), bound(c, 1, "k")
-	c.Ask(0, 1, view)
-	if turn, _ := c.Ask(0, 2, view); turn.Verdict != limit.Wait {
-		t.Fatalf("%+v", turn)
+	view, book := constraintsFor(c, 0, "k"), constraintsFor(c, 1, "k")
+	c.Admit(0, 1, view)
+	if decision, _ := c.Admit(0, 2, view); decision.Verdict != limit.Wait {
+		t.Fatalf("%+v", decision)
 	}
-	if turn, _ := c.Ask(0, 3, view); turn.Verdict != limit.No || turn.Limit != "concurrency of route view" {
-		t.Errorf("%+v", turn)
+	if decision, _ := c.Admit(0, 3, view); decision.Verdict != limit.No || decision.Limit != "concurrency of route view" {
+		t.Errorf("%+v", decision)
 	}
-	turn, others := c.Ask(0, 4, book)
-	if turn.Verdict != limit.Wait || len(others) != 1 || others[0].ID != 2 || others[0].Verdict != limit.No || others[0].Limit != sharedName {
-		t.Fatalf("%+v, %+v", turn, others)
+	decision, others := c.Admit(0, 4, book)
+	if decision.Verdict != limit.Wait || len(others) != 1 || others[0].RequestID != 2 || others[0].Verdict != limit.No || others[0].Limit != sharedConcurrencyName {
+		t.Fatalf("%+v, %+v", decision, others)
 	}
-	if turn, _ := c.Ask(0, 5, view); turn.Limit != sharedName {
-		t.Errorf("the place was not given back: %+v", turn)
+	if decision, _ := c.Admit(0, 5, view); decision.Limit != sharedConcurrencyName {
+		t.Errorf("the place was not given back: %+v", decision)
 	}
-	if others := c.Done(0, 1, limit.Well); len(others) != 1 || others[0].ID != 4 {
+	if others := c.Finish(0, 1, limit.Well); len(others) != 1 || others[0].RequestID != 4 {
 		t.Errorf("%+v", others)
 	}
 }
 
-// A pool that loses its last providers falls back, and one without a fallback has nobody, not everybody.
+// A pool that loses its last servers falls back, and one without a fallback is empty; it doesn't get all servers.
 func TestPools(t *testing.T) {
 	c := New(load(t, "pool a {\n\tzone a\n\tat-least 2\n\tfallback y\n}\npool y {\n\tkind y\n\taddress 10.0.0.1:1\n}\nroute r {\n\tpool a\n}\n"))
-	b := bound(c, 0, "k")
+	b := constraintsFor(c, 0, "k")
 	allowed := func(servers ...Server) (ids []uint32) {
-		c.Servers(servers)
+		c.SetServers(servers)
 		for id := uint32(1); id <= 4; id++ {
 			if b.Narrowing().Allows(id) {
 				ids = append(ids, id)
@@ -108,14 +108,14 @@
 	if got := allowed(one, two, other); got != nil {
 		t.Error(got)
 	}
-	if got := bound(New(load(t, "")), 0, "k").Narrowing(); got != nil {
+	if got := constraintsFor(New(load(t, "")), 0, "k").Narrowing(); got != nil {
 		t.Errorf("%+v", got)
 	}
 }
 
 func TestNarrowing(t *testing.T) {
 	c := New(load(t, "policy p {\n\tattempts 2\n\trepeat on full timeout\n\ttimeout 30ms\n\tbudget 0% least 0.1/s\n}\nroute r {\n\tclass view\n\tpolicy p\n}\n"))
-	b := bound(c, 0, "k")
+	b := constraintsFor(c, 0, "k")
 	n := b.Narrowing()
 	if n.Timeout() != 30*time.Millisecond || !n.Repeats(1, hoptiller.Full) || !n.Repeats(1, hoptiller.Cancelled) || n.Repeats(1, hoptiller.Reset) ||
 		n.Repeats(2, hoptiller.Full) || n.Copies() {
@@ -124,17 +124,17 @@
 	if !n.Spend(0) || n.Spend(0) {
 		t.Error("the budget is not kept")
 	}
-	c.Adopt(load(t, "route r {\n\tclass view\n}\n"))
+	c.SetPlan(load(t, "route r {\n\tclass view\n}\n"))
 	if n.Timeout() != 30*time.Millisecond || !n.Repeats(1, hoptiller.Full) {
 		t.Error("what had begun goes on otherwise after a reload")
 	}
-	if bound(c, 0, "k").Narrowing() != nil {
+	if constraintsFor(c, 0, "k").Narrowing() != nil {
 		t.Error("what begins after a reload goes on as before")
 	}
 }
 
-// Whatever comes, in whatever state it is when another plan is loaded: each invocation gets one verdict in the end, no
-// more are in than there are places, and nothing is left behind.
+// Whatever state a request is in when another plan is loaded: each request gets one final verdict, no more are admitted
+// than the limits allow, and no state is left behind.
 func TestEachHasOneVerdict(t *testing.T) {
 	texts := []string{"",
 		"limits {\n\tconcurrency 3\n\tqueue 2 for 20ms\n}\npolicy p {\n\tconcurrency 2\n\tqueue 2 for 10ms\n}\npolicy q {\n\tpriority 5\n}\nroute v {\n\tclass view\n\tpolicy p\n}\nroute b {\n\tclass book\n\tpolicy q\n}\n",
@@ -152,12 +152,12 @@
 			}
 			return slices.Delete(list, i, i+1)
 		}
-		take := func(turns ...Turn) {
+		take := func(turns ...Decision) {
 			for _, x := range turns {
-				if waiting = drop(waiting, x.ID); x.Verdict == limit.Go {
-					in = append(in, x.ID)
+				if waiting = drop(waiting, x.RequestID); x.Verdict == limit.Go {
+					in = append(in, x.RequestID)
 				} else if x.Verdict == limit.Wait {
-					waiting = append(waiting, x.ID)
+					waiting = append(waiting, x.RequestID)
 				}
 			}
 		}
@@ -165,8 +165,8 @@
 			"ask": func(t *rapid.T) {
 				next++
 				waiting = append(waiting, next)
-				turn, others := c.Ask(now, next, bound(c, rapid.IntRange(0, 1).Draw(t, "class"), "k"))
-				take(turn)
+				decision, others := c.Admit(now, next, constraintsFor(c, rapid.IntRange(0, 1).Draw(t, "class"), "k"))
+				take(decision)
 				take(others...)
 			},
 			"done": func(t *rapid.T) {
@@ -175,26 +175,26 @@
 				}
 				id := rapid.SampledFrom(in).Draw(t, "which")
 				in = drop(in, id)
-				take(c.Done(now, id, limit.Ended(rapid.IntRange(0, 2).Draw(t, "how")))...)
+				take(c.Finish(now, id, limit.Ended(rapid.IntRange(0, 2).Draw(t, "how")))...)
 			},
 			"leave": func(t *rapid.T) {
 				if len(waiting) == 0 {
 					t.Skip()
 				}
 				id := rapid.SampledFrom(waiting).Draw(t, "which")
-				waited, turn, others := c.Leave(now, id)
-				if !waited || turn.Verdict != limit.No {
-					t.Fatalf("%d did not wait: %+v", id, turn)
+				waited, decision, others := c.CancelWait(now, id)
+				if !waited || decision.Verdict != limit.No {
+					t.Fatalf("%d did not wait: %+v", id, decision)
 				}
-				take(append([]Turn{turn}, others...)...)
+				take(append([]Decision{decision}, others...)...)
 			},
-			"reload": func(t *rapid.T) { c.Adopt(load(t, rapid.SampledFrom(texts).Draw(t, "plan"))) },
+			"reload": func(t *rapid.T) { c.SetPlan(load(t, rapid.SampledFrom(texts).Draw(t, "plan"))) },
 			"time":   func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond },
 		})
 		for len(in) > 0 {
 			id := in[0]
 			in = in[1:]
-			take(c.Done(now, id, limit.Well)...)
+			take(c.Finish(now, id, limit.Well)...)
 		}
 		if a, b := c.Counts(); a+b > 0 || len(waiting) > 0 {
 			t.Fatalf("%d in and %d waiting are left behind, %v", a, b, waiting)
--- /dev/null
+++ b/internal/admission/middleware/middleware.go
@@ -0,0 +1,200 @@
+// Package middleware applies an operator's plan between the client side of the router and the
+// relay. It looks up the constraints of each request, asks package admission whether the request
+// is admitted, lets it wait for a bounded time where the plan has a queue, and passes it on
+// together with its constraints.
+//
+// It makes no decisions of its own and knows no protocol.
+package middleware
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/admission"
+	"hoptiller/internal/limit"
+	"hoptiller/internal/meta"
+	"hoptiller/internal/plan"
+	"hoptiller/internal/relay"
+)
+
+// tenantFact is the name of the fact of a request that holds its tenant.
+const tenantFact = "customer"
+
+// Server carries a request to its final answer.
+type Server interface {
+	Serve(ctx context.Context, req *relay.Request) relay.Answer
+}
+
+// Listener receives the updates of the server list.
+type Listener interface {
+	Told(kind hoptiller.ListKind, servers []relay.Server)
+	Knows(id uint32) bool
+}
+
+// Handler is a Server and a Listener that applies a plan and passes on to the next ones.
+type Handler struct {
+	next       Server
+	listener   Listener
+	controller *admission.Controller
+	start      time.Time
+	onReject   func(limit string)
+
+	lastID atomic.Uint64
+	listed map[uint32]relay.Server // needs no lock: list updates come one at a time
+
+	mu      sync.Mutex
+	waiting map[uint64]chan admission.Decision
+}
+
+// New returns a Handler that applies p before it passes requests to next and list updates to
+// listener. It calls onReject with the name of the limit for each request that it rejects; onReject
+// must not block.
+func New(next Server, listener Listener, p *plan.Plan, onReject func(limit string)) *Handler {
+	return &Handler{
+		next:       next,
+		listener:   listener,
+		controller: admission.New(p),
+		start:      time.Now(),
+		onReject:   onReject,
+		listed:     map[uint32]relay.Server{},
+		waiting:    map[uint64]chan admission.Decision{},
+	}
+}
+
+// SetPlan replaces the plan. Requests that have begun end under the plan they began with.
+func (h *Handler) SetPlan(p *plan.Plan) { h.controller.SetPlan(p) }
+
+// Counts returns the number of requests with limits that are admitted and that wait.
+func (h *Handler) Counts() (admitted, waiting int) { return h.controller.Counts() }
+
+// Serve carries a request to its final answer, which is a rejection if it doesn't pass a limit.
+func (h *Handler) Serve(ctx context.Context, req *relay.Request) relay.Answer {
+	tenant, _ := meta.Fact(req.Facts, tenantFact)
+	constraints := h.controller.Lookup(req.Class, req.Key, tenant, req.Client)
+	if req.Narrow = constraints.Narrowing(); constraints.Unlimited() {
+		return h.next.Serve(ctx, req)
+	}
+	id := h.lastID.Add(1)
+	arrival := time.Since(h.start)
+	decision := h.admit(ctx, arrival, id, constraints)
+	if decision.Verdict == limit.No {
+		h.onReject(decision.Limit)
+		return relay.Answer{Kind: hoptiller.StepReject, RetryAfter: decision.RetryAfter}
+	}
+	answer := h.next.Serve(ctx, req)
+	now := time.Since(h.start)
+	how := limit.Well
+	switch {
+	case ctx.Err() != nil || answer.Kind == hoptiller.StepReject:
+		how = limit.Unknown // load shed by the module says nothing about the fleet's capacity
+	case answer.Kind == hoptiller.StepFail || constraints.Late(now-arrival):
+		how = limit.Badly
+	}
+	h.deliver(h.controller.Finish(now, id, how))
+	return answer
+}
+
+// admit waits until a request is admitted or rejected.
+func (h *Handler) admit(ctx context.Context, now time.Duration, id uint64, constraints *admission.Constraints) admission.Decision {
+	h.mu.Lock() // held so that a decision on a request that waits always finds its channel
+	decision, others := h.controller.Admit(now, id, constraints)
+	var decisions chan admission.Decision
+	if decision.Verdict == limit.Wait {
+		decisions = make(chan admission.Decision, maxDecisions)
+		h.waiting[id] = decisions
+	}
+	h.mu.Unlock()
+	h.deliver(others)
+	if decisions == nil {
+		return decision
+	}
+	for decision.Verdict == limit.Wait {
+		decision = h.awaitDecision(ctx, id, decision, decisions)
+	}
+	h.mu.Lock()
+	delete(h.waiting, id)
+	h.mu.Unlock()
+	return decision
+}
+
+// maxDecisions is the number of decisions that can be pending for one request that waits: its
+// admission may arrive before the decision that lets it wait at the shared gate.
+const maxDecisions = 2
+
+// awaitDecision waits for the next decision on a queued request, until its time in the queue is up
+// or its client has disconnected.
+func (h *Handler) awaitDecision(ctx context.Context, id uint64, current admission.Decision, decisions chan admission.Decision) admission.Decision {
+	timer := time.NewTimer(current.WaitUntil - time.Since(h.start))
+	defer timer.Stop()
+	select {
+	case decision := <-decisions:
+		return decision
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	waited, decision, others := h.controller.CancelWait(time.Since(h.start), id)
+	if !waited {
+		return <-decisions // the decision was made just now and is on its way
+	}
+	h.deliver(others)
+	return decision
+}
+
+// deliver sends decisions to the requests that wait for them. It doesn't block: the channels have
+// room for all decisions that can be pending.
+func (h *Handler) deliver(decisions []admission.Decision) {
+	for _, decision := range decisions {
+		h.mu.Lock()
+		waiting := h.waiting[decision.RequestID]
+		h.mu.Unlock()
+		if waiting != nil {
+			waiting <- decision
+		}
+	}
+}
+
+// Told takes an update of the server list. The pools learn of it before the next listener does.
+func (h *Handler) Told(kind hoptiller.ListKind, servers []relay.Server) {
+	if kind != hoptiller.ListFailed {
+		h.updateList(kind, servers)
+		h.controller.SetServers(h.cacheServers())
+	}
+	h.listener.Told(kind, servers)
+}
+
+// updateList applies a whole list or the changes of one.
+func (h *Handler) updateList(kind hoptiller.ListKind, servers []relay.Server) {
+	if kind == hoptiller.ListFull || kind == hoptiller.ListCached {
+		clear(h.listed)
+	}
+	for _, server := range servers {
+		if h.listed[server.ID] = server; server.Phase == hoptiller.Gone {
+			delete(h.listed, server.ID)
+		}
+	}
+}
+
+// cacheServers returns the listed servers without the origin.
+func (h *Handler) cacheServers() []admission.Server {
+	servers := make([]admission.Server, 0, len(h.listed))
+	for _, server := range h.listed {
+		if server.Origin {
+			continue
+		}
+		servers = append(servers, admission.Server{
+			ID:    server.ID,
+			Zone:  server.Zone,
+			Kind:  server.Kind,
+			Cell:  server.Cell,
+			Addr:  server.Addr,
+			Ready: server.Phase == hoptiller.Ready,
+		})
+	}
+	return servers
+}
+
+// Knows reports whether the next listener still knows a server.
+func (h *Handler) Knows(id uint32) bool { return h.listener.Knows(id) }
--- a/internal/guard/guard_test.go
+++ b/internal/admission/middleware/middleware_test.go
@@ -1,4 +1,4 @@
-package guard
+package middleware
 
 import (
 	"context"
@@ -31,91 +31,91 @@
 	return p
 }
 
-// behind is the relay: it says who has come and answers when it is told to.
-type behind struct {
-	come chan *relay.Request
-	go_  chan bool
-	out  atomic.Int64
-	most atomic.Int64
-	told []relay.Server
+// fakeRelay stands in for the relay: it reports each request that arrives and answers when the test says so.
+type fakeRelay struct {
+	arrived chan *relay.Request
+	proceed chan bool
+	running atomic.Int64
+	peak    atomic.Int64
+	updates []relay.Server
 }
 
-func (b *behind) Serve(ctx context.Context, inv *relay.Request) relay.Answer {
-	n := b.out.Add(1)
-	for m := b.most.Load(); n > m && !b.most.CompareAndSwap(m, n); m = b.most.Load() {
+func (b *fakeRelay) Serve(ctx context.Context, req *relay.Request) relay.Answer {
+	n := b.running.Add(1)
+	for m := b.peak.Load(); n > m && !b.peak.CompareAndSwap(m, n); m = b.peak.Load() {
 	}
-	defer b.out.Add(-1)
-	b.come <- inv
+	defer b.running.Add(-1)
+	b.arrived <- req
 	select {
-	case <-b.go_:
+	case <-b.proceed:
 	case <-ctx.Done():
 	}
 	return relay.Answer{Kind: hoptiller.StepServed}
 }
-func (b *behind) Told(_ hoptiller.ListKind, s []relay.Server) { b.told = s }
-func (b *behind) Knows(uint32) bool                           { return true }
+func (b *fakeRelay) Told(_ hoptiller.ListKind, s []relay.Server) { b.updates = s }
+func (b *fakeRelay) Knows(uint32) bool                           { return true }
 
-func newGuard(t testing.TB, text string) (*Guard, *behind, chan string) {
-	b := &behind{come: make(chan *relay.Request, 1000), go_: make(chan bool, 1000)}
-	met := make(chan string, 10000)
-	return New(b, b, load(t, text), func(limit string) { met <- limit }), b, met
+func newHandler(t testing.TB, text string) (*Handler, *fakeRelay, chan string) {
+	b := &fakeRelay{arrived: make(chan *relay.Request, 1000), proceed: make(chan bool, 1000)}
+	rejections := make(chan string, 10000)
+	return New(b, b, load(t, text), func(limit string) { rejections <- limit }), b, rejections
 }
 
-const one = "policy p {\n\tconcurrency 1\n\tqueue 1 for %s\n}\nroute r {\n\tpolicy p\n}\n"
+const onePlaceFor = "policy p {\n\tconcurrency 1\n\tqueue 1 for %s\n}\nroute r {\n\tpolicy p\n}\n"
 
 // await waits until so many wait in a queue.
-func await(t *testing.T, g *Guard, n int) {
+func await(t *testing.T, g *Handler, n int) {
 	testprog.Until(t, fmt.Sprint(n, " wait"), func() bool { _, waiting := g.Counts(); return waiting == n })
 }
 
-// One is out, the next waits and goes when the first is answered, the third is refused at once.
+// One request is admitted, the next waits until the first is answered, the third is rejected at once.
 func TestQueue(t *testing.T) {
-	g, b, met := newGuard(t, fmt.Sprintf(one, "50s"))
+	g, b, rejections := newHandler(t, fmt.Sprintf(onePlaceFor, "50s"))
 	answers := make(chan relay.Answer, 2)
 	serve := func(ctx context.Context) {
 		answers <- g.Serve(ctx, &relay.Request{Key: []byte("k"), Arrived: time.Now(), Wait: time.Minute})
 	}
 	go serve(context.Background())
-	testprog.Await(t, b.come, "invocation at the relay")
+	testprog.Await(t, b.arrived, "request at the relay")
 	go serve(context.Background())
 	await(t, g, 1)
-	if a := g.Serve(context.Background(), &relay.Request{}); a.Kind != hoptiller.StepReject || a.RetryAfter <= 0 || testprog.Await(t, met, "limit that was met") != "concurrency of route r" {
+	if a := g.Serve(context.Background(), &relay.Request{}); a.Kind != hoptiller.StepReject || a.RetryAfter <= 0 || testprog.Await(t, rejections, "limit that was met") != "concurrency of route r" {
 		t.Errorf("%+v", a)
 	}
-	b.go_ <- true
-	if inv := testprog.Await(t, b.come, "the next one at the relay"); time.Until(inv.Deadline()) >= time.Minute || inv.Narrow == nil {
-		t.Errorf("what was waited is not taken off: %+v", inv)
+	b.proceed <- true
+	if req := testprog.Await(t, b.arrived, "the next request at the relay"); time.Until(req.Deadline()) >= time.Minute || req.Narrow == nil {
+		t.Errorf("what was waited is not taken off: %+v", req)
 	}
-	b.go_ <- true
+	b.proceed <- true
 	for range 2 {
 		if a := testprog.Await(t, answers, "answer"); a.Kind != hoptiller.StepServed {
 			t.Errorf("%+v", a)
 		}
 	}
-	// One whose client leaves, and one whose time in the queue is up, give their places back.
+	// A request whose client disconnects, and one whose time in the queue is up, give their places back.
 	go serve(context.Background())
-	testprog.Await(t, b.come, "invocation at the relay")
+	testprog.Await(t, b.arrived, "request at the relay")
 	ctx, cancel := context.WithCancel(context.Background())
 	go serve(ctx)
 	await(t, g, 1)
 	cancel()
 	testprog.Await(t, answers, "answer")
-	g.Adopt(load(t, fmt.Sprintf(one, "2ms")))
-	if a := g.Serve(context.Background(), &relay.Request{}); a.Kind != hoptiller.StepReject || testprog.Await(t, met, "limit that was met") != "queue of route r" {
+	g.SetPlan(load(t, fmt.Sprintf(onePlaceFor, "2ms")))
+	if a := g.Serve(context.Background(), &relay.Request{}); a.Kind != hoptiller.StepReject || testprog.Await(t, rejections, "limit that was met") != "queue of route r" {
 		t.Errorf("%+v", a)
 	}
-	b.go_ <- true
+	b.proceed <- true
 	testprog.Await(t, answers, "answer")
 	if in, waiting := g.Counts(); in+waiting > 0 {
 		t.Errorf("%d in and %d waiting are left", in, waiting)
 	}
 }
 
-// A thousand invocations in every state (waiting, out, leaving) while plans come and go: each has one answer, no more
+// A thousand requests in every state (waiting, admitted, disconnecting) while plans change: each gets one answer, no more
 // are out than the widest plan allows, and nothing is left behind.
 func TestReloadUnderLoad(t *testing.T) {
-	g, b, met := newGuard(t, fmt.Sprintf(one, "1ms"))
-	texts := []string{"", fmt.Sprintf(one, "3ms"), strings.Replace(fmt.Sprintf(one, "1ms"), "concurrency 1", "concurrency adaptive 2 9", 1),
+	g, b, rejections := newHandler(t, fmt.Sprintf(onePlaceFor, "1ms"))
+	texts := []string{"", fmt.Sprintf(onePlaceFor, "3ms"), strings.Replace(fmt.Sprintf(onePlaceFor, "1ms"), "concurrency 1", "concurrency adaptive 2 9", 1),
 		"limits {\n\tconcurrency 3\n\tqueue 4 for 2ms\n}\nroute r {\n\tclass view\n}\n", "policy p {\n\trate 100/s burst 9\n}\nroute r {\n\tpolicy p\n}\n"}
 	var plans []*plan.Plan
 	for _, text := range texts {
@@ -127,11 +127,11 @@
 			select {
 			case <-done:
 				return
-			case <-met:
-			case <-b.come:
-				b.go_ <- true
+			case <-rejections:
+			case <-b.arrived:
+				b.proceed <- true
 				if i%10 == 0 {
-					g.Adopt(plans[i/10%len(plans)])
+					g.SetPlan(plans[i/10%len(plans)])
 				}
 			}
 		}
@@ -158,18 +158,18 @@
 	}
 }
 
-// Pools follow the directory: by the whole list, by what has changed, and not by a call that failed.
+// Pools follow discovery: the whole list, the changes of one, and not a call that failed.
 func TestPools(t *testing.T) {
-	g, b, _ := newGuard(t, "pool a {\n\tzone a\n}\nroute r {\n\tpool a\n}\n")
+	g, b, _ := newHandler(t, "pool a {\n\tzone a\n}\nroute r {\n\tpool a\n}\n")
 	server := func(id uint32, zone int, phase hoptiller.Phase) relay.Server {
 		return relay.Server{Server: hoptiller.Server{ID: id, Zone: zone, Phase: phase}}
 	}
 	allowed := func(id uint32) bool {
-		return g.control.Find(0, nil, nil, (&relay.Request{}).Client).Narrowing().Allows(id)
+		return g.controller.Lookup(0, nil, nil, (&relay.Request{}).Client).Narrowing().Allows(id)
 	}
 	g.Told(hoptiller.ListFull, []relay.Server{server(1, 0, hoptiller.Ready), server(2, 1, hoptiller.Ready)})
 	g.Told(hoptiller.ListFailed, nil)
-	if !allowed(1) || allowed(2) || len(b.told) != 0 {
+	if !allowed(1) || allowed(2) || len(b.updates) != 0 {
 		t.Error("the list does not make the pool")
 	}
 	g.Told(hoptiller.ListDelta, []relay.Server{server(1, 0, hoptiller.Draining), server(3, 0, hoptiller.Ready)})
@@ -181,14 +181,14 @@
 	}
 }
 
-type nothing struct{}
+type emptyServer struct{}
 
-func (nothing) Serve(context.Context, *relay.Request) relay.Answer {
+func (emptyServer) Serve(context.Context, *relay.Request) relay.Answer {
 	return relay.Answer{Kind: hoptiller.StepServed}
 }
 
-// What a guard adds to an invocation: without a route, with a policy that narrows, and with all limits.
-func BenchmarkGuard(b *testing.B) {
+// What a Handler adds to a request: without a route, with a policy that narrows, and with all limits.
+func BenchmarkHandler(b *testing.B) {
 	var many strings.Builder
 	for i := range 1000 {
 		fmt.Fprintf(&many, "route r%d {\n\tkey \"k%d:\"\n\tpolicy p\n}\n", i, i)
@@ -200,11 +200,11 @@
 		{"1000 routes", "policy p {\n\tattempts 2\n}\n" + many.String()},
 	} {
 		b.Run(c.name, func(b *testing.B) {
-			g := New(nothing{}, &behind{}, load(b, c.text), func(string) {})
-			inv := &relay.Request{Key: []byte("k500:x"), Arrived: time.Now(), Wait: time.Minute}
+			g := New(emptyServer{}, &fakeRelay{}, load(b, c.text), func(string) {})
+			req := &relay.Request{Key: []byte("k500:x"), Arrived: time.Now(), Wait: time.Minute}
 			b.ReportAllocs()
 			for b.Loop() {
-				g.Serve(context.Background(), inv)
+				g.Serve(context.Background(), req)
 			}
 		})
 	}
--- a/internal/lab/sim/limited.go
+++ b/internal/lab/sim/limited.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/admit"
+	"hoptiller/internal/admission"
 	"hoptiller/internal/limit"
 	"hoptiller/internal/plan"
 )
@@ -15,7 +15,7 @@
 // a hoptiller.Narrowing the rivals keep what it says of repeats, and no more.
 func Limited(policy Policy, p *plan.Plan) Policy {
 	return func(now time.Duration, set hoptiller.Settings, seed uint64, act hoptiller.Actions) hoptiller.Events {
-		l := &limited{Actions: act, control: admit.New(p), open: map[uint32]*asked{}}
+		l := &limited{Actions: act, control: admission.New(p), open: map[uint32]*asked{}}
 		l.next = policy(now, set, seed, l)
 		return l
 	}
@@ -28,12 +28,12 @@
 type limited struct {
 	hoptiller.Actions
 	next    hoptiller.Events
-	control *admit.Control
+	control *admission.Controller
 	open    map[uint32]*asked
 	now     time.Duration
-	servers map[uint32]admit.Server
+	servers map[uint32]admission.Server
 	inside  int // calls of the policy that are not over
-	turns   []admit.Turn
+	turns   []admission.Decision
 }
 
 // asked is a request that has no final answer.
@@ -41,7 +41,7 @@
 	hoptiller.Request
 	at    time.Duration
 	in    bool
-	bound *admit.Bound
+	bound *admission.Constraints
 }
 
 // hear lets the policy hear something. What that frees for others is theirs when it is over: a policy must not be
@@ -58,8 +58,8 @@
 	}
 }
 
-func (l *limited) turn(t admit.Turn) {
-	q := l.open[uint32(t.ID)]
+func (l *limited) turn(t admission.Decision) {
+	q := l.open[uint32(t.RequestID)]
 	if q == nil {
 		return // it has left meanwhile
 	}
@@ -71,19 +71,19 @@
 		r.Narrow = q.bound.Narrowing()
 		l.hear(l.now, func() { l.next.Request(l.now, r) })
 	case limit.Wait:
-		l.SetTimer(leaving|t.ID, t.Until-l.now)
+		l.SetTimer(leaving|t.RequestID, t.WaitUntil-l.now)
 	case limit.No:
 		delete(l.open, q.ID)
-		l.Actions.Refuse(q.ID, t.After)
+		l.Actions.Refuse(q.ID, t.RetryAfter)
 	}
 }
 
 func (l *limited) Request(now time.Duration, q hoptiller.Request) {
 	l.hear(now, func() {
 		key := fmt.Appendf(nil, "%016x", q.Key)
-		a := &asked{Request: q, at: now, bound: l.control.Find(q.Class, key, fmt.Append(nil, q.Tenant), netip.Addr{})}
+		a := &asked{Request: q, at: now, bound: l.control.Lookup(q.Class, key, fmt.Append(nil, q.Tenant), netip.Addr{})}
 		l.open[q.ID] = a
-		t, others := l.control.Ask(now, uint64(q.ID), a.bound)
+		t, others := l.control.Admit(now, uint64(q.ID), a.bound)
 		l.turns = append(append(l.turns, t), others...)
 	})
 }
@@ -96,14 +96,14 @@
 	}
 	delete(l.open, id)
 	if !q.in {
-		_, _, others := l.control.Leave(l.now, uint64(id))
+		_, _, others := l.control.CancelWait(l.now, uint64(id))
 		l.turns = append(l.turns, others...)
 		return
 	}
 	if how == limit.Well && q.bound.Late(l.now-q.at) {
 		how = limit.Badly
 	}
-	l.turns = append(l.turns, l.control.Done(l.now, uint64(id), how)...)
+	l.turns = append(l.turns, l.control.Finish(l.now, uint64(id), how)...)
 }
 
 func (l *limited) Refuse(id uint32, after time.Duration) {
@@ -140,7 +140,7 @@
 		return
 	}
 	l.hear(now, func() {
-		if waited, t, others := l.control.Leave(now, token&^leaving); waited {
+		if waited, t, others := l.control.CancelWait(now, token&^leaving); waited {
 			l.turns = append(append(l.turns, t), others...)
 		}
 	})
@@ -152,17 +152,17 @@
 
 func (l *limited) List(now time.Duration, kind hoptiller.ListKind, servers []hoptiller.Server) {
 	if l.servers == nil || kind == hoptiller.ListFull {
-		l.servers = map[uint32]admit.Server{}
+		l.servers = map[uint32]admission.Server{}
 	}
 	for _, s := range servers {
-		l.servers[s.ID] = admit.Server{ID: s.ID, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, Ready: s.Phase == hoptiller.Ready}
+		l.servers[s.ID] = admission.Server{ID: s.ID, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, Ready: s.Phase == hoptiller.Ready}
 	}
 	if kind != hoptiller.ListFailed {
-		var all []admit.Server
+		var all []admission.Server
 		for _, s := range l.servers {
 			all = append(all, s)
 		}
-		l.control.Servers(all)
+		l.control.SetServers(all)
 	}
 	l.hear(now, func() { l.next.List(now, kind, servers) })
 }
