--- a/cmd/hoplab/drill.go
+++ b/cmd/hoplab/drill.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"hoptiller/internal/command"
-	"hoptiller/internal/lab/draw"
 	"hoptiller/internal/lab/drill"
+	"hoptiller/internal/lab/plot"
 )
 
 // playsAgain is how often a drill that the machine was too busy for is played before that is told.
@@ -126,7 +126,7 @@
 	if err := errors.Join(drill.Write(out, r.Events), out.Close()); err != nil {
 		return false, err
 	}
-	if err := draw.Timeline(f.Title, r.Events, f.Day.Routers, r.Result.Series.Service, base+".svg"); err != nil {
+	if err := plot.Timeline(f.Title, r.Events, f.Day.Routers, r.Result.Series.Service, base+".svg"); err != nil {
 		return false, err
 	}
 	if len(r.Broken()) == 0 {
--- a/cmd/hoplab/lab.go
+++ b/cmd/hoplab/lab.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"hoptiller/internal/command"
-	"hoptiller/internal/lab/draw"
 	"hoptiller/internal/lab/drill"
 	"hoptiller/internal/lab/experiment"
 	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/plot"
 	"hoptiller/internal/lab/rival"
 	"hoptiller/internal/lab/sim"
 	"hoptiller/internal/lab/standin"
@@ -114,7 +114,7 @@
 	}
 	for _, y := range f.Plot.Y {
 		path := filepath.Join(c.Plots, f.Name+"-"+y+".svg")
-		if err := plot(records, f.Plot.X, y, "hoptiller", 1, path); err != nil {
+		if err := writePlot(records, f.Plot.X, y, "hoptiller", 1, path); err != nil {
 			return err
 		}
 	}
@@ -122,10 +122,10 @@
 }
 
 // plot draws a figure over another one, as bars where that has no numbers, or the course of a policy's run.
-func plot(records []*experiment.Record, x, y, policy string, run int, path string) error {
+func writePlot(records []*experiment.Record, x, y, policy string, run int, path string) error {
 	switch x {
 	case "":
-		return draw.Bars(records, "", y, path)
+		return plot.Bars(records, "", y, path)
 	case "time":
 		var own []*experiment.Record
 		for _, r := range records {
@@ -136,9 +136,9 @@
 		if run < 1 || run > len(own) {
 			return fmt.Errorf("there are %d runs of %s", len(own), policy)
 		}
-		return draw.Course(own[run-1], y, path)
+		return plot.TimeSeries(own[run-1], y, path)
 	}
-	return draw.Sweep(records, x, y, path)
+	return plot.Sweep(records, x, y, path)
 }
 
 // memory is the most that this process has held, in MB; 0 where that is not told.
@@ -230,7 +230,7 @@
 	if err != nil {
 		return err
 	}
-	return plot(records, c.X, c.Y, c.Policy, c.Nth, c.Out)
+	return writePlot(records, c.X, c.Y, c.Policy, c.Nth, c.Out)
 }
 
 type tableCmd struct {
--- a/cmd/hoplab/pick.go
+++ b/cmd/hoplab/pick.go
@@ -7,9 +7,9 @@
 	"text/tabwriter"
 	"time"
 
-	"hoptiller/internal/lab/draw"
 	"hoptiller/internal/lab/experiment"
 	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/plot"
 	"hoptiller/internal/lab/sim"
 )
 
@@ -23,7 +23,7 @@
 // Run measures what a request costs the policy alone: the pick of a server and the report of its answer.
 func (c *pickCmd) Run(ctx context.Context) error {
 	day := model.Prairie()
-	var curves []draw.Curve
+	var curves []plot.Curve
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(w, "us\t")
 	for _, n := range c.Caches {
@@ -38,7 +38,7 @@
 		if policy == nil {
 			return fmt.Errorf("policy %q is not known", name)
 		}
-		curve := draw.Curve{Name: name}
+		curve := plot.Curve{Name: name}
 		fmt.Fprintf(w, "%s\t", name)
 		for _, n := range c.Caches {
 			ids := model.Stream(day.Seed, "pick", n)
@@ -64,5 +64,5 @@
 	if c.Out == "" {
 		return ctx.Err()
 	}
-	return draw.Curves("A pick and the report of its answer", "caches", "us", curves, c.Out)
+	return plot.Curves("A pick and the report of its answer", "caches", "us", curves, c.Out)
 }
--- a/cmd/hoplab/view.go
+++ b/cmd/hoplab/view.go
@@ -12,8 +12,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"hoptiller/internal/command"
-	"hoptiller/internal/lab/draw"
 	"hoptiller/internal/lab/flock"
+	"hoptiller/internal/lab/plot"
 )
 
 type viewCmd struct {
@@ -94,8 +94,8 @@
 
 // plots draws the worst of all seeds over the size of the fleet.
 func (c *viewCmd) plots(all []*flock.Figures) error {
-	times := []draw.Curve{{Name: "all start"}, {Name: "join"}, {Name: "crash"}, {Name: "halves meet"}, {Name: "thirds meet"}, {Name: "a third joins"}}
-	bytes := []draw.Curve{{Name: "calm"}, {Name: "10% loss"}, {Name: "in repair"}}
+	times := []plot.Curve{{Name: "all start"}, {Name: "join"}, {Name: "crash"}, {Name: "halves meet"}, {Name: "thirds meet"}, {Name: "a third joins"}}
+	bytes := []plot.Curve{{Name: "calm"}, {Name: "10% loss"}, {Name: "in repair"}}
 	for i, n := range c.Routers {
 		worst := func(of func(f *flock.Figures) float64) (x float64) {
 			for _, f := range all[i*c.Seeds : (i+1)*c.Seeds] {
@@ -117,10 +117,10 @@
 			bytes[k].X, bytes[k].Y = append(bytes[k].X, float64(n)), append(bytes[k].Y, worst(of))
 		}
 	}
-	if err := draw.Curves("A view of the fleet: until all know, worst of all seeds", "routers", "seconds", times, filepath.Join(c.Out, "times.svg")); err != nil {
+	if err := plot.Curves("A view of the fleet: until all know, worst of all seeds", "routers", "seconds", times, filepath.Join(c.Out, "times.svg")); err != nil {
 		return err
 	}
-	return draw.Curves("What a router sends", "routers", "bytes a second", bytes, filepath.Join(c.Out, "bytes.svg"))
+	return plot.Curves("What a router sends", "routers", "bytes a second", bytes, filepath.Join(c.Out, "bytes.svg"))
 }
 
 func (c *viewCmd) search() error {
--- a/internal/lab/draw/draw_test.go
+++ b/internal/lab/plot/plot_test.go
@@ -1,4 +1,4 @@
-package draw
+package plot
 
 import (
 	"bytes"
@@ -36,14 +36,14 @@
 	}
 	dir := t.TempDir()
 	path := func(name string) string { return filepath.Join(dir, name) }
-	for name, draw := range map[string]func(string) error{
+	for name, write := range map[string]func(string) error{
 		"sweep.svg":   func(p string) error { return Sweep(records, "load.level", "score", p) },
 		"bars.svg":    func(p string) error { return Bars(records, "", "book.service", p) },
 		"names.png":   func(p string) error { return Bars(records, "load.level", "fetches", p) },
-		"service.svg": func(p string) error { return Course(records[0], "service", p) },
-		"load.svg":    func(p string) error { return Course(records[0], "load", p) },
+		"service.svg": func(p string) error { return TimeSeries(records[0], "service", p) },
+		"load.svg":    func(p string) error { return TimeSeries(records[0], "load", p) },
 	} {
-		if err := draw(path(name)); err != nil {
+		if err := write(path(name)); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 		text, err := os.ReadFile(path(name))
@@ -55,11 +55,11 @@
 		}
 	}
 	for name, err := range map[string]error{
-		"ending": Sweep(records, "load.level", "score", path("x.gif")), "figure": Sweep(records, "load.level", "beauty", path("x.svg")),
-		"course": Course(records[0], "beauty", path("x.svg")), "series": Course(&experiment.Record{Result: records[0].Result}, "none", path("x.svg")),
+		"extension": Sweep(records, "load.level", "score", path("x.gif")), "metric": Sweep(records, "load.level", "beauty", path("x.svg")),
+		"time series": TimeSeries(records[0], "beauty", path("x.svg")), "missing series": TimeSeries(&experiment.Record{Result: records[0].Result}, "none", path("x.svg")),
 	} {
 		if err == nil {
-			t.Errorf("a wrong %s is taken", name)
+			t.Errorf("a wrong %s is accepted", name)
 		}
 	}
 }
