Rename the lab's flock to membership, with the terms of membership protocols

Cause: flock, lives, wires, settle and older hid a membership simulation, its incarnations, datagrams in flight and convergence. Change: internal/lab/flock is internal/lab/membership: Flock is Simulation, Net is Network, Kill is Crash, Wake is Resume, Split is Partition, Agree is Converged, Figures is Measurements, Node is State. The words that hoplab view prints and its flags stay. No behaviour changes.

--- a/cmd/hoplab/view.go
+++ b/cmd/hoplab/view.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hoptiller/internal/command"
-	"hoptiller/internal/lab/flock"
+	"hoptiller/internal/lab/membership"
 	"hoptiller/internal/lab/plot"
 )
 
@@ -41,13 +41,13 @@
 	if err := os.MkdirAll(c.Out, 0o755); err != nil {
 		return err
 	}
-	all := make([]*flock.Figures, len(c.Routers)*c.Seeds)
+	all := make([]*membership.Measurements, len(c.Routers)*c.Seeds)
 	var g errgroup.Group
 	g.SetLimit(4)
 	for i := range all {
 		g.Go(func() error {
 			if ctx.Err() == nil {
-				all[i] = flock.Measure(c.Routers[i/c.Seeds], flock.Net{Least: c.Least, Most: c.Most}, uint64(i%c.Seeds+1), c.Short)
+				all[i] = membership.Measure(c.Routers[i/c.Seeds], membership.Network{MinDelay: c.Least, MaxDelay: c.Most}, uint64(i%c.Seeds+1), c.Short)
 			}
 			return ctx.Err()
 		})
@@ -70,14 +70,14 @@
 }
 
 // viewTable writes the figures, times in seconds.
-func viewTable(all []*flock.Figures) (text string, broken bool) {
+func viewTable(all []*membership.Measurements) (text string, broken bool) {
 	var b strings.Builder
 	b.WriteString("| routers | seed | all start | join, worst of 20 | crash, mean and worst of 20 | living taken for dead / pauses | halves meet | thirds meet | a third joins | bytes/s calm | at 10% loss | in repair | datagrams/s calm | at 10% loss |\n")
 	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, f := range all {
-		fmt.Fprintf(&b, "| %d | %d | %.1f | %.2f | %.1f, %.1f | %d / %d | %.1f | %.1f | %.1f | %.0f | %.0f | %.0f | %.1f | %.1f |\n", f.Routers, f.Seed, f.Settle,
-			slices.Max(f.Joins), mean(f.Crashes), slices.Max(f.Crashes), f.FalseDeaths, f.Pauses, f.Halves, f.Thirds, f.Third, f.CalmBytes, f.Bytes, f.RepairBytes, f.CalmDatagram, f.Datagrams)
-		for _, what := range f.Broken {
+		fmt.Fprintf(&b, "| %d | %d | %.1f | %.2f | %.1f, %.1f | %d / %d | %.1f | %.1f | %.1f | %.0f | %.0f | %.0f | %.1f | %.1f |\n", f.Routers, f.Seed, f.StartAll,
+			slices.Max(f.Joins), mean(f.Crashes), slices.Max(f.Crashes), f.FalsePositives, f.Pauses, f.HealHalves, f.HealThirds, f.JoinThird, f.LosslessBytes, f.LossyBytes, f.RepairBytes, f.LosslessDatagrams, f.LossyDatagrams)
+		for _, what := range f.Failures {
 			fmt.Fprintf(&b, "\n%d routers, seed %d: %s\n", f.Routers, f.Seed, what)
 			broken = true
 		}
@@ -93,26 +93,26 @@
 }
 
 // plots draws the worst of all seeds over the size of the fleet.
-func (c *viewCmd) plots(all []*flock.Figures) error {
+func (c *viewCmd) plots(all []*membership.Measurements) error {
 	times := []plot.Curve{{Name: "all start"}, {Name: "join"}, {Name: "crash"}, {Name: "halves meet"}, {Name: "thirds meet"}, {Name: "a third joins"}}
 	bytes := []plot.Curve{{Name: "calm"}, {Name: "10% loss"}, {Name: "in repair"}}
 	for i, n := range c.Routers {
-		worst := func(of func(f *flock.Figures) float64) (x float64) {
+		worst := func(of func(f *membership.Measurements) float64) (x float64) {
 			for _, f := range all[i*c.Seeds : (i+1)*c.Seeds] {
 				x = max(x, of(f))
 			}
 			return x
 		}
-		for k, of := range []func(f *flock.Figures) float64{
-			func(f *flock.Figures) float64 { return f.Settle }, func(f *flock.Figures) float64 { return slices.Max(f.Joins) },
-			func(f *flock.Figures) float64 { return slices.Max(f.Crashes) }, func(f *flock.Figures) float64 { return f.Halves },
-			func(f *flock.Figures) float64 { return f.Thirds }, func(f *flock.Figures) float64 { return f.Third },
+		for k, of := range []func(f *membership.Measurements) float64{
+			func(f *membership.Measurements) float64 { return f.StartAll }, func(f *membership.Measurements) float64 { return slices.Max(f.Joins) },
+			func(f *membership.Measurements) float64 { return slices.Max(f.Crashes) }, func(f *membership.Measurements) float64 { return f.HealHalves },
+			func(f *membership.Measurements) float64 { return f.HealThirds }, func(f *membership.Measurements) float64 { return f.JoinThird },
 		} {
 			times[k].X, times[k].Y = append(times[k].X, float64(n)), append(times[k].Y, worst(of))
 		}
-		for k, of := range []func(f *flock.Figures) float64{
-			func(f *flock.Figures) float64 { return f.CalmBytes }, func(f *flock.Figures) float64 { return f.Bytes },
-			func(f *flock.Figures) float64 { return f.RepairBytes },
+		for k, of := range []func(f *membership.Measurements) float64{
+			func(f *membership.Measurements) float64 { return f.LosslessBytes }, func(f *membership.Measurements) float64 { return f.LossyBytes },
+			func(f *membership.Measurements) float64 { return f.RepairBytes },
 		} {
 			bytes[k].X, bytes[k].Y = append(bytes[k].X, float64(n)), append(bytes[k].Y, worst(of))
 		}
@@ -125,9 +125,9 @@
 
 func (c *viewCmd) search() error {
 	for _, back := range []bool{false, true} {
-		s := &flock.Search{Routers: 3, Depth: c.Search, Crashes: 2, Waiting: 4, Rewind: back}
+		s := &membership.Search{Routers: 3, Depth: c.Search, MaxCrashes: 2, MaxInFlight: 4, ClockSetBack: back}
 		err := s.Run()
-		fmt.Printf("clocks of new lives set back %v: %d states to a depth of %d, from %d of them all views agreed, %v\n", back, s.States, s.Depth, s.Settled, s.Took.Round(time.Millisecond))
+		fmt.Printf("clocks of new lives set back %v: %d states to a depth of %d, from %d of them all views agreed, %v\n", back, s.States, s.Depth, s.Converged, s.Took.Round(time.Millisecond))
 		if err != nil {
 			fmt.Println(err)
 			return command.ErrFinding
--- a/internal/lab/flock/search_test.go
+++ b/internal/lab/membership/search_test.go
@@ -1,4 +1,4 @@
-package flock
+package membership
 
 import (
 	"errors"
@@ -12,28 +12,28 @@
 // all agree once datagrams come. A clock that was set back changes nothing of that.
 func TestSearch(t *testing.T) {
 	for _, rewind := range []bool{false, true} {
-		s := &Search{Routers: 3, Depth: 4, Crashes: 2, Waiting: 4, Rewind: rewind}
+		s := &Search{Routers: 3, Depth: 4, MaxCrashes: 2, MaxInFlight: 4, ClockSetBack: rewind}
 		if err := s.Run(); err != nil {
 			t.Errorf("clock set back %v: %v", rewind, err)
 		}
-		if s.States < 1000 || s.Settled != s.States {
-			t.Errorf("%d states, %d settled", s.States, s.Settled)
+		if s.States < 1000 || s.Converged != s.States {
+			t.Errorf("%d states, %d settled", s.States, s.Converged)
 		}
 	}
 }
 
 // The search finds a view that forgets, and one that says nothing more.
 func TestSearchFinds(t *testing.T) {
-	s := &Search{Routers: 3, Depth: 3, Waiting: 4}
-	s.Broken = func(n *Node) {
+	s := &Search{Routers: 3, Depth: 3, MaxInFlight: 4}
+	s.Corrupt = func(n *State) {
 		if len(n.path) == 2 {
 			n.Views[0] = view.New(view.Config{Self: 0, Of: 3, Start: Epoch, Now: n.now[0]})
 		}
 	}
-	if err := s.Run(); !errors.Is(err, errOlder) {
+	if err := s.Run(); !errors.Is(err, errOlderIncarnation) {
 		t.Errorf("a view that forgets: %v", err)
 	}
-	s.Broken = func(n *Node) {
+	s.Corrupt = func(n *State) {
 		if len(n.path) == 2 {
 			n.Views[1].Leave(n.now[1])
 		}
