--- a/cmd/hoplab/permits.go
+++ b/cmd/hoplab/permits.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"hoptiller/internal/command"
-	"hoptiller/internal/lab/grants"
+	"hoptiller/internal/lab/leasesearch"
 )
 
 type permitsCmd struct {
@@ -21,28 +21,28 @@
 	}
 	const walk = 300
 	found := false
-	tell := func(name string, s *grants.Search, err error, more string) {
+	tell := func(name string, s *leasesearch.Search, err error, more string) {
 		fmt.Printf("%s: %d states in %v%s", name, s.States, s.Took.Round(time.Millisecond), more)
 		if err != nil {
 			fmt.Printf(": %.160s", err)
 		}
 		fmt.Println()
 	}
-	all := grants.New(3, 2, 1, c.Depth)
+	all := leasesearch.New(3, 2, 1, c.Depth)
 	err := all.Run()
 	tell(fmt.Sprintf("all orders to a depth of %d", c.Depth), all, err, "")
 	found = found || err != nil
-	walks := grants.New(5, 4, 2, walk)
-	held, err := walks.Walk(c.Walks, c.Seed)
+	walks := leasesearch.New(5, 4, 2, walk)
+	held, err := walks.RandomWalks(c.Walks, c.Seed)
 	tell(fmt.Sprintf("%d random walks", c.Walks), walks, err, fmt.Sprintf(", somebody held a permit in %d", held))
 	found = found || err != nil
-	for name, spoil := range map[string]func(s *grants.Search){
-		"electors that grant at once after a restart": func(s *grants.Search) { s.Silence = 0 },
-		"holders without a margin for clocks":         func(s *grants.Search) { s.Margin = 0 },
+	for name, spoil := range map[string]func(s *leasesearch.Search){
+		"electors that grant at once after a restart": func(s *leasesearch.Search) { s.StartDelay = 0 },
+		"holders without a margin for clocks":         func(s *leasesearch.Search) { s.DriftMargin = 0 },
 	} {
-		broken := grants.New(3, 2, 1, walk)
+		broken := leasesearch.New(3, 2, 1, walk)
 		spoil(broken)
-		_, err := broken.Walk(20000, c.Seed)
+		_, err := broken.RandomWalks(20000, c.Seed)
 		tell(name, broken, err, "")
 		if err == nil {
 			return fmt.Errorf("%s were not caught", name)
