Let 1,024 routers or slot caches be out by permit, and the fleet know of 1,024 drains

A bound took 1 to 200, a place's number had eight bits (255 places in all), and a router kept 64 notes of drains. Now a bound is 1 to 4,096. A place's number has twelve bits: the four new ones stand in bits of the group that no group used, so that datagrams are no longer and places under 256 are written as before. Groups of zones are told apart up to 1,023 zones; further ones count as the last.

A router keeps up to 2,048 notes, allocated as they come. What it sends for them is bounded: an answer has up to 32 datagrams, with the notes that were sent least if not all fit (160 drains do), and pulls beyond half of those that may be open are paced. Before, 64 drains took 13 datagrams an answer and 1,024 would have taken 205.

Of many permits that one router asks for each begins with a place that is not known to be taken, and who finds more than four places taken tries any: the last of 1,024 would have needed as many tries as there are places.

--- a/internal/fleet/notes/keeper.go
+++ b/internal/fleet/notes/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"hoptiller/internal/fleet/permit"
@@ -44,7 +45,18 @@
 
 // NewKeeper makes the keeper of a router whose process has started now.
 func NewKeeper(now time.Duration, agent *permit.Agent) *Keeper {
-	return &Keeper{Store: *NewStore(now, agent.Self, agent.Of, agent.Chance), agent: agent, kept: map[Key]*kept{}}
+	k := &Keeper{Store: *NewStore(now, agent.Self, agent.Of, agent.Chance), agent: agent, kept: map[Key]*kept{}}
+	agent.Told = k.places
+	return k
+}
+
+// places visits the places by which things are out, as this router knows.
+func (k *Keeper) places(visit func(s permit.Slot, by uint64)) {
+	for _, h := range k.notes {
+		for _, s := range h.Slots {
+			visit(s, h.Permit)
+		}
+	}
 }
 
 // Ask has this router ask for a permit in groups, and say a note once it has it. It is over after a time by itself.
@@ -149,11 +161,7 @@
 	for key, own := range k.kept {
 		k.keep(now, key, own)
 	}
-	for _, n := range k.All(now) {
-		if k.kept[n.Key] == nil {
-			k.takeOver(now, n)
-		}
-	}
+	k.takeOverSome(now)
 }
 
 // keep goes on with a note of this router's.
@@ -180,14 +188,28 @@
 	}
 }
 
-// takeOver goes on with a note that its owner has not said for a while.
-func (k *Keeper) takeOver(now time.Duration, n Note) {
-	behind := (k.self - int(n.Owner) + k.of) % k.of // 0: a former life of this router
-	_, left, _ := k.Get(now, n.Key)
-	if behind > 0 && left > takeOverAt-time.Duration(behind-1)*inTurn || n.Epoch%oneMore == oneMore-1 {
-		return
+// takeOverSome goes on with notes that their owners have not said for a while.
+func (k *Keeper) takeOverSome(now time.Duration) {
+	var due []Key
+	for key, h := range k.notes {
+		if k.kept[key] == nil && !h.Off && now < h.until && k.mayTakeOver(now, h) {
+			due = append(due, key)
+		}
+	}
+	slices.SortFunc(due, Key.compare)
+	for _, key := range due {
+		n, _, _ := k.Get(now, key)
+		k.adopt(now, n)
+	}
+}
+
+// mayTakeOver tells whether it is this router's turn to go on with a note.
+func (k *Keeper) mayTakeOver(now time.Duration, h *held) bool {
+	if h.Epoch%oneMore == oneMore-1 {
+		return false
 	}
-	k.adopt(now, n)
+	behind := (k.self - int(h.Owner) + k.of) % k.of // 0: a former life of this router
+	return behind == 0 || h.until-now <= takeOverAt-time.Duration(behind-1)*inTurn
 }
 
 func (k *Keeper) adopt(now time.Duration, n Note) {
--- a/internal/fleet/notes/notes.go
+++ b/internal/fleet/notes/notes.go
@@ -36,6 +36,10 @@
 	ID   uint32 // of the slot cache, or of the release's permit
 }
 
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Kind, other.Kind), cmp.Compare(k.ID, other.ID))
+}
+
 // Note is something that a router says to all.
 type Note struct {
 	Key
@@ -51,9 +55,13 @@
 
 // Bounds of what a fleet keeps.
 const (
-	MostBody  = 120
-	MostNotes = 64
-	mostSlots = 3
+	MostBody = 120 // bytes, so that a datagram holds the longest note
+
+	// MostNotes is enough for 1,024 slot caches that are out and as many that were until a moment ago. It bounds the memory that
+	// other routers' datagrams can take here; what is not told takes none.
+	MostNotes = 2048
+
+	mostSlots = 3 // groups that bound one thing: two for a slot cache
 )
 
 // Newer tells whether a says more than b: that of a later owner, or a later word of the same one.
@@ -66,6 +74,8 @@
 	Note
 	until time.Duration // it is believed
 	ends  time.Duration
+	print uint64 // its part in the sum
+	sent  int    // in how many answers
 }
 
 const (
@@ -75,7 +85,15 @@
 	pullEvery = time.Second      // while there are notes, and at the beginning
 	beginning = 10 * time.Second // for which a router that has started asks, having heard of nothing
 	pullTime  = 2 * time.Second  // after which an answer counts no more
+
+	// mostPulls bounds the work of asking, not what can be known: so many are open at once, and once half of them are no more are
+	// sent than end meanwhile.
 	mostPulls = 64
+	pullPause = pullTime / (mostPulls / 2)
+
+	// mostReplies bounds the datagrams of one answer. A slot cache's note takes a fifth of one, so that up to 160 drains are told
+	// whole; of more those are told that have been told least, which the next answers go on from.
+	mostReplies = 32
 )
 
 // Datagram is one that is to be sent.
@@ -90,10 +108,13 @@
 	chance   func() uint64
 	begun    time.Duration
 	notes    map[Key]*held
-	rounds   int // that are still to be hinted at
+	sum      uint64        // the same for two that know the same
+	expires  time.Duration // no note ends before this
+	rounds   int           // that are still to be hinted at
 	next     time.Duration
 	pullAt   time.Duration
 	pulls    map[uint32]time.Duration // open, by number: when they were sent
+	pulled   time.Duration            // when the last of them was
 	out      []Datagram
 	bad      uint64
 }
@@ -124,7 +145,7 @@
 			list = append(list, n)
 		}
 	}
-	slices.SortFunc(list, func(a, b Note) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(list, func(a, b Note) int { return a.Key.compare(b.Key) })
 	return list
 }
 
@@ -154,31 +175,50 @@
 	if h == nil && s.Full(now) {
 		return false
 	}
-	s.notes[n.Key] = &held{n, until, now + n.Ends}
+	s.put(now, n, until)
 	s.rounds, s.next = rounds, now
 	return true
 }
 
+// put keeps a note in the place of an older one, if there is one.
+func (s *Store) put(now time.Duration, n Note, until time.Duration) {
+	if before := s.notes[n.Key]; before != nil {
+		s.sum ^= before.print
+	}
+	if len(s.notes) == 0 || until < s.expires {
+		s.expires = until
+	}
+	h := &held{Note: n, until: until, ends: now + n.Ends, print: fingerprint(&n)}
+	s.notes[n.Key] = h
+	s.sum ^= h.print
+}
+
+// forget drops what has ended.
 func (s *Store) forget(now time.Duration) {
+	if now < s.expires {
+		return
+	}
+	first := true
 	for k, h := range s.notes {
-		if now >= h.until {
+		switch {
+		case now >= h.until:
 			delete(s.notes, k)
+			s.sum ^= h.print
+		case first || h.until < s.expires:
+			s.expires, first = h.until, false
 		}
 	}
 }
 
-// sum is the same for two that know the same.
-func (s *Store) sum() (x uint64) {
-	for k, h := range s.notes {
-		var b [15]byte
-		b[0] = byte(k.Kind)
-		binary.BigEndian.PutUint32(b[1:], k.ID)
-		binary.BigEndian.PutUint32(b[5:], h.Epoch)
-		binary.BigEndian.PutUint16(b[9:], h.Owner)
-		binary.BigEndian.PutUint32(b[11:], h.N)
-		x ^= xxhash.Sum64(b[:])
-	}
-	return x
+// fingerprint is what a note adds to the sum.
+func fingerprint(n *Note) uint64 {
+	var b [15]byte
+	b[0] = byte(n.Kind)
+	binary.BigEndian.PutUint32(b[1:], n.ID)
+	binary.BigEndian.PutUint32(b[5:], n.Epoch)
+	binary.BigEndian.PutUint16(b[9:], n.Owner)
+	binary.BigEndian.PutUint32(b[11:], n.N)
+	return xxhash.Sum64(b[:])
 }
 
 // Tick does what is due.
@@ -194,7 +234,7 @@
 		s.next = now + roundTime
 		for range min(fanout, s.of-1) {
 			to := s.other()
-			s.out = append(s.out, Datagram{to, appendHint(uint16(s.self), uint16(to), s.sum())})
+			s.out = append(s.out, Datagram{to, appendHint(uint16(s.self), uint16(to), s.sum)})
 		}
 	}
 	if now >= s.pullAt && (len(s.notes) > 0 || now < s.begun+beginning) {
@@ -206,12 +246,13 @@
 func (s *Store) other() int { return (s.self + 1 + int(s.chance()%uint64(max(1, s.of-1)))) % s.of }
 
 func (s *Store) pull(now time.Duration, from int) {
-	if from == s.self || len(s.pulls) >= mostPulls {
+	many := len(s.pulls) >= mostPulls/2
+	if from == s.self || len(s.pulls) >= mostPulls || many && now-s.pulled < pullPause {
 		return
 	}
 	number := uint32(s.chance())
-	s.pulls[number] = now
-	s.out = append(s.out, Datagram{from, appendPull(uint16(s.self), uint16(from), number, s.sum())})
+	s.pulls[number], s.pulled = now, now
+	s.out = append(s.out, Datagram{from, appendPull(uint16(s.self), uint16(from), number, s.sum)})
 }
 
 // Out gives what is to be sent since it was last asked.
@@ -231,11 +272,11 @@
 	s.forget(now)
 	switch m.kind {
 	case hint:
-		if m.sum != s.sum() {
+		if m.sum != s.sum {
 			s.pull(now, from)
 		}
 	case pull:
-		if m.sum != s.sum() {
+		if m.sum != s.sum {
 			s.answer(now, from, m.number)
 		}
 	case reply:
@@ -251,27 +292,3 @@
 		}
 	}
 }
-
-// answer sends all notes, as many to a datagram as it holds.
-func (s *Store) answer(now time.Duration, to int, number uint32) {
-	var b []byte
-	for _, h := range s.notes {
-		if now >= h.until {
-			continue
-		}
-		n := h.Note
-		n.Ends = h.ends - now
-		item := appendNote(nil, &n, h.until-now)
-		if len(b) > 0 && len(b)+len(item)+checkBytes > mostBytes {
-			s.out = append(s.out, Datagram{to, seal(b)})
-			b = nil
-		}
-		if len(b) == 0 {
-			b = appendReply(uint16(s.self), uint16(to), number)
-		}
-		b = append(b, item...)
-	}
-	if len(b) > 0 {
-		s.out = append(s.out, Datagram{to, seal(b)})
-	}
-}
--- a/internal/fleet/notes/notes_test.go
+++ b/internal/fleet/notes/notes_test.go
@@ -121,8 +121,10 @@
 					f.sent++
 				}
 			}
-			for _, n := range r.keeper.All(f.clock(r)) {
-				out[n.ID] = true
+			for key, h := range r.keeper.notes {
+				if f.clock(r) < h.until && !h.Off {
+					out[key.ID] = true
+				}
 			}
 		}
 		most = max(most, len(out))
--- a/internal/fleet/notes/wire.go
+++ b/internal/fleet/notes/wire.go
@@ -80,7 +80,7 @@
 	b = binary.BigEndian.AppendUint32(b, uint32(max(0, min(n.Ends/time.Second, 1<<32-1))))
 	b = append(b, byte(len(n.Slots)))
 	for _, s := range n.Slots {
-		b = append(binary.BigEndian.AppendUint16(b, s.Group), s.Number)
+		b = permit.AppendSlot(b, s)
 	}
 	return append(append(b, byte(len(n.Body))), n.Body...)
 }
@@ -130,11 +130,11 @@
 	n.Ends = time.Duration(binary.BigEndian.Uint32(b[26:])) * time.Second
 	at := noteBytes - 1
 	for range b[30] {
-		if len(b) < at+4 {
+		if len(b) < at+permit.SlotBytes+1 { // and the length of the body
 			return n, 0
 		}
-		n.Slots = append(n.Slots, permit.Slot{Group: binary.BigEndian.Uint16(b[at:]), Number: b[at+2]})
-		at += 3
+		n.Slots = append(n.Slots, permit.ReadSlot(b[at:]))
+		at += permit.SlotBytes
 	}
 	length := int(b[at])
 	if at++; length > MostBody || len(b) < at+length {
--- a/internal/fleet/permit/agent.go
+++ b/internal/fleet/permit/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -33,6 +32,17 @@
 	Releases       uint16 = 0x8000
 )
 
+// zoneGroup is the group of a zone among those that begin with the first zone's; a negative zone is not known, and has none.
+func zoneGroup(first uint16, zone int) (group uint16, ok bool) {
+	return first + uint16(min(max(0, zone), MostZones-1)), zone >= 0
+}
+
+// inZone tells whether a zone's group is this one.
+func inZone(group, first uint16, zone int) bool {
+	its, ok := zoneGroup(first, zone)
+	return ok && its == group
+}
+
 // ofRouters tells whether a group's permits are those of routers, each asked for by that router alone.
 func ofRouters(group uint16) bool { return group < AllCaches }
 
@@ -45,9 +55,9 @@
 // Of is the bound for a group of n. A part is rounded down, but lets one be out where it lets any.
 func (b Bound) Of(n int) int {
 	if b.Part <= 0 {
-		return min(b.Number, math.MaxUint8)
+		return min(b.Number, MostPlaces)
 	}
-	return min(max(1, int(b.Part*float64(n))), n, math.MaxUint8)
+	return min(max(1, int(b.Part*float64(n))), n, MostPlaces)
 }
 
 // Sight is what an elector sees of the fleet at a moment.
@@ -72,10 +82,14 @@
 	See      func() Sight  // asked by electors
 	Chance   func() uint64 // random bits
 
+	// Told, if set, visits the places that others are known to hold, by whatever way this router has heard of them.
+	Told func(visit func(s Slot, permit uint64))
+
 	electors []int
 	elector  *Elector           // nil: another one's task
 	seeker   *Seeker            // nil: nothing is wanted
 	others   map[uint64]*Seeker // of permits that are not this router's own, by permit
+	taken    map[Slot]uint64    // places that are known to be taken, since the last tick; nil: not asked for yet
 	out      []Datagram
 	bad      uint64
 }
@@ -119,7 +133,7 @@
 		}
 	}
 	for i := range sight.Down {
-		if s.Group == WholeFleet || sight.Zone != nil && sight.Zone(i) == int(s.Group-FirstZone) {
+		if s.Group == WholeFleet || sight.Zone != nil && inZone(s.Group, FirstZone, sight.Zone(i)) {
 			out[i] = true
 		}
 	}
@@ -155,44 +169,27 @@
 		return a.Fleet.Of(a.Of)
 	}
 	if a.PerZone == (Bound{}) {
-		return math.MaxUint8
+		return MostPlaces
 	}
 	if a.PerZone.Part <= 0 {
 		return a.PerZone.Of(a.Of)
 	}
 	sight, n := a.See(), 0
 	for i := range a.Of {
-		if sight.Zone != nil && sight.Zone(i) == int(group-FirstZone) {
+		if sight.Zone != nil && inZone(group, FirstZone, sight.Zone(i)) {
 			n++
 		}
 	}
 	return a.PerZone.Of(max(1, n)) // of a zone that nobody has told of yet one may be out
 }
 
-// choose takes the lowest number of each of this router's groups that is not known to be held.
-func (a *Agent) choose(held map[Slot]uint64) (slots []Slot) {
+// groups are those that bound this router.
+func (a *Agent) groups() []uint16 {
 	groups := []uint16{WholeFleet}
-	if a.PerZone != (Bound{}) && a.Zone >= 0 {
-		groups = append(groups, FirstZone+uint16(a.Zone))
-	}
-	return a.lowest(groups, held)
-}
-
-func (a *Agent) lowest(groups []uint16, held map[Slot]uint64) (slots []Slot) {
-	for _, g := range groups {
-		found := false
-		for n := range a.bound(g) {
-			s := Slot{g, uint8(n)}
-			if held[s] == 0 {
-				slots, found = append(slots, s), true
-				break
-			}
-		}
-		if !found {
-			return nil
-		}
+	if zone, ok := zoneGroup(FirstZone, a.Zone); ok && a.PerZone != (Bound{}) {
+		groups = append(groups, zone)
 	}
-	return slots
+	return groups
 }
 
 // Want asks for a permit, and tells whether that is new: one that is asked for or held goes on.
@@ -202,7 +199,8 @@
 	}
 	id := a.Chance()<<16 | uint64(a.Self)
 	a.seeker = NewSeeker(id, len(a.electors), MostLease)
-	a.seeker.Choose = a.choose
+	groups := a.groups()
+	a.seeker.Choose = func(held map[Slot]uint64) []Slot { return a.choose(id, groups, held, nil) }
 	r := rand.New(rand.NewPCG(a.Chance(), id))
 	a.seeker.Chance = r.Float64
 	a.seeker.Want(now)
@@ -242,6 +240,7 @@
 
 // Tick does what is due; it wants to be called several times a second.
 func (a *Agent) Tick(now time.Duration) {
+	a.taken = nil
 	if a.seeker != nil {
 		a.seeker.Tick(now)
 	}
@@ -321,17 +320,16 @@
 
 // why tells for what a seeker that asks was last refused.
 func why(k *Seeker) string {
-	text := "not answered yet"
-	if k.Why() != Granted {
-		text = k.Why().String()
-	}
-	for slot, by := range k.held {
-		text = fmt.Sprintf("%s: router %d has place %d", Held, number(by), slot.Number)
+	for slot, by := range k.held { // one of them
 		if !ofRouters(slot.Group) && slot.Group != Releases {
-			text = fmt.Sprintf("%s: slot cache s-%08x has place %d", Held, CacheOf(by), slot.Number)
+			return fmt.Sprintf("%s: slot cache s-%08x has place %d", Held, CacheOf(by), slot.Number)
 		}
+		return fmt.Sprintf("%s: router %d has place %d", Held, number(by), slot.Number)
+	}
+	if k.Why() != Granted {
+		return k.Why().String()
 	}
-	return text
+	return "not answered yet"
 }
 
 // Status tells how things stand.
--- a/internal/fleet/permit/clone.go
+++ b/internal/fleet/permit/clone.go
@@ -27,7 +27,7 @@
 	var lines []string
 	for s, l := range e.leases {
 		if l.until > now {
-			x := binary.AppendVarint([]byte{1, byte(s.Group), s.Number}, int64(l.permit))
+			x := binary.AppendVarint(AppendSlot([]byte{1}, s), int64(l.permit))
 			lines = append(lines, string(binary.AppendVarint(x, int64(l.until-now))))
 		}
 	}
@@ -51,7 +51,7 @@
 		b = binary.AppendVarint(b, x)
 	}
 	for _, x := range s.slots {
-		b = append(b, byte(x.Group), x.Number)
+		b = AppendSlot(b, x)
 	}
 	for _, done := range s.answered {
 		if done {
@@ -62,7 +62,7 @@
 	}
 	var held []string
 	for x, p := range s.held {
-		held = append(held, string(binary.AppendVarint([]byte{byte(x.Group), x.Number}, int64(p))))
+		held = append(held, string(binary.AppendVarint(AppendSlot(nil, x), int64(p))))
 	}
 	slices.Sort(held)
 	for _, x := range held {
--- a/internal/fleet/permit/elector.go
+++ b/internal/fleet/permit/elector.go
@@ -17,7 +17,7 @@
 // Slot is one place in a group.
 type Slot struct {
 	Group  uint16
-	Number uint8 // from 0; a group that lets K be out has the numbers under K
+	Number uint16 // from 0; a group that lets K be out has the numbers under K, of MostPlaces
 }
 
 // Ask is what a seeker sends to each elector.
@@ -64,6 +64,8 @@
 	seqs   map[uint64]seen
 	most   time.Duration
 
+	expires time.Duration // no lease and no seq may be forgotten before this
+
 	// Allow, if set, tells whether a permit's slot is within its group's bound as this elector sees the fleet now.
 	Allow func(permit uint64, s Slot) bool
 }
@@ -95,6 +97,7 @@
 		return r
 	}
 	e.forget(now)
+	e.expires = min(e.expires, now+a.For, now+e.most)
 	// What came later than it was sent must not undo what was asked for since: a late ask would take a slot that its seeker
 	// has given back, and a late release would free one that it has taken again.
 	if last, known := e.seqs[a.Permit]; known && last.seq > a.Seq {
@@ -149,14 +152,22 @@
 
 // forget drops what has run out.
 func (e *Elector) forget(now time.Duration) {
+	if now < e.expires {
+		return
+	}
+	e.expires = now + e.most // nothing that is granted lasts longer
 	for s, l := range e.leases {
 		if now >= l.until {
 			delete(e.leases, s)
+		} else {
+			e.expires = min(e.expires, l.until)
 		}
 	}
 	for p, x := range e.seqs {
 		if now >= x.until {
 			delete(e.seqs, p)
+		} else {
+			e.expires = min(e.expires, x.until)
 		}
 	}
 }
--- a/internal/fleet/permit/others.go
+++ b/internal/fleet/permit/others.go
@@ -1,7 +1,6 @@
 package permit
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -21,15 +20,15 @@
 // CacheGroups are those that bound a slot cache of a zone; a negative one is not known.
 func (a *Agent) CacheGroups(zone int) []uint16 {
 	groups := []uint16{AllCaches}
-	if a.OfZone != (Bound{}) && zone >= 0 {
-		groups = append(groups, FirstCacheZone+uint16(zone))
+	if group, ok := zoneGroup(FirstCacheZone, zone); ok && a.OfZone != (Bound{}) {
+		groups = append(groups, group)
 	}
 	return groups
 }
 
 // Seek asks for a permit in groups, and goes on asking and renewing until Forget.
 func (a *Agent) Seek(now time.Duration, permit uint64, groups []uint16) {
-	a.seek(now, permit, 0, false, func(held map[Slot]uint64) []Slot { return a.lowest(groups, held) })
+	a.seek(now, permit, 0, false, func(held map[Slot]uint64) []Slot { return a.chooseApart(permit, groups, held) })
 }
 
 // Adopt goes on with a permit that another router, or a former life, has asked for. What it asks is later than all that was
@@ -70,7 +69,6 @@
 
 // allowCache holds a slot cache's new permit against its bound. Those that are down use up places, whatever the reason.
 func (a *Agent) allowCache(sight *Sight, permit uint64, s Slot) bool {
-	zone := int(s.Group) - int(FirstCacheZone) // negative: all
 	out := map[uint32]bool{}
 	for held, l := range a.elector.leases {
 		if held.Group == s.Group {
@@ -78,7 +76,7 @@
 		}
 	}
 	for id := range sight.CachesDown {
-		if zone < 0 || sight.Caches[id] == zone {
+		if s.Group == AllCaches || inZone(s.Group, FirstCacheZone, sight.Caches[id]) {
 			out[id] = true
 		}
 	}
@@ -95,11 +93,11 @@
 	case group == AllCaches:
 		return a.Caches.Of(len(sight.Caches))
 	case a.OfZone == (Bound{}):
-		return math.MaxUint8
+		return MostPlaces
 	}
 	n := 0
 	for _, zone := range sight.Caches {
-		if zone == int(group)-int(FirstCacheZone) {
+		if inZone(group, FirstCacheZone, zone) {
 			n++
 		}
 	}
--- a/internal/lab/leasesearch/search.go
+++ b/internal/lab/leasesearch/search.go
@@ -129,7 +129,7 @@
 	seeker.Chance = func() float64 { return 0 }
 	seeker.Choose = func(held map[permit.Slot]uint64) []permit.Slot {
 		for number := range s.Slots {
-			if slot := (permit.Slot{Number: uint8(number)}); held[slot] == 0 {
+			if slot := (permit.Slot{Number: uint16(number)}); held[slot] == 0 {
 				return []permit.Slot{slot}
 			}
 		}
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/unit"
 )
 
@@ -134,14 +135,16 @@
 		c.find(s.at, "values", s.name+" has no value", "")
 	}
 	var all []value
+	seen := map[string]bool{}
 	for _, v := range s.values {
 		if v.text == "" && !v.quoted {
 			continue // told already
 		}
-		if slices.ContainsFunc(all, func(x value) bool { return x.text == v.text }) {
+		if seen[v.text] {
 			c.find(v.at, "redefined", fmt.Sprintf("%s has %q twice", s.name, v.text), "")
 			continue
 		}
+		seen[v.text] = true
 		all = append(all, v)
 	}
 	return all
@@ -436,13 +439,13 @@
 	}
 }
 
-// bound takes a number from 1 to 200, or a percentage.
+// bound takes a number of routers or servers, or a percentage.
 func (c *checker) bound(s *statement) (b Bound) {
 	if len(s.values) == 1 && strings.HasSuffix(s.values[0].text, "%") {
 		b.Part = c.number(s, unit.Part, 0.001, 1)
 		return b
 	}
-	b.Number = c.count(s, 1, 200)
+	b.Number = c.count(s, 1, permit.MostPlaces)
 	return b
 }
 
--- /dev/null
+++ b/internal/plan/large_test.go
@@ -0,0 +1,54 @@
+package plan
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// Bounds hold for fleets of 1,024 routers and slot caches; what is no bound is refused with one finding that says what is.
+func TestFleetBounds(t *testing.T) {
+	for _, name := range []string{"out", "caches"} {
+		for text, accepted := range map[string]bool{"1": true, "200": true, "201": true, "1024": true, "4096": true,
+			"0": false, "4097": false, "-1": false, "99999999999999999999": false, "0%": false, "101%": false} {
+			p, report := of(fmt.Sprintf("fleet {\n\t%s %s\n\t%s-zone 1\n}\n", name, text, name))
+			if accepted && (p == nil || fmt.Sprint(max(p.Fleet.Out.Number, p.Fleet.Caches.Number)) != text) {
+				t.Errorf("%s %s: %v", name, text, report)
+			}
+			if !accepted && (p != nil || len(report.Findings) != 1 || report.Findings[0].Pos.Line != 2) {
+				t.Errorf("%s %s: %v", name, text, report)
+			}
+		}
+	}
+	_, report := of("fleet {\n\tout 4097\n}\n")
+	if says := report.String(); !strings.Contains(says, "1 to 4096") {
+		t.Errorf("refused with %s", says)
+	}
+}
+
+// A pool may name 1,024 servers, and a release 1,024 routers, all of them in one wave.
+func TestLargeLists(t *testing.T) {
+	const many = 1024
+	var pool, routers strings.Builder
+	for i := range many {
+		fmt.Fprintf(&pool, " \"127.0.%d.%d:7001\"", i/256, i%256)
+		fmt.Fprintf(&routers, "router %d \"127.0.%d.%d:9190\"\n", i, i/256, i%256)
+	}
+	p, report := of("pool all {\n\taddress" + pool.String() + "\n\tat-least 1024\n}\nroute every {\n\tpool all\n}\n")
+	if p == nil || len(p.Pools["all"].Addrs) != many {
+		t.Errorf("%.300v", report)
+	}
+	text := func(wave int) string {
+		return fmt.Sprintf("release x {\n\tprogram d1041006\n\treplace a\n\tback b\n\tstate s\n\tcanary 1\n\twave %d\n\tmost %d\n}\n", wave, wave) +
+			routers.String()
+	}
+	load := func(text string) (*Release, *Report) {
+		return LoadRelease("0", func(string) ([]byte, error) { return []byte(text), nil })
+	}
+	if r, report := load(text(many)); r == nil || len(r.Routers) != many || r.First != many || r.Most != many {
+		t.Errorf("%.300v", report)
+	}
+	if r, report := load(text(mostRouters + 1)); r != nil || len(report.Findings) != 2 {
+		t.Errorf("%.300v", report)
+	}
+}
--- a/internal/plan/load.go
+++ b/internal/plan/load.go
@@ -15,9 +15,15 @@
 const (
 	mostFiles    = 64  // files of one plan
 	mostIncludes = 16  // files that include one another in a chain
-	mostValues   = 256 // values of one statement, once constants are put in
 	mostFindings = 200 // that are told of one plan
-	mostRules    = 2048
+
+	// mostValues of one statement, once constants are put in: the addresses of a pool of 1,024 servers, and room to grow. It
+	// bounds what constants of constants can come to.
+	mostValues = 4096
+
+	// mostRules bounds what a request is held against, pairs of a key and a client's network. Neither routers nor servers are
+	// among them.
+	mostRules = 2048
 )
 
 // Report is what Load found wrong.
--- a/internal/plan/release.go
+++ b/internal/plan/release.go
@@ -37,6 +37,12 @@
 	routers  map[int]place
 }
 
+// Routers have numbers of 16 bits in the datagrams that they send each other.
+const (
+	mostNumber  = 1<<16 - 1
+	mostRouters = mostNumber
+)
+
 // MostReleaseName is the longest name of a release.
 const MostReleaseName = 24
 
@@ -113,10 +119,10 @@
 			}
 		},
 		"order":    c.word(&order, "zone", "number"),
-		"canary":   func(s *statement) { r.Canary = c.count(s, 1, 1000) },
-		"wave":     func(s *statement) { r.First = c.count(s, 1, 1000) },
+		"canary":   func(s *statement) { r.Canary = c.count(s, 1, mostRouters) },
+		"wave":     func(s *statement) { r.First = c.count(s, 1, mostRouters) },
 		"grow":     func(s *statement) { r.Grow = c.count(s, 1, 10) },
-		"most":     func(s *statement) { r.Most = c.count(s, 1, 1000) },
+		"most":     func(s *statement) { r.Most = c.count(s, 1, mostRouters) },
 		"soak":     func(s *statement) { r.Soak = c.time(s, time.Second, 24*time.Hour) },
 		"settle":   func(s *statement) { r.Settle = c.time(s, 5*time.Second, time.Hour) },
 		"permit":   func(s *statement) { r.Permit = c.time(s, 5*time.Second, 24*time.Hour) },
@@ -148,8 +154,8 @@
 		return
 	}
 	n, err := strconv.Atoi(s.values[0].text)
-	if err != nil || n < 0 || n > 65535 {
-		c.find(s.values[0].at, "range", fmt.Sprintf("%q is no number of a router", s.values[0].text), "0 to 65535")
+	if err != nil || n < 0 || n > mostNumber {
+		c.find(s.values[0].at, "range", fmt.Sprintf("%q is no number of a router", s.values[0].text), fmt.Sprintf("0 to %d", mostNumber))
 		return
 	}
 	if before, twice := r.routers[n]; twice {
