Keep sightings of up to 2,048 slot caches, and free their room when they are old

A router kept sightings of 64 slot caches and handed on 64 between two turns of its view, doubles included; a lost zone of 200 was told in part. Both bounds are 2,048 now, allocated as they come; of each slot cache the last sighting waits, and old ones are given up. A datagram has two of them as before: work in a period is bounded, and the comments beside these bounds say so.

--- a/internal/fleet/peers/drains.go
+++ b/internal/fleet/peers/drains.go
@@ -159,7 +159,8 @@
 	// releaseTime is how long the fleet remembers a release whose driver is gone.
 	releaseTime = 24 * time.Hour
 
-	// Names of releases and drivers, and what a driver says of where it stands, have so many bytes at the most.
+	// Names of releases and drivers, and what a driver says of where it stands, have so many bytes at the most: a note's body has
+	// room for these. A driver that replaces more routers than the last one can name says that they are many.
 	MostName  = 24
 	MostBy    = 28
 	MostStage = 64
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -59,15 +59,18 @@
 	keeps    int                // the router that keeps the release, as far as this one knows
 
 	sawMu sync.Mutex
-	saw   []view.Sight // not told to the view yet
+	saw   map[uint32]view.SightState // of slot caches, the last of each, that the view was not told yet; nil: none
 }
 
+// MostRouters is how many numbers a datagram tells apart.
+const MostRouters = 65535
+
 // New checks the settings. The error says in one line why there can be no view.
 func New(set Settings) (*Peers, error) {
 	if len(set.Addrs) < 2 {
 		return nil, errors.New("no other routers are told")
 	}
-	if len(set.Addrs) > 65535 {
+	if len(set.Addrs) > MostRouters {
 		return nil, fmt.Errorf("%d routers are too many", len(set.Addrs))
 	}
 	if set.Self < 0 || set.Self >= len(set.Addrs) {
@@ -204,8 +207,8 @@
 		p.view.SetPhase(phase)
 		p.view.Tell(details)
 		p.view.Tick(p.now())
-		for _, s := range saw {
-			p.view.Saw(s)
+		for cache, state := range saw {
+			p.view.Saw(view.Sight{Cache: cache, State: state})
 		}
 		change := p.turn()
 		drains := p.drains()
--- a/internal/fleet/peers/report.go
+++ b/internal/fleet/peers/report.go
@@ -137,14 +137,14 @@
 	return r
 }
 
-// mostSaw bounds what waits for the view's next turn.
-const mostSaw = 64
-
 // Saw tells the fleet what this router saw of a slot cache. It waits for nothing: callers carry requests.
 func (p *Peers) Saw(cache uint32, state view.SightState) {
 	p.sawMu.Lock()
 	defer p.sawMu.Unlock()
-	if len(p.saw) < mostSaw {
-		p.saw = append(p.saw, view.Sight{Cache: cache, State: state})
+	if p.saw == nil {
+		p.saw = map[uint32]view.SightState{}
+	}
+	if _, known := p.saw[cache]; known || len(p.saw) < view.MostSights {
+		p.saw[cache] = state
 	}
 }
--- a/internal/fleet/view/gossip.go
+++ b/internal/fleet/view/gossip.go
@@ -42,6 +42,8 @@
 	q.levels[0] = append(q.levels[0], item{who, m.gen})
 }
 
+// mostDebts bounds work, and no list: what one datagram shows to be known worse is at most its sender and its 18 claims, and is
+// sent before the next datagram is read.
 const mostDebts = 512
 
 // owe notes that a neighbour is to be told of a member once more.
--- a/internal/fleet/view/probe.go
+++ b/internal/fleet/view/probe.go
@@ -82,6 +82,7 @@
 	}
 	v.next = max(v.next+Period, now)
 	v.repairs, v.churn = mostRepairs, v.churn*churnKept
+	v.forgetSights()
 	if v.suspects > 0 {
 		v.judge()
 	}
--- a/internal/fleet/view/repair.go
+++ b/internal/fleet/view/repair.go
@@ -2,10 +2,11 @@
 
 import "time"
 
+// These bound what a router sends in a period, however large its fleet is: what does not fit waits for the next period.
 const (
-	mostRepairs = 8  // datagrams of repair in a period
+	mostRepairs = 8  // datagrams of repair
 	fullNews    = 18 // claims that a datagram has room for
-	extraNews   = 3  // datagrams beside the probes in a period in which more is new
+	extraNews   = 3  // datagrams beside the probes where more is new
 )
 
 // differs tells whether another view is to be compared with this one. A single change settles by itself; it is worth a
@@ -107,11 +108,15 @@
 	v.news.debts = v.news.debts[:0]
 }
 
-// A sighting is kept for so long; the list has told by then what became of the slot cache.
 const (
-	sightLife  = time.Minute
-	mostSights = 64
-	perMessage = 2
+	// sightLife is how long a sighting is kept; the list has told by then what became of the slot cache.
+	sightLife = time.Minute
+
+	// MostSights is how many slot caches sightings are kept of: more than the 1,024 that a fleet may lose at once. It bounds the
+	// memory that datagrams can take; what is not seen takes none.
+	MostSights = 2048
+
+	perMessage = 2 // sightings in a datagram, beside claims and details
 )
 
 type sighting struct {
@@ -151,12 +156,23 @@
 			oldest = i
 		}
 	}
+	full := len(v.sights) >= MostSights
 	switch {
-	case len(v.sights) < mostSights:
-		v.sights = append(v.sights, sighting{*s, at, 0})
-	case v.sights[oldest].at < at:
+	case oldest >= 0 && (v.now-v.sights[oldest].at >= sightLife || full && v.sights[oldest].at < at):
 		v.sights[oldest] = sighting{*s, at, 0}
+	case !full:
+		v.sights = append(v.sights, sighting{*s, at, 0})
+	}
+}
+
+// forgetSights frees the room of sightings once all of them are old.
+func (v *View) forgetSights() {
+	for i := range v.sights {
+		if v.now-v.sights[i].at < sightLife {
+			return
+		}
 	}
+	v.sights = nil
 }
 
 // appendSights adds sightings that have not been told often yet.
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -151,13 +151,13 @@
 // A sighting that is told of more slot caches than are kept takes the oldest one's place.
 func TestMostSights(t *testing.T) {
 	v := fleet(2, 0)[0]
-	for i := range uint32(mostSights + 10) {
-		v.clock(time.Duration(i) * 100 * time.Millisecond)
+	for i := range uint32(MostSights + 10) {
+		v.clock(time.Duration(i) * 10 * time.Millisecond)
 		v.next = v.now
 		v.Saw(Sight{Cache: i, State: SeenDown})
 	}
 	s := v.Sights(v.now)
-	if len(s) != mostSights {
+	if len(s) != MostSights || len(v.sights) != MostSights {
 		t.Fatalf("%d are kept", len(s))
 	}
 	for _, x := range s {
@@ -165,6 +165,31 @@
 			t.Errorf("slot cache %d is kept, which was seen before others", x.Cache)
 		}
 	}
+	v.clock(v.now + sightLife)
+	if v.forgetSights(); v.sights != nil {
+		t.Errorf("%d are kept that are old", len(v.sights))
+	}
+}
+
+// 1,024 slot caches that one router sees go at once are kept by it, and told to another one in datagrams that are no longer for it.
+func TestManySights(t *testing.T) {
+	const caches, leastTold = 1024, 300 // in half a minute, with two routers alone
+	all := fleet(2, 0, 1)
+	for i := range uint32(caches) {
+		all[0].Saw(Sight{Cache: i, State: SeenDown})
+	}
+	now := time.Duration(0)
+	live(all, &now, sightLife/2)
+	told, kept := len(all[1].Sights(now)), len(all[0].Sights(now))
+	if t.Logf("%d of %d are told", told, caches); told < leastTold || kept != caches {
+		t.Errorf("%d are told, %d are kept", told, kept)
+	}
+	if c := all[0].Counts(); c.SentBytes > MostBytes*c.Sent {
+		t.Errorf("%d datagrams have %d bytes", c.Sent, c.SentBytes)
+	}
+	if c := all[1].Counts(); c.Bad > 0 { // as one that is too long would be
+		t.Errorf("%+v", c)
+	}
 }
 
 func aClaim(t *rapid.T) claim {
