Let a driver survive more than 64 commands that can't be started in one turn

The driver told itself of a command that can't be started by a channel with 64 places, which it reads itself in the next turn: from the 65th on it waited for ever. Those are kept in a list now, and the channel has a place for each router.

It asks 256 routers at one time in place of 32: with 1,024 of which many don't answer a turn took up to 32 times the time limit of a call, and after 15 s the fleet takes a driver for gone. An answer may have 1 MiB in place of 64 KiB, for 2,048 drains.

TestManyCommandsFail, go test -count=1 ./internal/fleet/drive: with the former driver "no end of all attempts within 30s"; passes now.

--- a/internal/fleet/drive/drive.go
+++ b/internal/fleet/drive/drive.go
@@ -26,9 +26,10 @@
 
 	journal *journal
 	run     *release.Run
-	ended   chan ended
-	keeper  int  // router that keeps the fleet's place, as far as is known
-	held    bool // it has been held
+	ended   chan ended // how commands have ended; none waits for more than the next turn
+	unbegun []ended    // commands that could not be started since the last turn
+	keeper  int        // router that keeps the fleet's place, as far as is known
+	held    bool       // it has been held
 
 	waiting  map[int]release.Act // replacements whose former command still runs
 	activate map[int]bool        // routers that are to serve again and have not been told
@@ -56,7 +57,7 @@
 	host, _ := os.Hostname()
 	host = host[:min(len(host), 16)]
 	return &Driver{plan: p, fleet: newFleet(p), out: out, folder: p.State, by: fmt.Sprintf("%s:%d", host, os.Getpid()), begin: time.Now(),
-		ended: make(chan ended, 64), waiting: map[int]release.Act{}, activate: map[int]bool{}}
+		ended: make(chan ended, len(p.Routers)), waiting: map[int]release.Act{}, activate: map[int]bool{}}
 }
 
 func (d *Driver) now() time.Duration { return time.Since(d.begin) }
@@ -258,16 +259,9 @@
 			return err
 		}
 	}
-	for more := true; more; {
-		select {
-		case e := <-d.ended:
-			if e.err != nil {
-				if err := d.do(ctx, d.run.Failed(e.router, e.err.Error())); err != nil {
-					return err
-				}
-			}
-		default:
-			more = false
+	for _, e := range d.endedCommands() {
+		if err := d.do(ctx, d.run.Failed(e.router, e.err.Error())); err != nil {
+			return err
 		}
 	}
 	for n, a := range d.waiting {
@@ -287,6 +281,21 @@
 	return nil
 }
 
+// endedCommands are those that have failed since it was asked last.
+func (d *Driver) endedCommands() (failed []ended) {
+	failed, d.unbegun = d.unbegun, nil
+	for {
+		select {
+		case e := <-d.ended:
+			if e.err != nil {
+				failed = append(failed, e)
+			}
+		default:
+			return failed
+		}
+	}
+}
+
 // stage is what the fleet is told: other machines go on from it.
 func (d *Driver) stage() string {
 	if why := d.run.Halted(); why != "" {
@@ -360,7 +369,7 @@
 		d.once(fmt.Sprintf("router %d: its former command still runs", n))
 	case err != nil:
 		delete(d.waiting, n)
-		d.ended <- ended{n, err}
+		d.unbegun = append(d.unbegun, ended{n, err})
 	default:
 		delete(d.waiting, n)
 		d.say("router %d: %s", n, strings.Join(words, " "))
--- a/internal/fleet/drive/drive_test.go
+++ b/internal/fleet/drive/drive_test.go
@@ -176,6 +176,32 @@
 	}
 }
 
+// However many commands can't be started in one turn, all are told, and nothing waits for anything.
+func TestManyCommandsFail(t *testing.T) {
+	const routers = 1024
+	p := &plan.Release{Name: "x", State: filepath.Join(t.TempDir(), "none"), Replace: []string{"true"}, Routers: map[int]string{}}
+	for n := range routers {
+		p.Routers[n] = "127.0.0.1:1"
+	}
+	d := New(p, io.Discard)
+	done := make(chan error, 1)
+	go func() {
+		for n := range routers {
+			if err := d.replace(n, release.Act{Router: n, Record: &release.Record{What: release.Begin, Router: n}}); err != nil {
+				done <- err
+				return
+			}
+		}
+		done <- nil
+	}()
+	if err := testprog.Await(t, done, "end of all attempts"); err != nil {
+		t.Fatal(err)
+	}
+	if failed := d.endedCommands(); len(failed) != routers {
+		t.Errorf("%d have failed", len(failed))
+	}
+}
+
 // The answer that tells that the fleet's place is held may name as many drained slot caches as a fleet keeps.
 func TestHold(t *testing.T) {
 	c := peers.Charges{Release: &peers.Running{ID: "x", State: "held"}}
--- a/internal/fleet/drive/fleet.go
+++ b/internal/fleet/drive/fleet.go
@@ -24,8 +24,12 @@
 
 const (
 	callTime = 2 * time.Second
-	atOnce   = 32      // routers that are asked at one time
-	mostText = 1 << 16 // of 64 drains and a release
+
+	// atOnce routers are asked at one time, each on a connection of its own. It is no bound on the fleet: of 1,024 routers those
+	// that don't answer cost four times callTime and not thirty times, in which the fleet would take the driver for gone.
+	atOnce = 256
+
+	mostText = 1 << 20 // bytes of an answer, with all notes that a fleet keeps: some 200 each
 )
 
 // fleet asks and tells the routers of a plan.
@@ -84,7 +88,7 @@
 	}
 	defer r.Body.Close()
 	s := &metrics.Snapshot{}
-	return s, json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(s)
+	return s, json.NewDecoder(io.LimitReader(r.Body, mostText)).Decode(s) // it has no list of routers or slot caches
 }
 
 // post makes an operators' call of a router, and gives the status and what was said.
@@ -263,5 +267,6 @@
 	return n
 }
 
-// mostAsked is how many routers are asked for the fleet's place at one time.
+// mostAsked is how many routers are asked for the fleet's place in one turn, one after the other. It bounds the turn's time, not
+// the fleet: the one that keeps the place is asked first, and any other knows which one that is.
 const mostAsked = 9
