--- a/internal/fleet/peers/out.go
+++ b/internal/fleet/peers/out.go
@@ -12,9 +12,20 @@
 // A router that can't renew its permit serves again so long before the permit ends.
 const backBefore = 3 * time.Second
 
+// seenTime is how long what electors see serves for further asks: hundreds may come at once, and each would go over all members
+// and servers.
+const seenTime = 50 * time.Millisecond
+
 // see is the fleet as an elector needs it; p.mu is held.
 func (p *Peers) see() permit.Sight {
-	now := p.now()
+	if now := p.now(); p.seen == nil || now-p.seenAt >= seenTime {
+		s := p.look(now)
+		p.seen, p.seenAt = &s, now
+	}
+	return *p.seen
+}
+
+func (p *Peers) look(now time.Duration) permit.Sight {
 	s := permit.Sight{Down: map[int]bool{}, Young: map[int]bool{}, Zone: func(i int) int { return int(p.view.Members()[i].Details.Zone) - 1 }}
 	for i := range p.view.Members() {
 		m := &p.view.Members()[i]
@@ -55,6 +66,7 @@
 	if a == nil {
 		return same
 	}
+	p.seen = nil
 	now := p.now()
 	a.Tick(now)
 	p.keeper.Tick(now)
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -58,6 +58,9 @@
 	driverAt time.Duration      // when a release's driver last spoke to this router
 	keeps    int                // the router that keeps the release, as far as this one knows
 
+	seen   *permit.Sight // what electors see, worked out a moment ago; nil: not asked for
+	seenAt time.Duration
+
 	sawMu sync.Mutex
 	saw   map[uint32]view.SightState // of slot caches, the last of each, that the view was not told yet; nil: none
 }
