Have a router ask for permits of the zone that it tells others it is in

Details tell zones up to the 127th; a router of a further one told that one, and asked for permits of its own zone, in which no elector saw anybody. Both take the same bound now, and comments say that it bounds zones, not routers. A list of servers is bounded by 4 MiB as before, and the comment says how many fit.

--- a/cmd/hoptiller/together.go
+++ b/cmd/hoptiller/together.go
@@ -55,7 +55,7 @@
 	if why == "" {
 		p, err := peers.New(peers.Settings{Self: c.Settings.Self, Listen: c.PeerListen, Addrs: c.Peers, Seed: c.Seed,
 			Phase: func() view.Phase { return f.phase() }, Tell: f.tell,
-			Agent: &permit.Agent{Self: c.Settings.Self, Of: len(c.Peers), Zone: c.Settings.Zone, Chance: rand.Uint64},
+			Agent: &permit.Agent{Self: c.Settings.Self, Of: len(c.Peers), Zone: min(c.Settings.Zone, view.MostZone), Chance: rand.Uint64},
 			Out: func(out bool) {
 				if out {
 					life.Tell(lifecycle.Drain)
@@ -99,7 +99,7 @@
 		f.at, f.seen = now, n
 	}
 	return view.Details{Version: build(), Settings: f.config.Digest, Rate: uint16(min(math.Round(f.rate), math.MaxUint16)),
-		Zone: uint8(min(f.config.Settings.Zone+1, 127))}
+		Zone: uint8(min(max(-1, f.config.Settings.Zone), view.MostZone) + 1)}
 }
 
 func (f *fleet) saw(cache uint32, up bool) {
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -34,7 +34,8 @@
 // Longest is how long a call or watch can have come to nothing before that is known.
 func (t Times) Longest() time.Duration { return max(t.Head, t.First, t.Silence) }
 
-const maxLine = 4 << 20 // of a list
+// maxLine bounds a message, in bytes. A server takes some 130 of a list, or twice that where it is indented: more than 10,000 fit.
+const maxLine = 4 << 20
 
 var errEnded = errors.New("the watch has ended")
 
--- a/internal/fleet/view/member.go
+++ b/internal/fleet/view/member.go
@@ -63,13 +63,17 @@
 	return [...]string{"starting", "serving", "draining", "stopping"}[p&3]
 }
 
+// MostZone is the greatest number of a zone that details tell, in the seven bits that a datagram has for it. It bounds zones, not
+// routers: those of further zones are told, and counted by permits, as of this one.
+const MostZone = 126
+
 // Details are what a router tells of itself beside its phase. They spread in the room that news leaves.
 type Details struct {
 	Seq      uint16 // of what one life tells, the later the greater; 0: nothing told yet
 	Version  uint32 // hash of the program's version
 	Settings uint32 // hash of its settings
 	Rate     uint16 // requests a second
-	Zone     uint8  // its zone's number and one more, up to 127; 0: not told
+	Zone     uint8  // its zone's number and one more, up to MostZone and one more; 0: not told
 	Twice    bool   // it has met another router of its number
 }
 
