--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -155,7 +155,7 @@
 }
 
 // launch starts the program and reads in its log where it listens: for clients, and for operators.
-func launch(t *testing.T, env []string, files ...*os.File) (cmd *exec.Cmd, log *bufio.Reader, addrs [2]string) {
+func launch(t testing.TB, env []string, files ...*os.File) (cmd *exec.Cmd, log *bufio.Reader, addrs [2]string) {
 	cmd = exec.Command(binary)
 	cmd.Env, cmd.ExtraFiles = append(os.Environ(), env...), files
 	stderr, err := cmd.StderrPipe()
@@ -225,7 +225,7 @@
 }
 
 // dial connects until the test ends. What has not come in twice its patience does not come.
-func dial(t *testing.T, addr string) net.Conn {
+func dial(t testing.TB, addr string) net.Conn {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Error(err)
