Join the test of large fleets with the renamed metrics

The type of what operators read is processMetrics since the package of counters is metrics; the test was written against the former name. go vet ./... is clean.

--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -22,7 +22,7 @@
 	"hoptiller/internal/unit"
 )
 
-// metrics are what operators read of this process.
+// processMetrics are what operators read of this process.
 type processMetrics struct {
 	metrics.Snapshot
 	Fleet *peers.Summary `json:"fleet,omitempty"` // as the routers see one another
--- a/cmd/hoptiller/large_fleet_test.go
+++ b/cmd/hoptiller/large_fleet_test.go
@@ -83,7 +83,7 @@
 }
 
 // metrics asks the router's operators' address.
-func (f *largeFleet) metrics(t testing.TB) (m metrics) {
+func (f *largeFleet) metrics(t testing.TB) (m processMetrics) {
 	client := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
 	r, err := client.Get("http://" + f.admin + "/v1/metrics")
 	if err != nil {
