Rename the lab's ways to faultproxy, with the terms of network faults

Cause: ways, spoil, late, double, refuse, near and far hid proxies that inject corruption, reordering, duplicates and resets between a client and a server. Change: internal/lab/ways is internal/lab/faultproxy: Way is StreamProxy, Streams is StreamFaults, Datagrams is DatagramFaults, Set is SetFaults. The keys of drill files stay. No behaviour changes.

--- a/internal/lab/drill/file.go
+++ b/internal/lab/drill/file.go
@@ -1,7 +1,7 @@
 // Package drill plays a day on sockets with several processes of the router, puts faults between them and on them, and
 // holds what comes of it against claims: what must always hold, and what must hold again within a time.
 //
-// The day is the lab's, with the stand-ins that play it; the ways between all parties are package ways'. A drill ends
+// The day is the lab's, with the stand-ins that play it; the ways between all parties are package faultproxy's. A drill ends
 // every process that it started.
 package drill
 
--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -15,10 +15,10 @@
 	"time"
 
 	"hoptiller/internal/fleet/peers"
+	"hoptiller/internal/lab/faultproxy"
 	"hoptiller/internal/lab/loopback"
 	"hoptiller/internal/lab/standin"
 	"hoptiller/internal/lab/tally"
-	"hoptiller/internal/lab/ways"
 )
 
 // Options say how a drill is played.
@@ -57,7 +57,7 @@
 type player struct {
 	f        *File
 	timeline *Timeline
-	mesh     *ways.Mesh
+	mesh     *faultproxy.Mesh
 	admins   []string // operators' addresses of the routers themselves
 
 	folder  string // for what belongs to this drill alone
@@ -67,8 +67,8 @@
 	mu      sync.Mutex
 	driver  *os.Process   // the latest
 	started []*os.Process // all
-	ways    map[wayKey][]*ways.Way
-	state   map[wayKey]ways.Streams // that new ways begin with
+	ways    map[wayKey][]*faultproxy.StreamProxy
+	state   map[wayKey]faultproxy.StreamFaults // that new ways begin with
 	hand    standin.Control
 }
 
@@ -87,7 +87,7 @@
 func Play(ctx context.Context, f *File, opt Options) (*Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p := &player{f: f, timeline: &Timeline{}, ways: map[wayKey][]*ways.Way{}, state: map[wayKey]ways.Streams{}}
+	p := &player{f: f, timeline: &Timeline{}, ways: map[wayKey][]*faultproxy.StreamProxy{}, state: map[wayKey]faultproxy.StreamFaults{}}
 	defer p.close()
 	if err := p.files(); err != nil {
 		return nil, err
@@ -107,7 +107,7 @@
 		}
 	}
 	var err error
-	if p.mesh, err = ways.NewMesh(f.Day.Routers, f.Day.Seed); err != nil {
+	if p.mesh, err = faultproxy.NewMesh(f.Day.Routers, f.Day.Seed); err != nil {
 		return nil, err
 	}
 	day := f.Day
@@ -162,7 +162,7 @@
 // peers is what a router is told of the others, right or wrong.
 func (p *player) peers(router int) (listen string, addrs []string) {
 	self := p.f.self(router)
-	addrs = p.mesh.Peers(self)
+	addrs = p.mesh.PeerAddrs(self)
 	for _, l := range p.f.Lists {
 		if l.Router == router && len(l.Swap) == 2 {
 			addrs[l.Swap[0]], addrs[l.Swap[1]] = addrs[l.Swap[1]], addrs[l.Swap[0]]
@@ -175,7 +175,7 @@
 		}
 		addrs = append(addrs, net.JoinHostPort(host, "9"))
 	}
-	return p.mesh.Home(self), addrs
+	return p.mesh.RouterAddr(self), addrs
 }
 
 // way puts a relay before a party.
@@ -184,14 +184,14 @@
 	if err != nil {
 		return "", err
 	}
-	w, err := ways.NewWay(host, addr)
+	w, err := faultproxy.NewStreamProxy(host, addr)
 	if err != nil {
 		return "", err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k := wayKey{router, to}
-	w.Set(p.state[k])
+	w.SetFaults(p.state[k])
 	p.ways[k] = append(p.ways[k], w)
 	return w.Addr(), nil
 }
@@ -279,18 +279,18 @@
 			if i == j {
 				return
 			}
-			var d ways.Datagrams
+			var d faultproxy.DatagramFaults
 			if on {
-				d = ways.Datagrams{Drop: s.Drop, Double: s.Double, Spoil: s.Spoil, Late: s.Late, Delay: s.Delay.D(), Jitter: s.Jitter.D(), Cut: s.Cut}
+				d = faultproxy.DatagramFaults{Loss: s.Drop, Duplicate: s.Double, Corrupt: s.Spoil, Reorder: s.Late, Delay: s.Delay.D(), Jitter: s.Jitter.D(), Blocked: s.Cut}
 			}
-			if p.mesh.Set(i, j, d); s.Both {
-				p.mesh.Set(j, i, d)
+			if p.mesh.SetFaults(i, j, d); s.Both {
+				p.mesh.SetFaults(j, i, d)
 			}
 		})
 	default:
-		var x ways.Streams
+		var x faultproxy.StreamFaults
 		if on {
-			x = ways.Streams{Stall: s.Stall, Refuse: s.Refuse, Cut: s.After, Delay: s.Delay.D(), Rate: s.Rate}
+			x = faultproxy.StreamFaults{Stall: s.Stall, Reset: s.Refuse, ResetAfter: s.After, Delay: s.Delay.D(), BytesPerSecond: s.Rate}
 		}
 		p.mu.Lock()
 		k := wayKey{i, standin.Party(s.Kind)}
@@ -298,7 +298,7 @@
 		list := p.ways[k]
 		p.mu.Unlock()
 		for _, w := range list {
-			w.Set(x)
+			w.SetFaults(x)
 		}
 	}
 }
