Replace the last house words in the tests of admission and faultproxy

Cause: turns and spoilt were left in two tests, and figures in a comment. Change: decisions, corrupted and settings. No behaviour changes. Measured: go test ./internal/admission ./internal/lab/faultproxy pass.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -152,8 +152,8 @@
 			}
 			return slices.Delete(list, i, i+1)
 		}
-		take := func(turns ...Decision) {
-			for _, x := range turns {
+		take := func(decisions ...Decision) {
+			for _, x := range decisions {
 				if waiting = drop(waiting, x.RequestID); x.Verdict == limit.Go {
 					in = append(in, x.RequestID)
 				} else if x.Verdict == limit.Wait {
--- a/internal/admission/constraints.go
+++ b/internal/admission/constraints.go
@@ -50,7 +50,7 @@
 	return constraints
 }
 
-// newRouteLimits returns the limits of a route with the figures of its policy.
+// newRouteLimits returns the limits of a route with the settings of its policy.
 func newRouteLimits(route string, policy *plan.Policy, previous map[string]*routeLimits) *routeLimits {
 	limits := previous[route]
 	if limits == nil {
--- a/internal/lab/faultproxy/faultproxy_test.go
+++ b/internal/lab/faultproxy/faultproxy_test.go
@@ -131,14 +131,14 @@
 	if got := play(DatagramFaults{Duplicate: 0.5}, n); len(got) < 540 || len(got) > 660 {
 		t.Errorf("%d of %d pass with half of them doubled", len(got), n)
 	}
-	spoilt := 0
+	corrupted := 0
 	for i, text := range play(DatagramFaults{Corrupt: 0.5}, n) {
 		if text != fmt.Sprintf("%04d", i) {
-			spoilt++
+			corrupted++
 		}
 	}
-	if spoilt < 140 || spoilt > 260 {
-		t.Errorf("%d of %d are spoilt, asked for half", spoilt, n)
+	if corrupted < 140 || corrupted > 260 {
+		t.Errorf("%d of %d are corrupted, asked for half", corrupted, n)
 	}
 	if got := play(DatagramFaults{Reorder: 0.5}, 20); slices.IsSorted(got) {
 		t.Errorf("all come in order: %v", got)
