--- a/internal/fleet/release/release_test.go
+++ b/internal/fleet/release/release_test.go
@@ -113,7 +113,6 @@
 		case Replace:
 			to := "new"
 			if a.Record.Back {
-				to = a.Record.From
 				if to = "old"; a.Record.From == "old" {
 					to = "new"
 				}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -50,25 +50,25 @@
 	details []uint16 // of whom they are told next, in order
 	sights  []sighting
 
-	probes       []probe
-	order        []uint16 // of the members that are probed next
-	next         time.Duration
-	turn, lookup uint32
-	seq          uint32
-	health       int           // 0 is best, see mostHealth
-	repairs      int           // datagrams that may still be sent in repair in this period
-	churn        float64       // changes, the older the less
-	changed      time.Duration // when the last one was
-	alike        int           // neighbours in a row that have said the same
-	differing    time.Duration // since when neighbours have said otherwise; 0: the last one said the same
-	suspects     int
-	toldAt       time.Duration // when own details were last renewed
-	told         Details
-	events       []Event
-	out          []Datagram
-	in           message
-	counts       Counts
-	leaving      bool
+	probes    []probe
+	order     []uint16 // of the members that are probed next
+	next      time.Duration
+	turn      uint32
+	seq       uint32
+	health    int           // 0 is best, see mostHealth
+	repairs   int           // datagrams that may still be sent in repair in this period
+	churn     float64       // changes, the older the less
+	changed   time.Duration // when the last one was
+	alike     int           // neighbours in a row that have said the same
+	differing time.Duration // since when neighbours have said otherwise; 0: the last one said the same
+	suspects  int
+	toldAt    time.Duration // when own details were last renewed
+	told      Details
+	events    []Event
+	out       []Datagram
+	in        message
+	counts    Counts
+	leaving   bool
 }
 
 // Event is a change of the view.
