--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go' ':!journal/'))" || { echo "gofmt wants to change files"; exit 1; }
 	go vet ./...
+	go tool staticcheck ./...
 
 run: build
 	bin/hoplab demo
