Rename directory, loads, aside, drive and places by the field's terms

Moves only: internal/directory is internal/discovery, loads loadreport, fleet/aside fleet/drains, fleet/drive fleet/rollout, fleet/places fleet/connlimit.

--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -11,12 +11,12 @@
 
 	"hoptiller"
 	"hoptiller/internal/admin"
-	"hoptiller/internal/directory"
+	"hoptiller/internal/discovery"
 	"hoptiller/internal/fleet/notes"
 	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/front"
 	"hoptiller/internal/lifecycle"
-	"hoptiller/internal/loads"
+	"hoptiller/internal/loadreport"
 	"hoptiller/internal/metrics"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/unit"
@@ -29,7 +29,7 @@
 }
 
 // calls are what operators can ask of this process.
-func calls(life *lifecycle.State, f *front.Front, counts *metrics.Counters, reports *loads.Table, r *relay.Relay, fleet *peers.Peers) map[string]admin.Call {
+func calls(life *lifecycle.State, f *front.Front, counts *metrics.Counters, reports *loadreport.Table, r *relay.Relay, fleet *peers.Peers) map[string]admin.Call {
 	told := func(e lifecycle.Event) func() (bool, []byte) {
 		return func() (bool, []byte) {
 			yes := life.Tell(e)
@@ -139,7 +139,7 @@
 
 // freshList tells when the directory has spoken for the first time.
 type freshList struct {
-	directory.Listener
+	discovery.Listener
 	once sync.Once
 	told chan struct{}
 }
--- a/cmd/hoptiller/crossing_lists_test.go
+++ b/cmd/hoptiller/crossing_lists_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/directory"
+	"hoptiller/internal/discovery"
 )
 
 // play plays the lines of a scenario in this program's world, whatever stands in the place of a part of its configuration.
@@ -59,7 +59,7 @@
 			longest = max(longest, f.Tick(now).Next-now)
 		}
 	}
-	call := directory.PlatformTimes.Longest()
+	call := discovery.PlatformTimes.Longest()
 	t.Logf("longest call %v, longest wait %v", call, longest)
 	if call+longest > toldIn-250*time.Millisecond {
 		t.Errorf("%v for a call and %v until the next leave no time for its answer in %v", call, longest, toldIn)
--- a/cmd/hoptiller/release.go
+++ b/cmd/hoptiller/release.go
@@ -10,7 +10,7 @@
 	"syscall"
 
 	"hoptiller/internal/command"
-	"hoptiller/internal/fleet/drive"
+	"hoptiller/internal/fleet/rollout"
 	"hoptiller/internal/plan"
 )
 
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	waves, report := drive.Examine(ctx, p)
+	waves, report := rollout.Examine(ctx, p)
 	if len(report.Findings) > 0 {
 		fmt.Fprint(os.Stderr, report)
 		return nil, nil, command.ErrFinding
@@ -97,19 +97,19 @@
 	if err != nil {
 		return err
 	}
-	return driven(ctx, p, drive.Start)
+	return driven(ctx, p, rollout.Start)
 }
 
 type releaseResumeCmd struct{ planFile }
 
-func (c *releaseResumeCmd) Run() error { return c.goOn(drive.Resume) }
+func (c *releaseResumeCmd) Run() error { return c.goOn(rollout.Resume) }
 
 type releaseBackCmd struct{ planFile }
 
-func (c *releaseBackCmd) Run() error { return c.goOn(drive.Back) }
+func (c *releaseBackCmd) Run() error { return c.goOn(rollout.Back) }
 
 // goOn does not hold the plan against the fleet: what is amiss with that is why one goes back.
-func (f *planFile) goOn(mode drive.Mode) error {
+func (f *planFile) goOn(mode rollout.Mode) error {
 	ctx, stop := interrupted()
 	defer stop()
 	p, err := f.load()
@@ -119,10 +119,10 @@
 	return driven(ctx, p, mode)
 }
 
-func driven(ctx context.Context, p *plan.Release, mode drive.Mode) error {
-	err := drive.New(p, os.Stdout).Drive(ctx, mode)
+func driven(ctx context.Context, p *plan.Release, mode rollout.Mode) error {
+	err := rollout.New(p, os.Stdout).Drive(ctx, mode)
 	switch {
-	case errors.Is(err, drive.ErrHalted):
+	case errors.Is(err, rollout.ErrHalted):
 		return command.ErrFinding
 	case errors.Is(err, context.Canceled):
 		fmt.Printf("left as it is: release resume, or release back\n")
@@ -140,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	return drive.Status(ctx, os.Stdout, p)
+	return rollout.Status(ctx, os.Stdout, p)
 }
 
 type releaseHaltCmd struct{ planFile }
@@ -152,5 +152,5 @@
 	if err != nil {
 		return err
 	}
-	return drive.End(ctx, p)
+	return rollout.End(ctx, p)
 }
--- a/cmd/hoptiller/reload.go
+++ b/cmd/hoptiller/reload.go
@@ -10,7 +10,7 @@
 
 	"hoptiller/internal/admission/middleware"
 	"hoptiller/internal/config"
-	"hoptiller/internal/directory"
+	"hoptiller/internal/discovery"
 	"hoptiller/internal/logs"
 	"hoptiller/internal/plan"
 )
@@ -22,7 +22,7 @@
 	serve     *serveCmd
 	config    *config.Config
 	plan      *plan.Plan
-	dir       *directory.Client
+	dir       *discovery.Client
 	admission *middleware.Handler // nil without an operator's file
 	log       *logs.Log
 	fleet     *fleet
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -18,13 +18,13 @@
 	"hoptiller/internal/admin"
 	"hoptiller/internal/admission/middleware"
 	"hoptiller/internal/config"
-	"hoptiller/internal/directory"
-	"hoptiller/internal/fleet/aside"
-	"hoptiller/internal/fleet/places"
+	"hoptiller/internal/discovery"
+	"hoptiller/internal/fleet/connlimit"
+	"hoptiller/internal/fleet/drains"
 	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/front"
 	"hoptiller/internal/lifecycle"
-	"hoptiller/internal/loads"
+	"hoptiller/internal/loadreport"
 	"hoptiller/internal/logs"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/metrics"
@@ -142,7 +142,7 @@
 	for _, what := range c.Assumed {
 		slog.Info("fleet assumed", "what", what)
 	}
-	reports := loads.New(c.Reports)
+	reports := loadreport.New(c.Reports)
 	counts, life := metrics.New(c.Classes), lifecycle.New()
 	c.Settings.Places = p.Limits.Places
 	shares := divide(c, &p.Limits)
@@ -154,7 +154,7 @@
 	providers := upstream.New(upstream.Settings{
 		Share: sharing(c), MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
-		Kept: places.Kept(c.Settings.Balancers, p.Limits.Places), Places: p.Limits.Places, Called: counts.AttemptSent, Reports: reports,
+		Kept: connlimit.Kept(c.Settings.Balancers, p.Limits.Places), Places: p.Limits.Places, Called: counts.AttemptSent, Reports: reports,
 		Seen: func(id uint32, up bool) { fleet.saw(id, up) },
 	}, upstream.Meta{})
 	origins := upstream.New(upstream.Settings{
@@ -164,19 +164,19 @@
 	}, origin.Protocol{})
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	var server front.Server = r
-	var listener directory.Listener = r
+	var listener discovery.Listener = r
 	var g *middleware.Handler
 	if s.File != "" {
 		g = middleware.New(r, r, p, func(limit string) { slog.Info("limit hit", "limit", limit) })
 		server, listener = g, g
 	}
-	caches := aside.New(listener)
+	caches := drains.New(listener)
 	if fleet = newFleet(c, p.Fleet, counts, life, r, caches); fleet.peers != nil {
 		listener = caches
 	}
-	names := &directory.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
+	names := &discovery.Names{Zones: c.Zones, Kinds: c.Kinds, OriginKind: c.Settings.OriginKind}
 	fresh := &freshList{Listener: listener, told: make(chan struct{})}
-	dir := directory.NewClient(registry(c), names, fresh, c.Known)
+	dir := discovery.NewClient(registry(c), names, fresh, c.Known)
 	f := &front.Front{
 		Classes: c.Classes, AnyClass: c.AnyClass, Tenants: c.Tenants, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held,
 		MostOpen: shares.open, Room: room,
@@ -231,6 +231,6 @@
 	return err
 }
 
-func registry(c *config.Config) *directory.Registry {
-	return &directory.Registry{Addr: c.Discovery, Times: directory.PlatformTimes}
+func registry(c *config.Config) *discovery.Registry {
+	return &discovery.Registry{Addr: c.Discovery, Times: discovery.PlatformTimes}
 }
--- a/cmd/hoptiller/together.go
+++ b/cmd/hoptiller/together.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hoptiller/internal/config"
-	"hoptiller/internal/fleet/aside"
+	"hoptiller/internal/fleet/drains"
 	"hoptiller/internal/fleet/peers"
 	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/fleet/view"
@@ -39,7 +39,7 @@
 
 // newFleet opens the view where the settings and the operator's file, which goes before, have it on. What
 // the platform forbids no file allows.
-func newFleet(c *config.Config, stated plan.Fleet, counts *metrics.Counters, life *lifecycle.State, r *relay.Relay, caches *aside.Caches) *fleet {
+func newFleet(c *config.Config, stated plan.Fleet, counts *metrics.Counters, life *lifecycle.State, r *relay.Relay, caches *drains.Caches) *fleet {
 	f := &fleet{counts: counts, config: c, at: time.Now()}
 	why := ""
 	switch {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,7 +15,7 @@
 	"github.com/tidwall/gjson"
 
 	"hoptiller"
-	"hoptiller/internal/directory"
+	"hoptiller/internal/discovery"
 )
 
 const mostLimit = 1 << 20 // megabytes, sockets, or calls on a connection
@@ -30,7 +30,7 @@
 	Seed        uint64
 	MemoryMB    int64 // 0: no limit stated
 	Sockets     int   // 0: no limit stated
-	Known       directory.Update
+	Known       discovery.Update
 	Peers       []string // one address for each router of the tier, its own included; none: not told
 	PeerListen  string   // where datagrams of other routers come; empty: nowhere
 	MayTell     bool     // routers may send each other datagrams
@@ -109,8 +109,8 @@
 		return nil, err
 	}
 	if known := root.Get("known"); known.Exists() {
-		if c.Known, err = directory.ParseUpdate([]byte(known.Raw)); err != nil { // discovery will tell
-			doubts, c.Known = append(doubts, fmt.Sprintf("known: %v", err)), directory.Update{}
+		if c.Known, err = discovery.ParseUpdate([]byte(known.Raw)); err != nil { // discovery will tell
+			doubts, c.Known = append(doubts, fmt.Sprintf("known: %v", err)), discovery.Update{}
 		}
 	}
 	bounds := &reader{root: root}
--- a/internal/directory/directory.go
+++ b/internal/discovery/client.go
@@ -1,6 +1,6 @@
-// Package directory keeps the list of servers up to date from a discovery
+// Package discovery keeps the list of servers up to date from a discovery
 // service.
-package directory
+package discovery
 
 import (
 	"context"
--- a/internal/directory/directory_test.go
+++ b/internal/discovery/client_test.go
@@ -1,4 +1,4 @@
-package directory
+package discovery
 
 import (
 	"fmt"
--- a/internal/fleet/places/places.go
+++ b/internal/fleet/connlimit/connlimit.go
@@ -1,6 +1,6 @@
-// Package places works out one router's part of the connections that slot caches accept from all routers. It
+// Package connlimit works out one router's part of the connections that slot caches accept from all routers. It
 // does no I/O and hears nothing from the others: the bound must hold however the load is spread over them.
-package places
+package connlimit
 
 import (
 	"cmp"
--- a/internal/fleet/places/places_test.go
+++ b/internal/fleet/connlimit/connlimit_test.go
@@ -1,4 +1,4 @@
-package places
+package connlimit
 
 import (
 	"testing"
--- a/internal/fleet/aside/aside.go
+++ b/internal/fleet/drains/drains.go
@@ -1,10 +1,10 @@
-// Package aside has slot caches get nothing new because the fleet's operators say so, whatever the directory says: it stands
+// Package drains has slot caches get nothing new because the fleet's operators say so, whatever the directory says: it stands
 // between the directory and who listens to it, and changes the entries of those that are drained. What the module does with a
 // drained slot cache is the same in both cases.
 //
 // A drain may come by and by: the slot cache's weight falls over a time, so that its keys move to their next homes a few at a
 // time, and the origin and those homes need not bear all of its misses at once. It comes back the same way.
-package aside
+package drains
 
 import (
 	"maps"
--- a/internal/fleet/aside/aside_test.go
+++ b/internal/fleet/drains/drains_test.go
@@ -1,4 +1,4 @@
-package aside
+package drains
 
 import (
 	"fmt"
--- a/internal/fleet/peers/drains.go
+++ b/internal/fleet/peers/drains.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"hoptiller/internal/fleet/aside"
+	"hoptiller/internal/fleet/drains"
 	"hoptiller/internal/fleet/notes"
 	"hoptiller/internal/fleet/permit"
 )
@@ -26,7 +26,7 @@
 const MostDrain = 7 * 24 * time.Hour
 
 // A drain's note says over how many ms it comes, and whether it has.
-func drainBody(d aside.Drain) string {
+func drainBody(d drains.Drain) string {
 	b := binary.BigEndian.AppendUint32(nil, uint32(d.Over.Milliseconds()))
 	if d.Whole {
 		return string(append(b, 1))
@@ -34,11 +34,11 @@
 	return string(append(b, 0))
 }
 
-func readDrain(body string) aside.Drain {
+func readDrain(body string) drains.Drain {
 	if len(body) != 5 {
-		return aside.Drain{} // of another version: at once
+		return drains.Drain{} // of another version: at once
 	}
-	return aside.Drain{Over: time.Duration(binary.BigEndian.Uint32([]byte(body))) * time.Millisecond, Whole: body[4] == 1}
+	return drains.Drain{Over: time.Duration(binary.BigEndian.Uint32([]byte(body))) * time.Millisecond, Whole: body[4] == 1}
 }
 
 // saidOf is what was logged of a slot cache that is drained.
@@ -49,12 +49,12 @@
 
 // drains are the slot caches that are out, and are logged as they change; p.mu is held. The name stands in the event's kind, which
 // is what the log bounds: each slot cache's drain is told, however many there are.
-func (p *Peers) drains() map[uint32]aside.Drain {
+func (p *Peers) drains() map[uint32]drains.Drain {
 	if p.keeper == nil || p.set.Aside == nil {
 		return nil
 	}
 	now := p.now()
-	out := map[uint32]aside.Drain{}
+	out := map[uint32]drains.Drain{}
 	for _, n := range p.keeper.All(now) {
 		if n.Kind == notes.Release && int(n.Owner) != p.keeps {
 			p.keeps, p.driverAt = int(n.Owner), now // whoever keeps it from now on has not heard its driver yet, who may be there
@@ -107,7 +107,7 @@
 	defer p.mu.Unlock()
 	defer p.flush()
 	key := notes.Key{Kind: notes.Cache, ID: s.ID}
-	return p.keeper.Ask(p.now(), key, p.set.Agent.CacheGroups(s.Zone), drainBody(aside.Drain{Over: over}), last)
+	return p.keeper.Ask(p.now(), key, p.set.Agent.CacheGroups(s.Zone), drainBody(drains.Drain{Over: over}), last)
 }
 
 // ActivateCache has a slot cache serve again, whichever router was asked to drain it.
--- a/internal/fleet/peers/drains_test.go
+++ b/internal/fleet/peers/drains_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/fleet/aside"
+	"hoptiller/internal/fleet/drains"
 	"hoptiller/internal/fleet/notes"
 	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/fleet/view"
@@ -21,7 +21,7 @@
 
 // alone is the one elector of two routers, an hour after its start, and without a socket.
 func alone(t *testing.T) *Peers {
-	caches := aside.New(nobody{})
+	caches := drains.New(nobody{})
 	caches.Told(hoptiller.ListFull, []relay.Server{{Server: hoptiller.Server{ID: 0x10, Phase: hoptiller.Ready}, Name: "s-00000010"}})
 	n := uint64(0)
 	p, err := New(Settings{Listen: "127.0.0.1:1", Addrs: []string{"127.0.0.1:1", "127.0.0.1:2"},
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hoptiller"
-	"hoptiller/internal/fleet/aside"
+	"hoptiller/internal/fleet/drains"
 	"hoptiller/internal/fleet/notes"
 	"hoptiller/internal/fleet/permit"
 	"hoptiller/internal/fleet/view"
@@ -34,7 +34,7 @@
 	Out   func(out bool) // has clients sent away, or has them come again; with Agent
 
 	Caches func() []hoptiller.CacheState // the slot caches as they are seen here; with Agent
-	Aside  *aside.Caches                 // has slot caches get nothing new; with Agent
+	Aside  *drains.Caches                // has slot caches get nothing new; with Agent
 }
 
 // Peers is the view of one router and its socket.
--- a/internal/fleet/drive/command.go
+++ b/internal/fleet/rollout/command.go
@@ -1,4 +1,4 @@
-package drive
+package rollout
 
 import (
 	"errors"
--- a/internal/fleet/drive/journal.go
+++ b/internal/fleet/rollout/journal.go
@@ -1,6 +1,6 @@
-// Package drive carries out a release: it asks the routers, runs the operator's commands, and keeps on disk what must not be
+// Package rollout carries out a release: it asks the routers, runs the operator's commands, and keeps on disk what must not be
 // forgotten before it is acted on. What is to be done it asks of package release.
-package drive
+package rollout
 
 import (
 	"bytes"
--- a/internal/lab/sim/homes.go
+++ b/internal/lab/sim/homes.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/fleet/places"
+	"hoptiller/internal/fleet/connlimit"
 	"hoptiller/internal/lab/model"
 )
 
@@ -18,7 +18,7 @@
 // ZoneHomes does the same for a router of each zone where they may differ; in a small fleet one stands for all.
 func ZoneHomes(day *model.Day, policy Policy, list []model.Member) (all []func(key uint64) uint32) {
 	for self := range min(day.Routers, day.Zones) {
-		if self == 0 || places.Kept(day.Routers, 0) == 0 {
+		if self == 0 || connlimit.Kept(day.Routers, 0) == 0 {
 			all = append(all, homes(day, policy, list, self))
 		}
 	}
--- a/internal/lab/sim/pool.go
+++ b/internal/lab/sim/pool.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/fleet/places"
+	"hoptiller/internal/fleet/connlimit"
 	"hoptiller/internal/lab/model"
 )
 
@@ -156,7 +156,7 @@
 	now := world.Now()
 	v.idleAt = now
 	day := p.r.t.day
-	kept := places.Kept(day.Routers, 0)
+	kept := connlimit.Kept(day.Routers, 0)
 	if !day.Fleet.Reap || p.server == 0 || len(p.conns) <= kept {
 		return
 	}
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/fleet/places"
+	"hoptiller/internal/fleet/connlimit"
 	"hoptiller/internal/lab/model"
 	"hoptiller/internal/lab/tally"
 )
@@ -26,7 +26,7 @@
 	byTry   map[*model.Try]*invocation
 	list    map[uint32]model.Member
 	pools   map[int]*pool
-	calls   places.Calls
+	calls   connlimit.Calls
 }
 
 // invocation is one request that is not closed, or whose calls are still out.
--- a/internal/loads/loads.go
+++ b/internal/loadreport/table.go
@@ -1,7 +1,7 @@
-// Package loads keeps what servers report of their load in their answers, for operators to read. It does no I/O and
+// Package loadreport keeps what servers report of their load in their answers, for operators to read. It does no I/O and
 // knows no clock. The decisions do not use it: in 36 days of a site that reports, a queue that is told half a second
 // late took more from the windows than it gave (docs/design/deployments.md).
-package loads
+package loadreport
 
 import (
 	"math"
--- a/internal/loads/loads_test.go
+++ b/internal/loadreport/table_test.go
@@ -1,4 +1,4 @@
-package loads
+package loadreport
 
 import (
 	"math"
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -5,7 +5,7 @@
 import (
 	"sync/atomic"
 
-	"hoptiller/internal/loads"
+	"hoptiller/internal/loadreport"
 )
 
 // Result is how a request ended.
@@ -79,7 +79,7 @@
 	Pending     int64                 `json:"pending"`
 	Members     int                   `json:"members"`
 	Unavailable int                   `json:"members_unavailable"`
-	Reports     *loads.Summary        `json:"load_reports,omitempty"` // of the cache servers
+	Reports     *loadreport.Summary   `json:"load_reports,omitempty"` // of the cache servers
 }
 
 // Snapshot returns the counters as they are now. The caller fills in what it knows of the fleet:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,8 +12,8 @@
 	"golang.org/x/sync/semaphore"
 
 	"hoptiller"
-	"hoptiller/internal/fleet/places"
-	"hoptiller/internal/loads"
+	"hoptiller/internal/fleet/connlimit"
+	"hoptiller/internal/loadreport"
 	"hoptiller/internal/relay"
 )
 
@@ -29,7 +29,7 @@
 	Kept           int           // idle connections to a server that stay till then; more are closed sooner
 	ConnectTimeout time.Duration
 	Room           *semaphore.Weighted      // bytes of values whose length shows at their end
-	Reports        *loads.Table             // keeps what servers tell of their load; nil: nothing does
+	Reports        *loadreport.Table        // keeps what servers tell of their load; nil: nothing does
 	Seen           func(id uint32, up bool) // told of a server that has no process, and that answers again; nil: nobody is
 	Called         func()                   // told of each call that was written whole; nil: nobody is
 }
@@ -44,10 +44,10 @@
 
 	mu      sync.Mutex
 	servers map[uint32]*server
-	total   int          // connections that are open or being opened
-	longAt  time.Time    // when a long value came last
-	calls   places.Calls // to any server
-	reaping bool         // a look for connections that have been idle too long is due
+	total   int             // connections that are open or being opened
+	longAt  time.Time       // when a long value came last
+	calls   connlimit.Calls // to any server
+	reaping bool            // a look for connections that have been idle too long is due
 }
 
 type server struct {
--- a/router.go
+++ b/router.go
@@ -15,7 +15,7 @@
 	"slices"
 	"time"
 
-	"hoptiller/internal/fleet/places"
+	"hoptiller/internal/fleet/connlimit"
 )
 
 const (
@@ -1040,7 +1040,7 @@
 // near guards against more connections than fit: where no server holds one of each router, a key has a
 // home in each zone, for the routers there. Other zones are next where that is sick, cold or gone.
 func (r *Router) near(zone int) float64 {
-	if zone != r.set.Zone && places.Kept(r.set.Balancers, r.set.Places) == 0 {
+	if zone != r.set.Zone && connlimit.Kept(r.set.Balancers, r.set.Places) == 0 {
 		return farWeight
 	}
 	return 1
