Leave no address to two of the lab's routers at once: TestDay's calls of unknown requests

Seen: TestDay ends with "15 breaches, first 170.272196ms: one-answer: router 2, request 32: a call to server 1 after the final answer" (known red, in one round of ten).

Cause: loopback.Leave finds a free port, closes it and leaves it to a router's process, which listens there some tens of ms later.

Change: Leave gives out no address twice until Release, which the engine and the drills call when their processes have ended.

TestLeaveReserves fails without the change in 5 of 5 runs and passes in 5 of 5 with it.

--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -204,6 +204,9 @@
 	if p.mesh != nil {
 		p.mesh.Close()
 	}
+	for _, addr := range p.admins {
+		loopback.Release(addr)
+	}
 	for _, list := range p.ways {
 		for _, w := range list {
 			w.Close()
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -66,12 +66,45 @@
 	return net.Listen("tcp", net.JoinHostPort(host, "0"))
 }
 
-// Leave finds a free port of a router's address and leaves it to the router's process. Two that are left for
-// one use of one router must not both be wanted at once.
+// reserved are the addresses that Leave has given out and Release has not taken back.
+var reserved struct {
+	sync.Mutex
+	addrs map[string]bool
+}
+
+// mostDraws bounds how often Leave asks the system for another port. A host has thousands, so even one in two of
+// them being reserved would not make it fail.
+const mostDraws = 100
+
+// Leave finds a free port of a router's address and leaves it to the router's process. No other call of this process is
+// given the same address until Release, though its port looks free while the router's process is down or starting.
 func Leave(use Use, router int) (string, error) {
-	l, err := Listen(use, router)
-	if err != nil {
-		return "", err
+	reserved.Lock()
+	defer reserved.Unlock()
+	for range mostDraws {
+		l, err := Listen(use, router)
+		if err != nil {
+			return "", err
+		}
+		addr := l.Addr().String()
+		if err := l.Close(); err != nil {
+			return "", err
+		}
+		if reserved.addrs[addr] {
+			continue
+		}
+		if reserved.addrs == nil {
+			reserved.addrs = map[string]bool{}
+		}
+		reserved.addrs[addr] = true
+		return addr, nil
 	}
-	return l.Addr().String(), l.Close()
+	return "", fmt.Errorf("no port of router %d is free that has not been left already", router)
+}
+
+// Release takes back an address that Leave has given out, once no process is to listen there any more.
+func Release(addr string) {
+	reserved.Lock()
+	defer reserved.Unlock()
+	delete(reserved.addrs, addr)
 }
--- a/internal/lab/loopback/loopback_test.go
+++ b/internal/lab/loopback/loopback_test.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer Release(addr)
 	for range 200 { // whoever asks for free ports all the time is not given it
 		l, err := Listen(Parties, 0)
 		if err != nil {
@@ -62,3 +63,25 @@
 	}
 	l.Close()
 }
+
+// An address that has been left to a process is left to no other one, however many are asked for, until it is released.
+func TestLeaveReserves(t *testing.T) {
+	const addresses = 600 // two of so many random ports of some thousands are the same, if nothing prevents it
+	seen := map[string]bool{}
+	for range addresses {
+		addr, err := Leave(Serve, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[addr] {
+			t.Errorf("%s is left twice", addr)
+		}
+		seen[addr] = true
+	}
+	for addr := range seen {
+		Release(addr)
+	}
+	if len(reserved.addrs) != 0 {
+		t.Errorf("%d addresses are reserved after all were released", len(reserved.addrs))
+	}
+}
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"hoptiller/internal/lab/loopback"
 	"hoptiller/internal/lab/model"
 	"hoptiller/internal/lab/rules"
 	"hoptiller/internal/lab/sim"
@@ -283,6 +284,7 @@
 	e.mu.Unlock()
 	for _, n := range nodes {
 		n.kill()
+		loopback.Release(n.addr)
 	}
 }
 
