Check the time that attempts tell, unanswered requests, and routers that serve nobody

Change: invariants time-left (every attempt, no slack in virtual time), unanswered (one in 500 and five more) and serving (4 s on end, 15 requests, no attempt in between, while another router served within the last second; one router in ten, rounded down). A policy's time-out stands for the time that is told in virtual time. Time for which a router stands still, or a relay holds back what it sends, is allowed.

--- a/internal/lab/model/day.go
+++ b/internal/lab/model/day.go
@@ -141,6 +141,8 @@
 	Grace     unit.Duration `toml:"grace"`
 	AskWithin unit.Duration `toml:"ask_within"`
 	Copies    bool          `toml:"copies"` // two calls of a request may be out at once
+	// TimeSlack is by how much an attempt may tell its server more time than its client has left.
+	TimeSlack unit.Duration `toml:"time_slack"`
 }
 
 // Prairie is the day that all others are told by their difference from: ten
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -23,6 +23,10 @@
 	Cold      = "cold"       // no cold cache is pushed over by routers that were told of its start
 	Origin    = "origin"     // misses at cold caches are not much of a load that stops the origin
 	Listed    = "listed"     // only servers that the router's own list has named are called
+
+	TimeLeft   = "time-left"  // no attempt is told more time than its client has left
+	Unanswered = "unanswered" // few requests have no answer when their time is up
+	Serving    = "serving"    // few routers turn away all that they get while others serve
 )
 
 // Violation is one breach.
@@ -40,16 +44,25 @@
 
 // Checker watches one day. Times are the day's.
 type Checker struct {
-	Found []Violation // the first of them
+	Found []Violation // the first of each rule
 	Count int         // all
 
+	// Lag is by how much what is seen now is late since processes wait for a core, where the day is played in real time.
+	Lag time.Duration
+
+	kept    map[string]int // of each rule, those in Found and more
 	day     *model.Day
 	routers []routerState
 	ended   map[int]time.Duration // servers that drain or are gone, since when that is listed
 	runs    map[uint64]int
+
+	obstacles  []obstacle            // by router
+	taken      int                   // requests in all
+	unanswered int                   // of them
+	idle       map[int]time.Duration // routers that served nobody for a time while others did, since when that is so
 }
 
-const keep = 100 // violations kept whole
+const keep = 100 // violations of each rule that are kept whole: a flood of one must not hide another
 
 type routerState struct {
 	requests map[uint32]*request
@@ -60,6 +73,7 @@
 	asked    time.Duration         // last call or word of the directory
 	watching bool
 	failed   bool // the last call failed
+	service  service
 }
 
 type request struct {
@@ -67,6 +81,13 @@
 	end   time.Duration
 	tries []try
 	final bool
+
+	writtenLate time.Duration // by its client, after it worked out what is left
+
+	told     bool          // an attempt has told how much time is left
+	readLate time.Duration // how much more the first of them told
+
+	pausedBefore, heldBackBefore time.Duration // how long its router's obstacles had lasted when it was taken
 }
 
 type try struct {
@@ -76,7 +97,8 @@
 
 // New returns a Checker for a day.
 func New(day *model.Day) *Checker {
-	c := &Checker{day: day, routers: make([]routerState, day.Routers), ended: map[int]time.Duration{}, runs: map[uint64]int{}}
+	c := &Checker{day: day, routers: make([]routerState, day.Routers), ended: map[int]time.Duration{}, runs: map[uint64]int{},
+		kept: map[string]int{}, obstacles: make([]obstacle, day.Routers), idle: map[int]time.Duration{}}
 	for i := range c.routers {
 		c.Reset(i)
 	}
@@ -90,19 +112,23 @@
 }
 
 func (c *Checker) breach(rule string, at time.Duration, router int, id uint32, format string, args ...any) {
-	if c.Count++; len(c.Found) < keep {
+	c.Count++
+	if c.kept[rule]++; c.kept[rule] <= keep {
 		c.Found = append(c.Found, Violation{rule, at, router, id, fmt.Sprintf(format, args...)})
 	}
 }
 
 // Taken tells that a router has taken a request, which has until end.
 func (c *Checker) Taken(now time.Duration, router int, id uint32, class int, end time.Duration) {
-	c.routers[router].requests[id] = &request{class: class, end: end}
+	o := &c.obstacles[router]
+	c.taken++
+	c.routers[router].requests[id] = &request{class: class, end: end, pausedBefore: o.paused.read(now), heldBackBefore: o.heldBack.read(now)}
 }
 
 // Sent tells of a call.
 func (c *Checker) Sent(now time.Duration, router int, id uint32, server int) {
 	s := &c.routers[router]
+	s.service.attempts()
 	q := s.requests[id]
 	if q == nil || q.final {
 		c.breach(OneAnswer, now, router, id, "a call to server %d after the final answer", server)
@@ -203,6 +229,12 @@
 			}
 		}
 	}
+	switch {
+	case kind == hoptiller.StepServed:
+		c.routers[router].service.serves(now)
+	case len(q.tries) == 0:
+		c.turnedAway(now, router)
+	}
 	q.final = true
 	c.forget(router, id, q)
 }
@@ -313,6 +345,9 @@
 				continue
 			}
 			c.breach(OneAnswer, now, i, id, "no final answer")
+			c.Unanswered(now, i, id)
 		}
 	}
+	c.judgeUnanswered(now)
+	c.judgeServing()
 }
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -102,6 +103,78 @@
 		{"by those that were due there", "", func(c *Checker) { c.OriginStopped(0, 0.31, 1.25) }},
 		{"by others", "", func(c *Checker) { c.OriginStopped(0, 0.3, 9) }},
 		{"a server that was never listed", Listed, func(c *Checker) { c.Sent(0, 0, 1, 5) }},
+		{"all the time that is left is told", "", func(c *Checker) { c.TimeTold(ms, 0, 1, 3999*ms, nil) }},
+		{"more than that", TimeLeft, func(c *Checker) { c.TimeTold(ms, 0, 1, 4000*ms, nil) }},
+		{"no time is told", TimeLeft, func(c *Checker) { c.TimeTold(0, 0, 1, 0, errors.New("unreadable")) }},
+		{"a further attempt that tells as much more as the first", TimeLeft, func(c *Checker) {
+			c.TimeTold(10*ms, 0, 1, 4000*ms, nil)
+			c.TimeTold(500*ms, 0, 1, 3510*ms, nil)
+		}},
+		{"a request that was read late, by what is allowed", "", func(c *Checker) {
+			c.Lag = 10 * ms
+			c.TimeTold(10*ms, 0, 1, 4000*ms, nil)
+			c.Lag = 0
+			c.TimeTold(500*ms, 0, 1, 3510*ms, nil)
+		}},
+		{"a request that was written late", "", func(c *Checker) { c.WrittenLate(0, 1, 10*ms); c.TimeTold(10*ms, 0, 1, 4000*ms, nil) }},
+		{"and later than that", TimeLeft, func(c *Checker) { c.WrittenLate(0, 1, 10*ms); c.TimeTold(11*ms, 0, 1, 4000*ms, nil) }},
+		{"and a further attempt that tells more", TimeLeft, func(c *Checker) {
+			c.Lag = 10 * ms
+			c.TimeTold(10*ms, 0, 1, 4000*ms, nil)
+			c.Lag = 0
+			c.TimeTold(500*ms, 0, 1, 3511*ms, nil)
+		}},
+		{"as much more as the machine's lag explains", "", func(c *Checker) { c.Lag = 20 * ms; c.TimeTold(20*ms, 0, 1, 4000*ms, nil) }},
+		{"and more", TimeLeft, func(c *Checker) { c.Lag = 20 * ms; c.TimeTold(21*ms, 0, 1, 4000*ms, nil) }},
+		{"as much more as the router stood still", "", func(c *Checker) {
+			c.Paused(100*ms, 0, true)
+			c.Paused(900*ms, 0, false)
+			c.TimeTold(900*ms, 0, 1, 3900*ms, nil)
+		}},
+		{"and more than that", TimeLeft, func(c *Checker) {
+			c.Paused(100*ms, 0, true)
+			c.Paused(900*ms, 0, false)
+			c.TimeTold(900*ms, 0, 1, 3901*ms, nil)
+		}},
+		{"a pause that was over before the request came", TimeLeft, func(c *Checker) {
+			c.Paused(0, 0, true)
+			c.Paused(900*ms, 0, false)
+			c.Taken(1000*ms, 0, 2, read, 2000*ms)
+			c.TimeTold(1001*ms, 0, 2, 1000*ms, nil)
+		}},
+		{"another router's pause", TimeLeft, func(c *Checker) { c.Paused(0, 1, true); c.TimeTold(900*ms, 0, 1, 4000*ms, nil) }},
+		{"a relay that still holds back what is sent", "", func(c *Checker) {
+			c.HeldBack(0, 0, true)
+			c.HeldBack(200*ms, 0, true) // to another server, too
+			c.HeldBack(300*ms, 0, false)
+			c.TimeTold(400*ms, 0, 1, 4000*ms, nil)
+		}},
+		{"a request that is over", "", func(c *Checker) { c.TimeTold(0, 0, 9, time.Hour, nil) }},
+		{"five without an answer of 499", "", func(c *Checker) { leave(c, 493, 5) }},
+		{"six of them", Unanswered, func(c *Checker) { leave(c, 492, 6) }},
+		{"seven of 501", Unanswered, func(c *Checker) { leave(c, 493, 7) }},
+		{"six of 500", "", func(c *Checker) { leave(c, 493, 6) }},
+		{"without an answer while the router stands still", "", func(c *Checker) { c.Paused(0, 0, true); leave(c, 0, 400) }},
+		{"a router that refuses all for 4 s", Serving, func(c *Checker) { refuse(c, 15, 4000*ms); c.Finish(9 * time.Second) }},
+		{"for less", "", func(c *Checker) { refuse(c, 15, 3999*ms); c.Finish(9 * time.Second) }},
+		{"fewer requests", "", func(c *Checker) { refuse(c, 14, 4000*ms); c.Finish(9 * time.Second) }},
+		{"with an attempt in between", "", func(c *Checker) {
+			refuse(c, 14, 2000*ms)
+			c.Taken(2000*ms, 0, 2, read, 4*time.Second)
+			c.Sent(2000*ms, 0, 2, 1)
+			c.Left(0, 2)
+			refuse(c, 14, 4000*ms)
+			c.Finish(9 * time.Second)
+		}},
+		{"while no other one serves", "", func(c *Checker) {
+			c.Left(0, 1)
+			for id := range uint32(20) {
+				at := time.Duration(id) * 500 * ms
+				c.Taken(at, 0, 100+id, read, at+time.Second)
+				c.Final(at, 0, 100+id, hoptiller.StepReject)
+			}
+			c.Finish(9 * time.Second)
+		}},
 		{"two calls at once", OneCall, func(c *Checker) { c.Sent(0, 0, 1, 1); c.Sent(0, 0, 1, 0) }},
 	} {
 		day := model.Prairie()
@@ -119,6 +192,38 @@
 	}
 }
 
+// leave has so many requests answered, so many others not, and the day end.
+func leave(c *Checker, answered, unanswered int) {
+	c.Left(0, 1)
+	for i := range uint32(answered + unanswered) {
+		id := 100 + uint32(c.taken) + i
+		if c.Taken(0, 0, id, 0, time.Second); int(i) < answered {
+			c.Sent(0, 0, id, 1)
+			c.Ended(0, 0, id, 0, hoptiller.OK)
+			c.Final(0, 0, id, hoptiller.StepServed)
+		} else {
+			c.Unanswered(0, 0, id)
+		}
+	}
+	c.Finish(9 * time.Second)
+}
+
+// refuse has router 0 refuse so many requests over a time, and router 1 serve one just before its end.
+func refuse(c *Checker, n int, over time.Duration) {
+	c.Left(0, 1)
+	for i := range n {
+		id, at := uint32(100+c.taken), over*time.Duration(i)/time.Duration(n-1)
+		if i == n-1 {
+			c.Taken(at, 1, id, 0, at+time.Second)
+			c.Sent(at, 1, id, 1)
+			c.Ended(at, 1, id, 0, hoptiller.OK)
+			c.Final(at, 1, id, hoptiller.StepServed)
+		}
+		c.Taken(at, 0, id, 0, at+time.Second)
+		c.Final(at, 0, id, hoptiller.StepReject)
+	}
+}
+
 func calls(c *Checker, n int) {
 	for i := range n {
 		c.Sent(0, 0, 1, 1)
--- a/internal/lab/sim/actions.go
+++ b/internal/lab/sim/actions.go
@@ -27,6 +27,7 @@
 		index = -1
 	}
 	t.Check.Sent(now, r.index, request, index)
+	t.Check.TimeTold(now, r.index, request, timeout, nil)
 	inv.calls = append(inv.calls, c)
 	c.server, c.id = index, server
 	r.tell(request, "call %d goes to server %d, %v to answer", c.Attempt, index, timeout)
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -137,13 +137,21 @@
 		s.ID++
 	}
 	b.sent[id]++
-	b.act.Send(id, s.ID, 200*time.Millisecond)
+	timeout := 200 * time.Millisecond
+	if b.fault == rules.TimeLeft {
+		timeout = time.Minute
+	}
+	b.act.Send(id, s.ID, timeout)
 }
 
 func (b *broken) Request(now time.Duration, q hoptiller.Request) {
 	if b.fault == "silent" {
 		return
 	}
+	if b.fault == rules.Serving && b.set.Self == 0 {
+		b.act.Refuse(q.ID, 0)
+		return
+	}
 	b.class[q.ID], b.end[q.ID] = q.Class, now+q.Remaining
 	b.send(q.ID, q.Key)
 	switch b.fault {
@@ -187,6 +195,9 @@
 		faults      []model.Fault
 	}{
 		{"silent", rules.OneAnswer, nil},
+		{"silent", rules.Unanswered, nil},
+		{rules.TimeLeft, rules.TimeLeft, nil},
+		{rules.Serving, rules.Serving, nil},
 		{"sent-after", rules.OneAnswer, nil},
 		{rules.Effects, rules.Effects, []model.Fault{slow}},
 		{"lost", rules.Effects, []model.Fault{slow}},
