Hold routers on sockets to the time that their attempts tell, and to answers

Cause: the stand-ins threw away the d that they were told, and forgot a request when its client's time was up.

Change: caches and the origin read d (none, two, or no number is a violation) and check it at the moment in which the attempt's first byte came. Clients write what is left as they write. They hear an answer within the grace, and a request without one then, or whose connection ended, is counted. The lag of the machine is measured, by a timer and by pings of each router, and allowed beside the slack of 50 ms; what a first attempt tells more, a request that was read late, is allowed to further ones. Drills tell of paused routers and of relays that hold back.

Tests: broken routers' processes that pass on d after 0.8 s, tell none, tell a word, never answer, close, or refuse all are caught, and an honest one breaks nothing (TestCheckerCatchesRouters, TestCacheIsToldTooMuch).

--- a/internal/lab/faultproxy/stream.go
+++ b/internal/lab/faultproxy/stream.go
@@ -19,6 +19,11 @@
 	BytesPerSecond int           // in each direction; 0: unlimited
 }
 
+// HoldsBack tells whether the faults delay what is forwarded.
+func (f StreamFaults) HoldsBack() bool {
+	return f.Stall || f.Delay > 0 || f.BytesPerSecond > 0
+}
+
 // chunkSize is the largest number of bytes that are forwarded at once.
 const chunkSize = 4 << 10
 
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -34,25 +34,44 @@
 	if last := len(n.idle) - 1; last >= 0 {
 		c, n.idle = n.idle[last], n.idle[:last]
 	}
-	left := try.At + try.Remaining - e.World.Now()
-	e.goes(func() { n.ask(r, c, left) })
+	r.end = try.At + try.Remaining
+	e.goes(func() { n.ask(r, c) })
 	return true
 }
 
-// Leave implements model.Tier.
+// Leave implements model.Tier. A client that has waited to the end still hears an answer within the grace.
 func (t *tier) Leave(try *model.Try) {
-	if r := t.byTry[try]; r != nil {
-		t.Check.Left(try.Router, r.number)
-		(*Engine)(t).over(r)
-		if r.conn != nil {
-			r.conn.c.Close()
-		}
+	e := (*Engine)(t)
+	r := t.byTry[try]
+	if r == nil {
+		return
+	}
+	e.World.At(r.end+e.grace(), func() { e.expire(r) })
+}
+
+// grace is how long after its time a request may be answered.
+func (e *Engine) grace() time.Duration { return e.day.Rules.Grace.D() + slack }
+
+// expire ends a request that has no answer: at once, or as much later as the machine is late. e.mu is held.
+func (e *Engine) expire(r *request) {
+	if e.tries[r.id] != r {
+		return // it has been answered, or lost
+	}
+	n := e.nodes[r.try.Router]
+	if last := r.end + e.grace() + min(n.recentLag(), mostLag); e.World.Now() < last {
+		e.World.At(last, func() { e.expire(r) })
+		return
+	}
+	e.Check.Unanswered(e.World.Now(), n.index, r.number)
+	e.over(r)
+	if r.conn != nil {
+		r.conn.c.Close()
 	}
 }
 
 // ask carries one request to its end.
-func (n *node) ask(r *request, c *client, left time.Duration) {
-	f, after, err := n.carry(r, c, left)
+func (n *node) ask(r *request, c *client) {
+	f, after, err := n.carry(r, c)
 	e := n.e
 	e.do(func() {
 		if e.tries[r.id] != r { // the client has gone
@@ -67,14 +86,17 @@
 			f = model.Lost
 			if errors.Is(err, errNoRoute) {
 				f = model.NoRoute
+				e.Check.Left(n.index, r.number)
 			}
-			e.Check.Left(n.index, r.number)
+			e.Check.Unanswered(e.World.Now(), n.index, r.number) // what it had taken before it was killed the rules have forgotten
 			if r.conn != nil {
 				r.conn.c.Close()
 				delete(e.closers, r.conn.c)
 			}
 		} else {
-			if r.life == n.life { // else it was killed since: the rules know nothing of what it had taken
+			if e.World.Now() > r.end+e.grace() { // and no later than the machine is
+				e.Check.Left(n.index, r.number)
+			} else if r.life == n.life { // else it was killed since: the rules know nothing of what it had taken
 				e.Check.Final(e.World.Now(), n.index, r.number, final[f])
 			}
 			n.idle = append(n.idle, r.conn)
@@ -87,8 +109,8 @@
 // carry has a request answered on a kept connection, or on a new one where the router closed that just then. One that was killed
 // may have taken what was sent before: then the request is lost, and not without a route, which would let a client ask
 // again for what must not run twice.
-func (n *node) carry(r *request, c *client, left time.Duration) (f model.Final, after time.Duration, err error) {
-	f, after, err = n.exchange(r, c, left)
+func (n *node) carry(r *request, c *client) (f model.Final, after time.Duration, err error) {
+	f, after, err = n.exchange(r, c)
 	if err == nil || c == nil {
 		return f, after, err
 	}
@@ -98,13 +120,13 @@
 	if killed {
 		return f, after, err
 	}
-	return n.exchange(r, nil, left)
+	return n.exchange(r, nil)
 }
 
 var errNoRoute = errors.New("no router there")
 
 // exchange writes a request and reads its answer, on an open connection or a new one.
-func (n *node) exchange(r *request, c *client, left time.Duration) (f model.Final, after time.Duration, err error) {
+func (n *node) exchange(r *request, c *client) (f model.Final, after time.Duration, err error) {
 	if c == nil {
 		nc, err := net.DialTimeout("tcp", n.addr, time.Second)
 		if err != nil {
@@ -118,6 +140,8 @@
 	n.e.mu.Lock()
 	r.conn = c
 	gone := n.e.tries[r.id] != r
+	counted := time.Now()
+	left := r.end - counted.Sub(n.e.begun) // as it writes, or a busy machine would have the router believe in more
 	n.e.mu.Unlock()
 	if gone {
 		return 0, 0, net.ErrClosed
@@ -134,6 +158,9 @@
 	if _, err := io.WriteString(c.c, command); err != nil {
 		return 0, 0, err
 	}
+	n.e.mu.Lock()
+	n.e.Check.WrittenLate(n.index, r.number, time.Since(counted))
+	n.e.mu.Unlock()
 	line, err := c.r.ReadString('\n')
 	if err != nil {
 		return 0, 0, err
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -84,11 +84,16 @@
 	Shows(variant string) (string, error)
 	// Cache is the name of a slot cache as the directory has it, by number from 0.
 	Cache(n int) string
+	// HeldBack tells that a relay begins to hold back what a router sends to servers, or that it ends doing so.
+	HeldBack(router int, on bool)
 	// Aside tells that a router has said to send a slot cache nothing new, or that it does again.
 	Aside(router int, cache string, yes bool)
 }
 
-// slack is what a rule's time limits are longer on sockets: what is seen here is later than what was done.
+// slack is what a rule's time limits are longer on sockets: what is seen here is later than what was done. For the time that
+// an attempt tells it covers both ways: a router counts from when it has read the request, which is later than its client
+// wrote it, and a server gets the attempt later than the router wrote it. Each takes under a millisecond on loopback
+// unless a process waits for a core; for that the lag that is measured at the time is allowed beside it.
 const slack = 50 * time.Millisecond
 
 // Engine is one day that is played. The world is guarded by mu: whoever has it
@@ -109,11 +114,13 @@
 	nextID  uint64
 	closing bool
 	closers map[io.Closer]bool
+	lag     lagMeter
 }
 
 // request is one try of a client on its way through a router.
 type request struct {
 	try    *model.Try
+	end    time.Duration // when its client's time is up
 	id     string
 	number uint32 // at its router, for the rules
 	calls  int
@@ -132,6 +139,7 @@
 	judged := *day
 	judged.Rules.Drain += unit.Duration(slack)
 	judged.Rules.Grace += unit.Duration(slack)
+	judged.Rules.TimeSlack += unit.Duration(slack)
 	judged.Rules.Copies = true // link.alone looks whether two calls are out at once
 	e.Check = rules.New(&judged)
 	e.Tally = tally.New(day, opt.Series)
@@ -173,6 +181,12 @@
 
 // play takes the world's steps as they fall due. The day begins now, not when its parts were started.
 func (e *Engine) play(ctx context.Context) (*tally.Result, error) {
+	e.goes(func() { e.watchLag(ctx) })
+	if e.opt.Router != "" {
+		for _, n := range e.nodes {
+			e.goes(func() { n.watchLag(ctx) })
+		}
+	}
 	e.mu.Lock()
 	e.begun = time.Now()
 	e.mu.Unlock()
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -41,7 +41,8 @@
 	last  *tail
 	ended chan struct{}
 
-	life int // counts kills, guarded by e.mu
+	life int      // counts kills, guarded by e.mu
+	lag  lagMeter // the same
 
 	idle []*client // connections of clients without a request, guarded by e.mu
 }
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -103,7 +103,8 @@
 
 // read takes calls until the connection ends.
 func (l *link) read() {
-	r := bufio.NewReader(l.c)
+	a := newArrivals(l.c, l.n.e.ctx.Done(), l.n.e.goes)
+	r := bufio.NewReader(a)
 	if _, err := r.Peek(1); err != nil {
 		return
 	}
@@ -113,10 +114,23 @@
 		return
 	}
 	if l.server == 0 {
-		l.readOrigin(r)
+		l.readOrigin(r, a)
 		return
 	}
+	l.readCache(r, a)
+}
+
+// attempt is what a server reads of one attempt.
+type attempt struct {
+	id, key string
+	facts   string
+	write   bool
+	at      time.Time // when its first byte came
+}
+
+func (l *link) readCache(r io.Reader, a *arrivals) {
 	var b []byte
+	var began time.Time // when the first byte of what is in b came
 	buf := make([]byte, 16<<10)
 	for {
 		for {
@@ -128,19 +142,25 @@
 			if used == 0 {
 				break
 			}
-			class, _ := meta.Fact(c.Facts, "c")
-			l.call(string(c.ID), string(class), string(c.Key), c.Verb == meta.Set)
-			b = b[used:]
+			l.call(attempt{id: string(c.ID), key: string(c.Key), facts: string(c.Facts), write: c.Verb == meta.Set, at: began})
+			b, began = b[used:], a.last
 		}
 		k, err := r.Read(buf)
+		if len(b) == 0 {
+			began = a.last
+		}
 		if b = append(b, buf[:k]...); err != nil {
 			return
 		}
 	}
 }
 
-func (l *link) readOrigin(r *bufio.Reader) {
+func (l *link) readOrigin(r *bufio.Reader, a *arrivals) {
 	for {
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		began := a.last
 		q, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -148,22 +168,23 @@
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
-		class, _ := meta.Fact([]byte(q.Header.Get("X-Facts")), "c")
-		l.call(q.Header.Get("X-Correlation-Id"), string(class), strings.TrimPrefix(q.URL.Path, "/"), q.Method == http.MethodPut)
+		l.call(attempt{id: q.Header.Get("X-Correlation-Id"), key: strings.TrimPrefix(q.URL.Path, "/"),
+			facts: strings.Join(q.Header.Values("X-Facts"), ","), write: q.Method == http.MethodPut, at: began})
 	}
 }
 
 // call passes a call on to the model.
-func (l *link) call(id, class, k string, write bool) {
+func (l *link) call(a attempt) {
 	e := l.n.e
 	e.do(func() {
-		r := e.tries[id]
+		r := e.tries[a.id]
 		if r == nil && e.opt.Router == "" {
-			number, err := strconv.ParseUint(k, 16, 64)
+			number, err := strconv.ParseUint(a.key, 16, 64)
 			if err != nil {
-				number = xxhash.Sum64String(k)
+				number = xxhash.Sum64String(a.key)
 			}
-			r = e.stranger(id, class, number, write)
+			class, _ := meta.Fact([]byte(a.facts), "c")
+			r = e.stranger(a.id, string(class), number, a.write)
 			e.Check.Taken(e.World.Now(), l.n.index, r.number, r.try.Op.Class, e.World.Now()+time.Hour)
 		}
 		if r == nil { // its client has gone, and with it what is known of the request
@@ -180,6 +201,7 @@
 		server := e.World.Occupant(l.server)
 		if r.life == l.n.life { // else it was killed since: the rules know nothing of what it had taken
 			e.Check.Sent(e.World.Now(), l.n.index, r.number, server)
+			l.holdToTime(r, a)
 			l.alone(r, call)
 		}
 		m := e.World.Member(server)
@@ -188,6 +210,17 @@
 	})
 }
 
+// holdToTime holds an attempt to the time that its client has left. What a stranger has told the router is not known here.
+func (l *link) holdToTime(r *request, a attempt) {
+	e := l.n.e
+	if e.opt.Router == "" {
+		return
+	}
+	e.Check.Lag = l.n.recentLag()
+	told, err := timeTold(a.facts)
+	e.Check.TimeTold(a.at.Sub(e.begun), l.n.index, r.number, told, err)
+}
+
 // alone sees to it that no other call of the request is out. The end of one may be read here a little after the
 // beginning of the next, on another connection; and a call on a connection that was still coming up is read after
 // it has been closed, and after the next one. What is out a while later, both of it, was out at the same time.
--- a/internal/lab/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -28,7 +28,13 @@
 
 var router string
 
-func TestMain(m *testing.M) { testprog.Main(m, "hoptiller/cmd/hoptiller", &router) }
+func TestMain(m *testing.M) {
+	if fault := os.Getenv(brokenRouterEnv); fault != "" {
+		runBrokenRouter(fault)
+		return
+	}
+	testprog.Main(m, "hoptiller/cmd/hoptiller", &router)
+}
 
 func span(s float64) unit.Duration { return unit.Duration(s * float64(time.Second)) }
 
@@ -269,7 +275,7 @@
 		c.Kill(0)
 		go func() {
 			<-e.nodes[0].ended
-			_, _, err := e.nodes[0].carry(r, &client{near, bufio.NewReader(near)}, time.Second)
+			_, _, err := e.nodes[0].carry(r, &client{near, bufio.NewReader(near)})
 			got <- err
 		}()
 	})
--- a/internal/lab/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"syscall"
 
 	"hoptiller"
 	"hoptiller/internal/config"
@@ -30,12 +31,21 @@
 // held against a life that was told of nothing.
 func (s *steward) Kill(i int) {
 	s.nodes[i].signal(os.Kill)
+	s.Check.Paused(s.World.Now(), i, false)
 	s.Check.Reset(i)
 	s.nodes[i].life++
 }
 
 // Signal implements Control.
-func (s *steward) Signal(i int, sig os.Signal) { s.nodes[i].signal(sig) }
+func (s *steward) Signal(i int, sig os.Signal) {
+	s.nodes[i].signal(sig)
+	if sig == syscall.SIGSTOP || sig == syscall.SIGCONT {
+		s.Check.Paused(s.World.Now(), i, sig == syscall.SIGSTOP)
+	}
+}
+
+// HeldBack implements Control.
+func (s *steward) HeldBack(i int, on bool) { s.Check.HeldBack(s.World.Now(), i, on) }
 
 // Stop implements model.Steward.
 func (s *steward) Stop(i int) { s.nodes[i].stop() }
