--- a/internal/fleet/permit/places_test.go
+++ b/internal/fleet/permit/places_test.go
@@ -78,3 +78,18 @@
 		t.Errorf("%d hold %d places of %d", held, len(by), bound)
 	}
 }
+
+// Where 120 routers ask at once and 100 may be out, most of these are out within a minute, and never more.
+func TestManyRoutersOut(t *testing.T) {
+	const routers, bound, wanted = 120, 100, 90
+	r := newRing(routers, Bound{Number: bound}, Bound{})
+	for _, a := range r.agents {
+		a.Want(r.now)
+	}
+	most := r.run(time.Minute)
+	if out := len(r.holders()); out < wanted || most > bound {
+		t.Errorf("%d are out, %d at the most", out, most)
+	} else {
+		t.Logf("%d are out, %d at the most", out, most)
+	}
+}
