--- a/internal/lab/standin/arrival.go
+++ b/internal/lab/standin/arrival.go
@@ -6,7 +6,9 @@
 	"net"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
+	"unsafe"
 )
 
 // chunk is what one read of a connection has brought.
@@ -28,6 +30,40 @@
 	err    error
 }
 
+// sinceReceived is how long ago the system got the latest bytes of a connection, as far as it tells: on a busy machine they
+// have waited for their reader since.
+func sinceReceived(c net.Conn) (age time.Duration) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) { age = lastDataReceived(fd) })
+	return age
+}
+
+// tcpInfo is the part of the system's struct tcp_info (linux/tcp.h) up to what is needed here.
+type tcpInfo struct {
+	_                [8]uint8
+	_                [11]uint32
+	lastDataReceived uint32 // ms ago
+}
+
+// lastDataReceived asks the system how long ago a TCP socket got data, to the millisecond; 0 where it doesn't tell.
+func lastDataReceived(fd uintptr) time.Duration {
+	var info tcpInfo
+	size := uint32(unsafe.Sizeof(info))
+	_, _, failed := syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
+		uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+	if failed != 0 || uintptr(size) < unsafe.Sizeof(info) {
+		return 0
+	}
+	return time.Duration(info.lastDataReceived) * time.Millisecond
+}
+
 // newArrivals begins to read from a connection, in a goroutine of run's that ends with the connection or with done.
 func newArrivals(c net.Conn, done <-chan struct{}, run func(func())) *arrivals {
 	a := &arrivals{chunks: make(chan chunk, mostChunks)}
@@ -37,7 +73,7 @@
 			b := make([]byte, 16<<10)
 			n, err := c.Read(b)
 			select {
-			case a.chunks <- chunk{b[:n], time.Now(), err}:
+			case a.chunks <- chunk{b[:n], time.Now().Add(-sinceReceived(c)), err}:
 			case <-done:
 				return
 			}
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -54,12 +54,13 @@
 
 // link is a connection of a router to a server: a socket on one side, the model's on the other.
 type link struct {
-	n      *node
-	server int
-	c      net.Conn
-	out    chan []byte
-	opened chan struct{}
-	once   sync.Once
+	n       *node
+	server  int
+	c       net.Conn
+	arrived *arrivals
+	out     chan []byte
+	opened  chan struct{}
+	once    sync.Once
 
 	conn  *model.Conn // guarded by e.mu, as is the rest
 	calls map[*model.Call]*request
@@ -72,11 +73,12 @@
 
 func (n *node) serve(server int, c net.Conn) {
 	e := n.e
+	arrived := newArrivals(c, e.ctx.Done(), e.goes) // before anything that may wait
 	if !e.keep(c) {
 		return
 	}
 	defer e.forget(c)
-	l := &link{n: n, server: server, c: c, out: make(chan []byte, mostOut), opened: make(chan struct{}),
+	l := &link{n: n, server: server, c: c, arrived: arrived, out: make(chan []byte, mostOut), opened: make(chan struct{}),
 		calls: map[*model.Call]*request{}, gone: map[*model.Call]int{}}
 	e.goes(func() {
 		for b := range l.out {
@@ -103,7 +105,7 @@
 
 // read takes calls until the connection ends.
 func (l *link) read() {
-	a := newArrivals(l.c, l.n.e.ctx.Done(), l.n.e.goes)
+	a := l.arrived
 	r := bufio.NewReader(a)
 	if _, err := r.Peek(1); err != nil {
 		return
