--- /dev/null
+++ b/internal/origin/endless_test.go
@@ -0,0 +1,52 @@
+package origin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/meta"
+	"hoptiller/internal/relay"
+)
+
+// An answer in chunks never ends: it trickles, or comes as fast as it is read. The call ends with its time or at the longest value that
+// is taken, and all the room that was taken for the value is given back.
+func TestAnswerWithoutEnd(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		chunk  string
+		pause  time.Duration
+		within time.Duration
+		status hoptiller.Status
+	}{
+		"trickles": {"x", 10 * time.Millisecond, 200 * time.Millisecond, hoptiller.Timeout},
+		"floods":   {strings.Repeat("x", 64<<10), time.Nanosecond, time.Minute, hoptiller.ServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, room := serve(t, 0, func(conn *net.TCPConn, _ string) bool {
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				pause := time.NewTicker(c.pause)
+				defer pause.Stop()
+				for range pause.C {
+					if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(c.chunk), c.chunk); err != nil {
+						return false
+					}
+				}
+				return false
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), c.within)
+			defer cancel()
+			if r := p.Call(ctx, ctx, 1, &relay.Request{Key: []byte("k"), ID: []byte("1")}); r.Status != c.status {
+				t.Errorf("status %d, not %d", r.Status, c.status)
+			}
+			if !room.TryAcquire(meta.MaxLong) {
+				t.Error("room is still taken")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/upstream/stalled_answer_test.go
@@ -0,0 +1,48 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"hoptiller"
+	"hoptiller/internal/testprog"
+)
+
+// Answers that begin and never end, on connections that stay open. Each is spoilt long before its call's time is over, its
+// connection ends, and the next call, on another one, has its answer.
+func TestAnswerThatStops(t *testing.T) {
+	t.Parallel()
+	for name, begun := range map[string]string{
+		"in its first line": "VA 4 O0",
+		"before its value":  "VA 4 O01 h1\r\n",
+		"in its value":      "VA 4 O01 h1\r\nab",
+		"before its end":    "VA 4 O01 h1\r\nabcd",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := make(chan bool, 1)
+			first <- true
+			p := serve(t, func(conn net.Conn, r *bufio.Reader) {
+				select {
+				case <-first:
+					answer(begun)(conn, r)
+					hold(conn, r)
+				default:
+					answer("EN O01\r\n")(conn, r)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), testprog.Patience)
+			defer cancel()
+			began := time.Now()
+			if r := p.Call(ctx, ctx, 1, read); r.Status != hoptiller.ServerError || time.Since(began) > testprog.Patience/2 {
+				t.Errorf("status %d after %v", r.Status, time.Since(began))
+			}
+			if r := p.Call(ctx, ctx, 1, read); r.Status != hoptiller.Miss {
+				t.Errorf("the next call: status %d", r.Status)
+			}
+		})
+	}
+}
