--- a/internal/origin/endless_test.go
+++ b/internal/origin/endless_test.go
@@ -11,6 +11,7 @@
 	"hoptiller"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/relay"
+	"hoptiller/internal/testprog"
 )
 
 // An answer in chunks never ends: it trickles, or comes as fast as it is read. The call ends with its time or at the longest value that
@@ -18,18 +19,19 @@
 func TestAnswerWithoutEnd(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
+		first  string // part of the value
 		chunk  string
 		pause  time.Duration
 		within time.Duration
 		status hoptiller.Status
 	}{
-		"trickles": {"x", 10 * time.Millisecond, 200 * time.Millisecond, hoptiller.Timeout},
-		"floods":   {strings.Repeat("x", 64<<10), time.Nanosecond, time.Minute, hoptiller.ServerError},
+		"trickles": {strings.Repeat("x", 2*meta.MaxValue), "x", 10 * time.Millisecond, 200 * time.Millisecond, hoptiller.Timeout},
+		"floods":   {"x", strings.Repeat("x", meta.MaxValue), time.Nanosecond, time.Minute, hoptiller.ServerError},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p, room := serve(t, 0, func(conn *net.TCPConn, _ string) bool {
-				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(c.first), c.first)
 				pause := time.NewTicker(c.pause)
 				defer pause.Stop()
 				for range pause.C {
@@ -41,7 +43,9 @@
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), c.within)
 			defer cancel()
-			if r := p.Call(ctx, ctx, 1, &relay.Request{Key: []byte("k"), ID: []byte("1")}); r.Status != c.status {
+			ended := make(chan relay.Result, 1)
+			go func() { ended <- p.Call(ctx, ctx, 1, &relay.Request{Key: []byte("k"), ID: []byte("1")}) }()
+			if r := testprog.Await(t, ended, "end of the call"); r.Status != c.status {
 				t.Errorf("status %d, not %d", r.Status, c.status)
 			}
 			if !room.TryAcquire(meta.MaxLong) {
--- a/serving_test.go
+++ b/serving_test.go
@@ -70,3 +70,21 @@
 		}
 	}
 }
+
+// Where all servers time out a router may turn all away, but comes to try again, so that it sees when they are back.
+func TestRouterThatServesNobodyTriesAgain(t *testing.T) {
+	t.Parallel()
+	const seeds, trouble, within = 10, 30 * time.Second, 10 * time.Second
+	for _, rate := range []float64{5, 30, 100} {
+		t.Run(fmt.Sprint(rate, " requests a second"), func(t *testing.T) {
+			t.Parallel()
+			longest := time.Duration(0)
+			for seed := range uint64(seeds) {
+				longest = max(longest, servesNobody(rate, 1, trouble, seed))
+			}
+			if t.Logf("the longest for %v", longest); longest > within {
+				t.Fail()
+			}
+		})
+	}
+}
