--- a/internal/upstream/rest_test.go
+++ b/internal/upstream/rest_test.go
@@ -17,7 +17,7 @@
 	p, c, server := resting(t)
 	calls := make([]*call, 2)
 	for i := range calls {
-		calls[i] = &call{inv: named(fmt.Sprintf("0%d", i+1)), done: make(chan relay.Result, 1), sent: time.Now()}
+		calls[i] = &call{req: named(fmt.Sprintf("0%d", i+1)), done: make(chan relay.Result, 1), sent: time.Now()}
 	}
 	p.mu.Lock()
 	c.calls, c.load = append(c.calls, calls...), len(calls)
