--- a/deployment_test.go
+++ b/deployment_test.go
@@ -53,7 +53,7 @@
 // What the bench refuses the router: other programs (but by the command that drives releases, which is another process), copies that
 // the runtime makes by splice or sendfile, and sockets of the file system. Small writes are not to be held back either.
 func TestRouterUsesNothingThatIsRefused(t *testing.T) {
-	const mayStart = "internal/fleet/drive/"
+	const mayStart = "internal/fleet/rollout/"
 	imports := map[string]bool{"os/exec": true, "plugin": true}
 	calls := map[string]bool{"io.Copy": true, "io.CopyN": true, "io.CopyBuffer": true, "os.StartProcess": true, "syscall.ForkExec": true,
 		"syscall.StartProcess": true}
