Add hoplab scale: fleets of hollow routers beside processes, and what their control costs

Nothing measured a fleet of the coming size on sockets: the lab's largest play of processes has 60.

A scenario under lab/scale/ names sizes and troubles. Most routers share one process and run the program's own view, permits, notes, peers, directory client and decision module; a few are processes, on which the cost is measured. Package peers gets two small exports for it: Settings.Wrap, which puts a Conn round its socket, and Peers.Sum. A run is refused before it starts where it would take half of the memory, over 300 processes, too many descriptors or over 10 minutes, and says when the machine was too busy for it.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test fuzz drills lint run
+.PHONY: build test fuzz drills scale lint run
 
 # Drills that every change has to pass, under three minutes.
 DRILLS = $(addprefix lab/drills/,view-one-way.toml view-restarted.toml view-all-restarted.toml view-killed.toml view-left.toml \
@@ -26,6 +26,10 @@
 drills: build
 	bin/hoplab drill --at-once 3 $(DRILLS)
 
+# A fleet of 30 routers, four of them processes, under a minute.
+scale: build
+	bin/hoplab scale lab/scale/short.toml --quiet
+
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go' ':!journal/'))" || { echo "gofmt wants to change files"; exit 1; }
 	go vet ./...
--- /dev/null
+++ b/cmd/hoplab/scale.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+
+	"hoptiller/internal/command"
+	"hoptiller/internal/lab/scale"
+)
+
+type scaleCmd struct {
+	File   string `arg:"" help:"Scenario (TOML)." type:"existingfile"`
+	Sizes  []int  `help:"Sizes to run instead of the file's."`
+	Seeds  int    `help:"Runs of each size instead of the file's."`
+	Seed   uint64 `help:"The only seed to run."`
+	Router string `help:"The router's program." default:"bin/hoptiller" type:"existingfile"`
+	Out    string `help:"File to which results are added, as JSON lines; found/scale/NAME.jsonl if not stated." type:"path"`
+	Plot   string `help:"File for a plot of what routers send, .svg or .png." type:"path"`
+	Report string `help:"Report these results, and run nothing." type:"existingfile"`
+	Quiet  bool   `help:"No progress." short:"q"`
+}
+
+// Run runs the scenario and reports what came of it. The error is command.ErrFinding if a fleet did not agree.
+func (c *scaleCmd) Run(ctx context.Context) error {
+	f, err := scale.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Report != "" {
+		records, err := scale.ReadRecords(c.Report)
+		if err != nil {
+			return err
+		}
+		return c.report(records)
+	}
+	runs, err := c.runs(f)
+	if err != nil {
+		return err
+	}
+	// Hollow routers share this process's log, and each would tell of all the others.
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	records, failed := c.play(ctx, f, runs)
+	if len(records) < len(runs) {
+		fmt.Printf("partial: %d of %d runs were played\n", len(records), len(runs))
+	}
+	if len(records) == 0 {
+		return failed
+	}
+	return errors.Join(failed, c.report(records))
+}
+
+// runs are those of the file and the flags, each of which must be within the bounds.
+func (c *scaleCmd) runs(f *scale.File) ([]scale.Run, error) {
+	if len(c.Sizes) > 0 {
+		f.Sizes = c.Sizes
+	}
+	if c.Seeds > 0 {
+		f.Seeds = c.Seeds
+	}
+	if err := f.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", c.File, err)
+	}
+	machine, err := scale.ThisMachine()
+	if err != nil {
+		return nil, err
+	}
+	runs := f.Runs()
+	if c.Seed > 0 {
+		runs = slices.DeleteFunc(runs, func(r scale.Run) bool { return r.Seed != c.Seed })
+	}
+	if len(runs) == 0 {
+		return nil, fmt.Errorf("--seed %d: the file has seeds 1 to %d", c.Seed, f.Seeds)
+	}
+	for _, r := range runs {
+		if err := r.Check(machine); err != nil {
+			return nil, err
+		}
+	}
+	return runs, nil
+}
+
+// play plays runs one after the other and adds the result of each to a file.
+func (c *scaleCmd) play(ctx context.Context, f *scale.File, runs []scale.Run) (records []*scale.Record, err error) {
+	path := c.Out
+	if path == "" {
+		path = filepath.Join("found", "scale", f.Name+".jsonl")
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return nil, err
+	}
+	out, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, out.Close()) }()
+	progress := io.Writer(os.Stderr)
+	if c.Quiet {
+		progress = io.Discard
+	}
+	options := scale.Options{Program: c.Router, Commit: revision(), Said: func(text string) { fmt.Fprintf(progress, "  %s\n", text) }}
+	for _, run := range runs {
+		fmt.Fprintf(progress, "%s: %d routers, %d of them real, seed %d\n", f.Name, run.Size, run.Real, run.Seed)
+		r, err := scale.Play(ctx, run, options)
+		if ctx.Err() != nil {
+			return records, errors.New("interrupted: the run that was going on is not kept")
+		}
+		if err != nil {
+			return records, err
+		}
+		records = append(records, r)
+		if err := scale.Write(out, r); err != nil {
+			return records, err
+		}
+	}
+	return records, nil
+}
+
+// report writes the tables, and the plot if one is asked for.
+func (c *scaleCmd) report(records []*scale.Record) error {
+	hollow := slices.DeleteFunc(slices.Clone(records), (*scale.Record).AllReal)
+	if calibration := scale.Calibrate(records); len(calibration) > 0 {
+		scale.WriteCalibration(os.Stdout, calibration)
+		fmt.Println()
+	}
+	scale.WriteTable(os.Stdout, hollow)
+	fmt.Println()
+	if len(hollow) > 0 {
+		scale.WriteCounted(os.Stdout, hollow)
+		scale.WriteSlopes(os.Stdout, scale.Counted(hollow))
+		scale.WriteBudget(os.Stdout, scale.Counted(hollow))
+	}
+	if c.Plot != "" {
+		if err := scale.Plot(hollow, c.Plot); err != nil {
+			return err
+		}
+	}
+	for _, r := range records {
+		if len(r.Failed) > 0 {
+			return command.ErrFinding
+		}
+	}
+	return nil
+}
+
+// revision is the commit that this program was built from; the router's program is built beside it.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	commit, changed := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			commit = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = "+changes"
+		}
+	}
+	return commit + changed
+}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -35,6 +35,16 @@
 
 	Caches func() []hoptiller.CacheState // the slot caches as they are seen here; with Agent
 	Aside  *aside.Caches                 // has slot caches get nothing new; with Agent
+
+	Wrap func(*net.UDPConn) Conn // puts a Conn of the caller's round each socket; nil: the socket itself is used
+}
+
+// Conn is what datagrams are sent and received by. *net.UDPConn is one.
+type Conn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
 }
 
 // Peers is the view of one router and its socket.
@@ -46,7 +56,7 @@
 
 	mu        sync.Mutex
 	view      *view.View
-	conn      *net.UDPConn // nil while the address is not free
+	conn      Conn         // nil while the address is not free
 	told      []view.Event // not logged yet
 	sendFails uint64
 
@@ -126,11 +136,15 @@
 	return g.Wait()
 }
 
-func (p *Peers) open(ctx context.Context) (*net.UDPConn, error) {
+func (p *Peers) open(ctx context.Context) (Conn, error) {
 	addr, _ := netip.ParseAddrPort(p.set.Listen)
 	for waits := false; ; {
-		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+		socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
 		if err == nil {
+			var conn Conn = socket
+			if p.set.Wrap != nil {
+				conn = p.set.Wrap(socket)
+			}
 			p.mu.Lock()
 			p.conn = conn
 			p.mu.Unlock()
@@ -154,7 +168,7 @@
 	}
 }
 
-func (p *Peers) receive(conn *net.UDPConn) error {
+func (p *Peers) receive(conn Conn) error {
 	b := make([]byte, 2*view.MostBytes) // a longer one than is allowed is seen to be that
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(b)
--- a/internal/fleet/peers/report.go
+++ b/internal/fleet/peers/report.go
@@ -74,6 +74,13 @@
 	return p.summary()
 }
 
+// Sum is the same for two views that say the same of all routers, up to suspicions.
+func (p *Peers) Sum() uint32 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Sum()
+}
+
 func (p *Peers) summary() *Summary {
 	c := p.view.Counts()
 	s := &Summary{Health: p.view.Health(), Sent: c.Sent, SentBytes: c.SentBytes, Received: c.Received, ReceivedBytes: c.ReceivedBytes,
--- /dev/null
+++ b/internal/lab/scale/plot.go
@@ -0,0 +1,30 @@
+package scale
+
+import (
+	"slices"
+
+	"hoptiller/internal/lab/draw"
+)
+
+// Plot draws what a router sends over the size of the fleet, a line for each phase with the mean over the seeds, and the budget.
+func Plot(records []*Record, path string) error {
+	all := sizes(records)
+	var curves []draw.Curve
+	for _, phase := range phases(records) {
+		curve := draw.Curve{Name: phase}
+		for _, size := range all {
+			at := slices.DeleteFunc(slices.Clone(records), func(r *Record) bool { return r.Size != size })
+			if mean, ok := meanOf(at, phase, FigureSent); ok && mean > 0 {
+				curve.X, curve.Y = append(curve.X, float64(size)), append(curve.Y, mean)
+			}
+		}
+		if len(curve.X) > 0 {
+			curves = append(curves, curve)
+		}
+	}
+	budget := draw.Curve{Name: "budget"}
+	for _, size := range all {
+		budget.X, budget.Y = append(budget.X, float64(size)), append(budget.Y, BudgetSent)
+	}
+	return draw.Curves("What the control of a router sends", "routers", "bytes a second", append(curves, budget), path)
+}
