--- a/cmd/hoplab/main_test.go
+++ b/cmd/hoplab/main_test.go
@@ -25,6 +25,11 @@
 			"[sweep]\n\"load.level\" = [0.3, 0.5]\n",
 		"plots.toml": "[day]\nwarm = \"1 s\"\nlength = \"2 s\"\n[sweep]\n\"load.level\" = [0.3, 0.5]\n" +
 			"[plot]\nx = \"load.level\"\ny = [\"score\", \"call_p99\"]\n",
+		"scale.toml":      "sizes = [50, 100]\n",
+		"bad-scale.toml":  "sizes = [50]\nreal = 99\n",
+		"long-scale.toml": "sizes = [1000]\nrepeat = 10\ntroubles = [\"cut\", \"loss\"]\n",
+		"scale.jsonl": `{"scenario":"scale","size":50,"real":8,"seed":1,"figures":[{"phase":"calm","name":"sent","value":500,"worst":600}]}` + "\n" +
+			`{"scenario":"scale","size":100,"real":8,"seed":1,"figures":[{"phase":"calm","name":"sent","value":600,"worst":7000}]}` + "\n",
 		"bad.toml": "[day]\n\nfleet.cashes = 3\n",
 	} {
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
@@ -57,6 +62,12 @@
 		{"kinds", 0, "zone_loss"},
 		{"pick --caches 5,20 --for 5ms -o pick.svg", 0, "rendezvous"},
 		{"pick --caches 0", 1, "1 to 20000"},
+		{"scale bad-scale.toml --router day.toml", 1, "bad-scale.toml:2: real is 99: 1 to 60 is possible"},
+		{"scale long-scale.toml --router day.toml", 1, "and a run may take 10m0s"},
+		{"scale scale.toml --router day.toml --sizes 5000", 1, "sizes has 5000: 4 to 1000 is possible"},
+		{"scale scale.toml --router day.toml --seed 4", 1, "the file has seeds 1 to 1"},
+		{"scale scale.toml", 1, "the router's program"},
+		{"scale scale.toml --report scale.jsonl --plot scale.svg", 0, "sent 7000 of 6000 B/s (at 100)"},
 		{"run --nonsense", 80, "unknown flag"},
 	} {
 		cmd := exec.Command(binary, strings.Fields(test.args)...)
@@ -73,7 +84,7 @@
 			t.Errorf("hoplab %s: exit code %d, said\n%s\nwant %d and %q", test.args, code, out, test.code, test.says)
 		}
 	}
-	for _, name := range []string{"a.svg", "b.png", "drawn/plots-score.svg", "drawn/plots-call_p99.svg"} {
+	for _, name := range []string{"a.svg", "b.png", "scale.svg", "drawn/plots-score.svg", "drawn/plots-call_p99.svg"} {
 		if info, err := os.Stat(filepath.Join(dir, name)); err != nil || info.Size() < 1000 {
 			t.Errorf("%s: %v", name, err)
 		}
--- a/cmd/hoplab/scale.go
+++ b/cmd/hoplab/scale.go
@@ -20,7 +20,7 @@
 	Sizes  []int  `help:"Sizes to run instead of the file's."`
 	Seeds  int    `help:"Runs of each size instead of the file's."`
 	Seed   uint64 `help:"The only seed to run."`
-	Router string `help:"The router's program." default:"bin/hoptiller" type:"existingfile"`
+	Router string `help:"The router's program." default:"bin/hoptiller" type:"path"`
 	Out    string `help:"File to which results are added, as JSON lines; found/scale/NAME.jsonl if not stated." type:"path"`
 	Plot   string `help:"File for a plot of what routers send, .svg or .png." type:"path"`
 	Report string `help:"Report these results, and run nothing." type:"existingfile"`
@@ -40,6 +40,9 @@
 		}
 		return c.report(records)
 	}
+	if _, err := os.Stat(c.Router); err != nil {
+		return fmt.Errorf("the router's program: %w", err)
+	}
 	runs, err := c.runs(f)
 	if err != nil {
 		return err
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -151,18 +151,23 @@
 	fmt.Fprintf(w, "Slopes and budget are of %d of %d runs; the machine was too busy for the others.\n\n", len(counted), len(records))
 }
 
-// WriteBudget tells for each phase whether the control budget held, by the worst process of the worst run, and gives the number of
-// phases where it did not.
+// worstOf is the worst of a figure in all records, and the size at which it was measured.
+func worstOf(records []*Record, phase, name string) (worst float64, size int) {
+	for _, r := range records {
+		if value, ok := r.Worst(phase, name); ok && value > worst {
+			worst, size = value, r.Size
+		}
+	}
+	return worst, size
+}
+
+// WriteBudget tells for each phase whether the control budget held, by the worst process of the worst run in the mean over the
+// phase, and gives the number of phases where it did not. The worst seconds are named beside it.
 func WriteBudget(w io.Writer, records []*Record) (exceeded int) {
 	for _, phase := range phases(records) {
 		verdict, parts := "held", []string{}
 		for _, b := range budgets {
-			worst, at := 0.0, 0
-			for _, r := range records {
-				if value, ok := r.Worst(phase, b.name); ok && value > worst {
-					worst, at = value, r.Size
-				}
-			}
+			worst, at := worstOf(records, phase, b.name)
 			if worst > b.most {
 				verdict = "EXCEEDED"
 			}
@@ -171,6 +176,10 @@
 		if verdict != "held" {
 			exceeded++
 		}
+		for _, name := range []string{FigurePeakProcessor, FigurePeakSent} {
+			worst, at := worstOf(records, phase, name)
+			parts = append(parts, fmt.Sprintf("%s %s (at %d)", name, short(worst), at))
+		}
 		fmt.Fprintf(w, "budget %-8s %-10s worst: %s\n", verdict, phase, strings.Join(parts, ", "))
 	}
 	return exceeded
