--- a/cmd/hoplab/scale.go
+++ b/cmd/hoplab/scale.go
@@ -7,9 +7,11 @@
 	"io"
 	"log/slog"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime/debug"
 	"slices"
+	"strings"
 
 	"hoptiller/internal/command"
 	"hoptiller/internal/lab/scale"
@@ -24,6 +26,7 @@
 	Out    string `help:"File to which results are added, as JSON lines; found/scale/NAME.jsonl if not stated." type:"path"`
 	Plot   string `help:"File for a plot of what routers send, .svg or .png." type:"path"`
 	Report string `help:"Report these results, and run nothing." type:"existingfile"`
+	Commit string `help:"Commit that the programs were built from; if not stated what the build tells, else what is checked out here."`
 	Quiet  bool   `help:"No progress." short:"q"`
 }
 
@@ -107,7 +110,11 @@
 	if c.Quiet {
 		progress = io.Discard
 	}
-	options := scale.Options{Program: c.Router, Commit: revision(), Said: func(text string) { fmt.Fprintf(progress, "  %s\n", text) }}
+	commit := c.Commit
+	if commit == "" {
+		commit = revision(ctx)
+	}
+	options := scale.Options{Program: c.Router, Commit: commit, Said: func(text string) { fmt.Fprintf(progress, "  %s\n", text) }}
 	for _, run := range runs {
 		fmt.Fprintf(progress, "%s: %d routers, %d of them real, seed %d\n", f.Name, run.Size, run.Real, run.Seed)
 		r, err := scale.Play(ctx, run, options)
@@ -152,13 +159,16 @@
 	return nil
 }
 
-// revision is the commit that this program was built from; the router's program is built beside it.
-func revision() string {
+// unknownCommit is told where neither the build nor a checkout names one.
+const unknownCommit = "unknown"
+
+// revision is the commit that this program was built from, or where the build does not tell the one that is checked out here.
+func revision(ctx context.Context) string {
+	commit, changed := checkedOut(ctx), ""
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
-		return "unknown"
+		return commit
 	}
-	commit, changed := "unknown", ""
 	for _, s := range info.Settings {
 		switch {
 		case s.Key == "vcs.revision":
@@ -169,3 +179,12 @@
 	}
 	return commit + changed
 }
+
+// checkedOut is the commit of the working tree.
+func checkedOut(ctx context.Context) string {
+	text, err := exec.CommandContext(ctx, "git", "describe", "--always", "--abbrev=40", "--dirty=+changes", "--exclude=*").Output()
+	if err != nil {
+		return unknownCommit
+	}
+	return strings.TrimSpace(string(text))
+}
