--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -81,9 +82,9 @@
 
 // rates are what one process used and sent per second between two samples.
 type rates struct {
-	processor                       float64 // part of a core
-	sent, received                  float64
-	sentDatagrams, receivedDatagram float64
+	processor                        float64 // part of a core
+	sent, received                   float64
+	sentDatagrams, receivedDatagrams float64
 }
 
 // rate is that of a process between two readings. The processor time of a process that has started between counts from its start.
@@ -97,57 +98,69 @@
 	return rates{
 		processor: used.Seconds() / seconds,
 		sent:      float64(moved.SentBytes) / seconds, received: float64(moved.ReceivedBytes) / seconds,
-		sentDatagrams: float64(moved.SentDatagrams) / seconds, receivedDatagram: float64(moved.ReceivedDatagrams) / seconds,
+		sentDatagrams: float64(moved.SentDatagrams) / seconds, receivedDatagrams: float64(moved.ReceivedDatagrams) / seconds,
 	}
 }
 
 // leastPeak is the shortest time between samples that counts as a second for peaks.
 const leastPeak = sampleEvery / 2
 
+// collector gathers the values of figures over processes, in the order in which the figures are first met.
+type collector struct {
+	phase   string
+	figures []Figure
+	counts  []int
+}
+
+// add takes the value of a figure for one more process.
+func (c *collector) add(name, unit string, value float64) {
+	at := slices.IndexFunc(c.figures, func(f Figure) bool { return f.Name == name })
+	if at < 0 {
+		at = len(c.figures)
+		c.figures, c.counts = append(c.figures, Figure{Phase: c.phase, Name: name, Unit: unit}), append(c.counts, 0)
+	}
+	f := &c.figures[at]
+	c.counts[at]++
+	f.Value += (value - f.Value) / float64(c.counts[at])
+	f.Worst = max(f.Worst, value)
+}
+
 // figures are what the processes that are observers used in a phase.
-func figures(phase string, samples []sample, observers []int) (all []Figure) {
+func figures(phase string, samples []sample, observers []int) []Figure {
+	c := &collector{phase: phase}
 	first, last := samples[0], samples[len(samples)-1]
-	collected := map[string][]float64{}
-	var order []string
-	units := map[string]string{}
-	add := func(name, unit string, value float64) {
-		if _, known := units[name]; !known {
-			order, units[name] = append(order, name), unit
-		}
-		collected[name] = append(collected[name], value)
-	}
 	for _, i := range observers {
 		mean := rate(first.readings[i], last.readings[i], last.at.Sub(first.at))
-		peak, memory := mean, int64(0)
-		for k := 1; k < len(samples); k++ {
-			took := samples[k].at.Sub(samples[k-1].at)
-			memory = max(memory, samples[k].readings[i].usage.MemoryBytes)
-			if took < leastPeak || samples[k].readings[i].pid == 0 {
-				continue
-			}
-			second := rate(samples[k-1].readings[i], samples[k].readings[i], took)
-			peak.processor, peak.sent = max(peak.processor, second.processor), max(peak.sent, second.sent)
-		}
-		add(FigureProcessor, UnitCore, 100*mean.processor)
-		add(FigurePeakProcessor, UnitCore, 100*peak.processor)
-		add(FigureMemory, UnitMegabytes, float64(memory)/1e6)
-		add(FigureThreads, UnitCount, float64(last.readings[i].usage.Threads))
-		add(FigureConnections, UnitCount, float64(last.readings[i].usage.Connections))
-		add(FigureSent, UnitBytes, mean.sent)
-		add(FigurePeakSent, UnitBytes, peak.sent)
-		add(FigureReceived, UnitBytes, mean.received)
-		add(FigureSentDatagrams, UnitDatagrams, mean.sentDatagrams)
-		add(FigureReceivedDatagrams, UnitDatagrams, mean.receivedDatagram)
+		peak, memory := peaks(samples, i, mean)
+		holds := last.readings[i].usage
+		c.add(FigureProcessor, UnitCore, 100*mean.processor)
+		c.add(FigurePeakProcessor, UnitCore, 100*peak.processor)
+		c.add(FigureMemory, UnitMegabytes, float64(memory)/1e6)
+		c.add(FigureThreads, UnitCount, float64(holds.Threads))
+		c.add(FigureConnections, UnitCount, float64(holds.Connections))
+		c.add(FigureSent, UnitBytes, mean.sent)
+		c.add(FigurePeakSent, UnitBytes, peak.sent)
+		c.add(FigureReceived, UnitBytes, mean.received)
+		c.add(FigureSentDatagrams, UnitDatagrams, mean.sentDatagrams)
+		c.add(FigureReceivedDatagrams, UnitDatagrams, mean.receivedDatagrams)
 	}
-	for _, name := range order {
-		f := Figure{Phase: phase, Name: name, Unit: units[name]}
-		for _, value := range collected[name] {
-			f.Value += value / float64(len(collected[name]))
-			f.Worst = max(f.Worst, value)
+	return c.figures
+}
+
+// peaks are the highest rates of a process in any second, no less than its mean, and the most memory that it held.
+func peaks(samples []sample, process int, mean rates) (peak rates, memory int64) {
+	peak = mean
+	for k := 1; k < len(samples); k++ {
+		before, after := samples[k-1].readings[process], samples[k].readings[process]
+		memory = max(memory, after.usage.MemoryBytes)
+		took := samples[k].at.Sub(samples[k-1].at)
+		if took < leastPeak || after.pid == 0 {
+			continue
 		}
-		all = append(all, f)
+		second := rate(before, after, took)
+		peak.processor, peak.sent = max(peak.processor, second.processor), max(peak.sent, second.sent)
 	}
-	return all
+	return peak, memory
 }
 
 // ownProcessor is the processor time of this process.
