Count what is sent to hollow routers that are down, and tell chance in calibrations

Times to agree differ by more than 10% between plays of the same fleet, so a calibration tells the 95% interval of the difference. Slopes want three sizes.

--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,7 @@
 	network *network
 
 	life *life // nil while it is down
+	sink *sink // has its address while it is down, after its first life
 }
 
 // life is one life of a hollow router, from its start to its end.
@@ -60,6 +62,7 @@
 
 // start begins a life. It puts the parts together as the program's serve command does, without all that is for clients.
 func (h *hollow) start(context.Context) error {
+	h.closeSink()
 	c := h.config
 	l := &life{}
 	module := relay.New(c.Settings, c.Seed, noCaller{}, noCaller{})
@@ -111,8 +114,28 @@
 	l := h.life
 	h.life = nil
 	l.silent.Store(true)
+	return h.bury(l)
+}
+
+// bury ends what a life still runs, and takes its address.
+func (h *hollow) bury(l *life) error {
 	l.cancel()
-	return l.group.Wait()
+	if err := l.group.Wait(); err != nil {
+		return err
+	}
+	home, err := netip.ParseAddrPort(h.config.PeerListen)
+	if err != nil {
+		return err
+	}
+	h.sink, err = h.network.openSink(h.number, home)
+	return err
+}
+
+func (h *hollow) closeSink() {
+	if h.sink != nil {
+		h.sink.close()
+		h.sink = nil
+	}
 }
 
 // leave ends the life as SIGTERM ends a process without clients.
@@ -121,8 +144,7 @@
 	h.life = nil
 	l.stopping.Store(true)
 	time.Sleep(lingerTime)
-	l.cancel()
-	return l.group.Wait()
+	return h.bury(l)
 }
 
 // drain asks the fleet that this router may be out, or has it serve again.
@@ -145,4 +167,7 @@
 func (h *hollow) runs() bool { return h.life != nil }
 
 // end ends the life, if there is one, for good.
-func (h *hollow) end() { h.crash() }
+func (h *hollow) end() {
+	h.crash()
+	h.closeSink()
+}
--- a/internal/lab/scale/network.go
+++ b/internal/lab/scale/network.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"hoptiller/internal/fleet/peers"
+	"hoptiller/internal/fleet/view"
 )
 
 // Traffic is what one router has sent and received in datagrams, without the headers of UDP and IP.
@@ -129,3 +130,45 @@
 		return size, from, nil
 	}
 }
+
+// sink holds the address of a hollow router that is down, so that what processes still send there is counted.
+type sink struct {
+	socket *net.UDPConn
+	done   chan struct{}
+}
+
+// openSink begins to count what comes to a router that is down.
+func (n *network) openSink(router int, home netip.AddrPort) (*sink, error) {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(home))
+	if err != nil {
+		return nil, err
+	}
+	s := &sink{socket: socket, done: make(chan struct{})}
+	c := &conn{UDPConn: socket, network: n, router: router}
+	go func() {
+		defer close(s.done)
+		c.discard()
+	}()
+	return s, nil
+}
+
+// discard counts what processes have sent until the socket is closed. The router that is down receives nothing.
+func (c *conn) discard() {
+	b := make([]byte, 2*view.MostBytes)
+	for {
+		size, from, err := c.UDPConn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		sender, known := c.network.number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if known && c.network.real[sender] {
+			c.network.sent[sender].add(size)
+		}
+	}
+}
+
+// close gives the address free.
+func (s *sink) close() {
+	s.socket.Close()
+	<-s.done
+}
--- a/internal/lab/scale/plot.go
+++ b/internal/lab/scale/plot.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"gonum.org/v1/gonum/stat"
+
 	"hoptiller/internal/lab/draw"
 )
 
@@ -14,8 +16,8 @@
 		curve := draw.Curve{Name: phase}
 		for _, size := range all {
 			at := slices.DeleteFunc(slices.Clone(records), func(r *Record) bool { return r.Size != size })
-			if mean, ok := meanOf(at, phase, FigureSent); ok && mean > 0 {
-				curve.X, curve.Y = append(curve.X, float64(size)), append(curve.Y, mean)
+			if values := plays(at, phase, FigureSent); len(values) > 0 {
+				curve.X, curve.Y = append(curve.X, float64(size)), append(curve.Y, stat.Mean(values, nil))
 			}
 		}
 		if len(curve.X) > 0 {
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -112,9 +112,9 @@
 	return fmt.Sprintf("%.2f", value)
 }
 
-// WriteSlopes writes for each phase how the figures grow with the size, for those that were measured at two sizes at least.
+// WriteSlopes writes for each phase how the figures grow with the size, for those that were measured at three sizes at least.
 func WriteSlopes(w io.Writer, records []*Record) {
-	if len(sizes(records)) < 2 {
+	if len(sizes(records)) < leastSizes {
 		return
 	}
 	fmt.Fprintf(w, "| phase | figure | runs | at 0 | per 100 routers, 95%% | deviation | at %.0f by the line, 95%% |\n", targetSize)
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -6,10 +6,13 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -179,9 +182,12 @@
 		t.Fatalf("%v, %v", read, err)
 	}
 	all := Calibrate(read)
-	if len(all) != 1 || all[0].Within() || math.Abs(all[0].Difference()-0.11) > 1e-9 {
+	if len(all) != 1 || all[0].Within() || all[0].Chance() || math.Abs(all[0].Difference()-0.11) > 1e-9 {
 		t.Errorf("calibration %+v", all)
 	}
+	if c := newCalibration(12, "crash", FigureAgreed, []float64{5, 6, 7}, []float64{6, 7, 8}); c.Within() || !c.Chance() || math.Abs(c.Half-0.378) > 0.001 {
+		t.Errorf("%+v", c)
+	}
 	text.Reset()
 	if exceeded := WriteBudget(&text, Counted(read)); exceeded != 1 || !strings.Contains(text.String(), "sent 6001 of 6000 B/s (at 12)") {
 		t.Errorf("%d exceeded: %s", exceeded, &text)
@@ -235,6 +241,59 @@
 	}
 }
 
+// What a process sends counts where a hollow router is cut from it or down, and is received by neither.
+func TestNetwork(t *testing.T) {
+	socket := func() (*net.UDPConn, netip.AddrPort) {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c, c.LocalAddr().(*net.UDPAddr).AddrPort()
+	}
+	process, processHome := socket()
+	listening, hollowHome := socket()
+	n := newNetwork(2, []netip.AddrPort{processHome, hollowHome}, []bool{true, false})
+	var silent atomic.Bool
+	hollow := n.attach(1, 1, &silent, listening)
+	got := make(chan int, 1)
+	go func() {
+		size, _, _ := hollow.ReadFromUDPAddrPort(make([]byte, 16))
+		got <- size
+	}()
+	send := func(size int) {
+		if _, err := process.WriteToUDPAddrPort(make([]byte, size), hollowHome); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.cut.Store(true)
+	send(5)
+	testprog.Until(t, "the datagram counts as sent", func() bool { return n.traffic(0).SentBytes == 5 })
+	hollow.WriteToUDPAddrPort(make([]byte, 9), processHome)
+	n.cut.Store(false)
+	send(7)
+	if size := testprog.Await(t, got, "datagram"); size != 7 {
+		t.Errorf("%d bytes came first", size)
+	}
+	hollow.WriteToUDPAddrPort(make([]byte, 3), processHome)
+	silent.Store(true)
+	hollow.WriteToUDPAddrPort(make([]byte, 4), processHome)
+	hollow.Close()
+	down, err := n.openSink(1, hollowHome)
+	if err != nil {
+		t.Fatal(err)
+	}
+	send(11)
+	testprog.Until(t, "what the dead are sent counts", func() bool { return n.traffic(0).SentBytes == 23 })
+	down.close()
+	if got, want := n.traffic(0), (Traffic{3, 23, 1, 3}); got != want {
+		t.Errorf("the process: %+v, want %+v", got, want)
+	}
+	if got, want := n.traffic(1), (Traffic{2, 12, 1, 7}); got != want {
+		t.Errorf("the hollow router: %+v, want %+v", got, want)
+	}
+}
+
 // Hollow routers agree on a start and a crash; regions that are cut from one another differ and meet again; all is over at the end.
 func TestHollowFleet(t *testing.T) {
 	f, err := newFleet(Run{parse(t, "sizes = [8]\ncaches = 5\nreal = 1\nregions = 2\n"), 8, 0, 1}, "")
--- a/internal/lab/scale/slope.go
+++ b/internal/lab/scale/slope.go
@@ -50,7 +50,10 @@
 	return value, s.quantile() * s.Deviation * math.Sqrt(1+1/float64(s.Points)+distance*distance/s.spread)
 }
 
-// slopeOf fits a figure of one phase over the sizes of the records. It needs two sizes.
+// leastSizes is the number of sizes from which a slope is told: through two a line goes in any case.
+const leastSizes = 3
+
+// slopeOf fits a figure of one phase over the sizes of the records.
 func slopeOf(records []*Record, phase, name string) (s Slope, ok bool) {
 	var sizes, values []float64
 	distinct := map[int]bool{}
@@ -60,7 +63,7 @@
 			distinct[r.Size] = true
 		}
 	}
-	if len(distinct) < 2 {
+	if len(distinct) < leastSizes {
 		return s, false
 	}
 	return NewSlope(sizes, values), true
