--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -353,12 +353,12 @@
 	return nil
 }
 
-// choose draws routers that a test finds good, hollow ones before processes: the cost of a trouble is measured on processes.
+// choose draws routers that run and that a test finds good, hollow ones before processes: the cost of a trouble is measured on processes.
 func (f *fleet) choose(count int, chance *rand.Rand, good func(number int) bool) []int {
 	var hollow, processes []int
 	for _, i := range chance.Perm(f.run.Size) {
 		switch {
-		case !good(i):
+		case !good(i) || !f.routers[i].runs():
 		case f.network.real[i]:
 			processes = append(processes, i)
 		default:
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -34,7 +34,7 @@
 }
 
 // WriteTable writes the records of mostly hollow fleets as a Markdown table, a row for each size and phase with the mean over the
-// seeds, and then tells of each run that the machine was too busy for, or that has failed phases.
+// runs that count, and then tells of each run that the machine was too busy for, or that has failed phases.
 func WriteTable(w io.Writer, records []*Record) {
 	titles := []string{"routers", "runs", "phase"}
 	for _, f := range tableFigures {
@@ -42,9 +42,13 @@
 	}
 	fmt.Fprintf(w, "| %s |\n|%s\n", strings.Join(titles, " | "), strings.Repeat(" --- |", len(titles)))
 	for _, size := range sizes(records) {
-		at := slices.DeleteFunc(slices.Clone(records), func(r *Record) bool { return r.Size != size })
+		at := Counted(slices.DeleteFunc(slices.Clone(records), func(r *Record) bool { return r.Size != size }))
+		runs := fmt.Sprint(len(at))
+		if at[0].Strain.Busy {
+			runs += " (busy)"
+		}
 		for _, phase := range phases(at) {
-			row := []string{fmt.Sprint(size), fmt.Sprint(len(at)), phase}
+			row := []string{fmt.Sprint(size), runs, phase}
 			for _, f := range tableFigures {
 				row = append(row, meanText(at, phase, f.name))
 			}
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -194,8 +194,10 @@
 	}
 	text.Reset()
 	WriteTable(&text, read)
-	if !strings.Contains(text.String(), "x, 50 routers, 4 real, seed 0: the machine was too busy") {
-		t.Error(text.String())
+	for _, want := range []string{"x, 50 routers, 4 real, seed 0: the machine was too busy", "| 50 | 1 (busy) | calm |", "| 12 | 2 | calm |"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no %q in %s", want, &text)
+		}
 	}
 	if err := os.WriteFile(path, []byte("{}\nnot JSON\n"), 0o600); err != nil {
 		t.Fatal(err)
