--- a/internal/fleet/peers/many_test.go
+++ b/internal/fleet/peers/many_test.go
@@ -63,7 +63,11 @@
 func TestManyRouters(t *testing.T) {
 	const routers, rounds = 1024, 20
 	const mostView, mostGrowth = 4 << 20, 1 << 20 // bytes
-	addrs := sockets(t, 1)
+	own, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}) // until all others are bound, or one may get its port
+	if err != nil {
+		t.Fatal(err)
+	}
+	addrs := []string{own.LocalAddr().String()}
 	m := &manyRouters{conns: make([]*net.UDPConn, 1), to: netip.MustParseAddrPort(addrs[0])}
 	for range routers - 1 {
 		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -74,6 +78,7 @@
 		m.conns = append(m.conns, conn)
 		addrs = append(addrs, conn.LocalAddr().String())
 	}
+	own.Close()
 	before := heap()
 	p, _ := run(t, 0, addrs)
 	unknown := map[int]bool{}
