--- a/internal/fleet/peers/many_test.go
+++ b/internal/fleet/peers/many_test.go
@@ -62,7 +62,7 @@
 // router holds no more memory.
 func TestManyRouters(t *testing.T) {
 	const routers, rounds = 1024, 20
-	const mostView, mostGrowth = 4 << 20, 1 << 20 // bytes
+	const mostView, mostGrowth = 4 << 20, 1 << 20                              // bytes
 	own, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}) // until all others are bound, or one may get its port
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -160,9 +160,6 @@
 // sum is that of the router's view.
 func (h *hollow) sum() uint32 { return h.life.peers.Sum() }
 
-// report is the router's whole view.
-func (h *hollow) report(context.Context) (*peers.Report, error) { return h.life.peers.Report(), nil }
-
 // runs tells whether it is up.
 func (h *hollow) runs() bool { return h.life != nil }
 
