--- a/internal/fleet/notes/many_test.go
+++ b/internal/fleet/notes/many_test.go
@@ -10,7 +10,7 @@
 
 // 1,024 slot caches may be out at once, asked of several routers. All routers hear of each, nobody takes one over from a router
 // that is there, and what they send each other stays bounded.
-func TestMany(t *testing.T) {
+func TestManyNotes(t *testing.T) {
 	const routers, caches, asked = 5, 1024, 3
 	const within, over = 25 * time.Second, 8 * time.Second
 	const mostSent = 1000 // datagrams of notes a second and router
