Log and count why connections end, requests fail and long answers are cut

Cause: the incident could not be followed: no line named a request, none told why a connection was closed or a request retried, refused or failed.

Change: reasons of closed client and server connections, as types, in log and metrics; the course of each request that is not served; long answers that are cut, with whose end it was; servers that are told anew; hold-ups; the last steps of a shutdown. /v1/metrics has `reasons`.

The server was back on its address 1.4 s before the list told its new start.

--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -25,11 +25,12 @@
 // processMetrics are what operators read of this process.
 type processMetrics struct {
 	metrics.Snapshot
-	Fleet *peers.Summary `json:"fleet,omitempty"` // as the routers see one another
+	Reasons reasonCounts   `json:"reasons"`         // why connections ended, and how attempts did
+	Fleet   *peers.Summary `json:"fleet,omitempty"` // as the routers see one another
 }
 
 // calls are what operators can ask of this process.
-func calls(life *lifecycle.State, f *front.Front, counts *metrics.Counters, reports *loadreport.Table, r *relay.Relay, fleet *peers.Peers) map[string]admin.Call {
+func calls(life *lifecycle.State, f *front.Front, counts *metrics.Counters, reasons *reasons, reports *loadreport.Table, r *relay.Relay, fleet *peers.Peers) map[string]admin.Call {
 	told := func(e lifecycle.Event) func() (bool, []byte) {
 		return func() (bool, []byte) {
 			yes := life.Tell(e)
@@ -39,7 +40,7 @@
 	all := map[string]admin.Call{
 		"/v1/readyz": {Method: "GET", Do: func() (bool, []byte) { return f.Ready(), state(life) }},
 		"/v1/metrics": {Method: "GET", Do: func() (bool, []byte) {
-			s := processMetrics{Snapshot: counts.Snapshot()}
+			s := processMetrics{Snapshot: counts.Snapshot(), Reasons: reasons.counts()}
 			s.Members, s.Unavailable = r.Members()
 			s.Reports = reports.Summary()
 			if fleet != nil {
--- a/cmd/hoptiller/scenario_test.go
+++ b/cmd/hoptiller/scenario_test.go
@@ -309,7 +309,7 @@
 			}
 		}
 		if time.Now().After(late) {
-			return fmt.Errorf("the last answer was %.300q", body)
+			return fmt.Errorf("the last answer was %.900q", body)
 		}
 	}
 }
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -144,6 +144,7 @@
 	}
 	reports := loadreport.New(c.Reports)
 	counts, life := metrics.New(c.Classes), lifecycle.New()
+	reasons := newReasons()
 	c.Settings.Places = p.Limits.Places
 	shares := divide(c, &p.Limits)
 	if shares.heap > 0 {
@@ -155,14 +156,15 @@
 		Share: sharing(c), MostConns: shares.provider, MostTotal: shares.providers, MostCalls: max(1, c.MostCalls),
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
 		Kept: connlimit.Kept(c.Settings.Balancers, p.Limits.Places), Places: p.Limits.Places, Called: counts.AttemptSent, Reports: reports,
-		Seen: func(id uint32, up bool) { fleet.saw(id, up) },
+		Seen: func(id uint32, up bool) { fleet.saw(id, up) }, Closed: reasons.serverClosed,
 	}, upstream.Meta{})
 	origins := upstream.New(upstream.Settings{
 		Share: 1, MostConns: shares.origins, MostCalls: 1, Kept: shares.origins,
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
-		Room: room, Called: counts.AttemptSent, Rest: originRest,
+		Room: room, Called: counts.AttemptSent, Rest: originRest, Closed: reasons.serverClosed,
 	}, origin.Protocol{})
 	r := relay.New(c.Settings, c.Seed, providers, origins)
+	r.AttemptEnded = reasons.attemptEnded
 	var server front.Server = r
 	var listener discovery.Listener = r
 	var g *middleware.Handler
@@ -181,7 +183,7 @@
 		Classes: c.Classes, AnyClass: c.AnyClass, Tenants: c.Tenants, MostConns: shares.clients, MostKept: shares.kept, MostHeld: shares.held,
 		MostOpen: shares.open, Room: room,
 		Linger: linger, Keep: keep(c.Settings.Classes), Rest: closeTime, Last: last(c.Settings.Classes),
-		Life: life, Counts: counts, Server: server,
+		Life: life, Counts: counts, Server: server, Closed: reasons.clientClosed,
 	}
 	if c.SocketFD != "" { // another process accepts from the same socket
 		f.Linger, f.Keep = 0, replaceTime
@@ -222,7 +224,7 @@
 		return f.Serve(ctx, listeners...)
 	})
 	if operators != nil {
-		a := &admin.Server{Places: shares.operators, Calls: calls(life, f, counts, reports, r, fleet.peers)}
+		a := &admin.Server{Places: shares.operators, Calls: calls(life, f, counts, reasons, reports, r, fleet.peers)}
 		group.Go(func() error { return a.Serve(ctx, operators) })
 	}
 	err = group.Wait()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -51,6 +51,11 @@
 	pieceBy time.Time // when a long value is coming: until when there must be more of it
 	restBy  time.Time // when end is set: until when the rest of a command may come
 
+	closeReason    CloseReason // why it ends, if that is known
+	closeError     error       // what reading or writing failed with; nil: nothing did
+	unanswered     int         // requests of which the answer was not written whole
+	lastUnanswered string      // the id of the last of them
+
 	// Guarded by the front's conns.
 	entry      *list.Element
 	state      connState
@@ -75,11 +80,14 @@
 
 // endIfIdle ends a connection if nothing is out on it. A command that has begun, or may be on its way where there was none
 // yet, has a while to come whole; that may be cut short later, when its place is needed.
-func (c *conn) endIfIdle(rest time.Duration) {
+func (c *conn) endIfIdle(rest time.Duration, reason CloseReason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if by := time.Now().Add(rest); c.out == 0 && (!c.end || by.Before(c.restBy)) {
 		c.end, c.restBy = true, by
+		if c.closeReason == CloseUnknown {
+			c.closeReason = reason
+		}
 		c.arm()
 	}
 }
@@ -111,6 +119,7 @@
 }
 
 func (c *conn) serve(ctx context.Context) {
+	defer c.tellClosed()
 	defer c.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -169,10 +178,12 @@
 		})
 		next = c.reader.Next
 		if gone {
+			c.closing(CloseClientLeft, nil)
 			return false, false
 		}
 		if c.long != nil && err == nil {
 			if last, err = c.gather(ctx); err != nil {
+				c.closing(CloseRequestBroken, err)
 				return errors.Is(err, os.ErrDeadlineExceeded), false
 			}
 			if !last {
@@ -192,12 +203,18 @@
 		}
 		c.mu.Unlock()
 		switch {
-		case last || errors.Is(err, os.ErrDeadlineExceeded):
-			return true, last
+		case last:
+			c.closing(c.whyLast(), nil)
+			return true, true
+		case err != nil && errors.Is(err, os.ErrDeadlineExceeded):
+			c.readFailed(err)
+			return true, false
 		case err != nil:
+			c.readFailed(err)
 			return false, false
 		case full:
 			if err := c.readAhead(ctx); err != nil {
+				c.readFailed(err)
 				return false, false
 			}
 			next = c.reader.Again
@@ -266,6 +283,9 @@
 	}
 	if rest := c.front.rest(); rest > 0 && !c.end {
 		c.end, c.restBy = true, time.Now().Add(rest)
+		if c.closeReason == CloseUnknown {
+			c.closeReason = CloseDrained
+		}
 	}
 	if !c.part {
 		c.since = time.Now()
--- a/internal/front/conntable.go
+++ b/internal/front/conntable.go
@@ -130,7 +130,7 @@
 		default:
 		}
 		if c := f.conns.last(time.Now()); c != nil {
-			c.endIfIdle(0)
+			c.endIfIdle(0, CloseMadeRoom)
 		}
 		select {
 		case places <- struct{}{}:
@@ -144,6 +144,6 @@
 // theirs, or are long in asking, would leave the others none to ask on.
 func (f *Front) thin() {
 	if c := f.conns.surplus(f.MostKept, f.MostHeld); c != nil {
-		c.endIfIdle(0)
+		c.endIfIdle(0, CloseMadeRoom)
 	}
 }
--- a/internal/front/conntable_test.go
+++ b/internal/front/conntable_test.go
@@ -32,20 +32,20 @@
 	}
 	fresh := entry(silent, 0)
 	long, young := entry(halfway, 3*second), entry(halfway, second)
-	young.endIfIdle(time.Hour) // as in a drain: it has its time, and no place of its own
+	young.endIfIdle(time.Hour, CloseMadeRoom) // as in a drain: it has its time, and no place of its own
 	firstIdle, secondIdle := entry(idle, second), entry(idle, 0)
 	for _, want := range silents[:atOnce] {
 		if c := f.conns.last(start); c != want {
 			t.Fatalf("%v goes, want the first of the silent ones", c.state)
 		}
-		want.endIfIdle(0)
+		want.endIfIdle(0, CloseMadeRoom)
 	}
 	if c := f.conns.last(start); c != nil {
 		t.Fatalf("%v goes while %d are going", c.state, atOnce)
 	}
 	for i, c := range silents {
 		if i >= atOnce {
-			c.endIfIdle(0)
+			c.endIfIdle(0, CloseMadeRoom)
 		}
 		f.conns.leave(c)
 	}
@@ -59,7 +59,7 @@
 		if c.conn == nil { // what has just come may be about to ask
 			continue
 		}
-		c.endIfIdle(0)
+		c.endIfIdle(0, CloseMadeRoom)
 		if got := f.conns.last(start); got != nil {
 			t.Fatalf("%v goes as well", got.state)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -44,6 +44,7 @@
 	Life      *lifecycle.State
 	Counts    *metrics.Counters
 	Server    Server
+	Closed    func(CloseReason) // told why each client connection ended; nil: nobody is
 
 	accepting atomic.Bool
 	closing   atomic.Int64 // if set, connections end once nothing is out on them, and what has begun has so long to come
@@ -78,7 +79,7 @@
 	f.follow(ctx)
 	stopped := time.Now()
 	if f.Last > 0 {
-		defer time.AfterFunc(f.Last, func() { close(f.last) }).Stop()
+		defer time.AfterFunc(f.Last, f.answerAll).Stop()
 	}
 	f.wait(ctx, stopped.Add(f.Linger), false) // clients still come until the front layer has noticed
 	for _, l := range listeners {
@@ -88,7 +89,18 @@
 	// Clients use the connections that they have for as long as they can; another router may be down just now.
 	f.wait(ctx, stopped.Add(f.Keep), true)
 	f.endIdle(max(f.Rest, 1))
-	return g.Wait()
+	err := g.Wait()
+	slog.Info("clients served", "after", time.Since(stopped).Round(time.Millisecond))
+	return err
+}
+
+// answerAll has all open requests answered, since the process is about to be killed.
+func (f *Front) answerAll() {
+	f.mu.Lock()
+	open := len(f.open)
+	f.mu.Unlock()
+	slog.Info("answering what is open as failed", "open", open)
+	close(f.last)
 }
 
 // follow sends clients away while the router is drained, until it stops.
@@ -178,7 +190,7 @@
 func (f *Front) endIdle(rest time.Duration) {
 	f.closing.Store(int64(rest))
 	for _, c := range f.conns.all() {
-		c.endIfIdle(rest)
+		c.endIfIdle(rest, CloseDrained)
 	}
 }
 
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -173,6 +173,7 @@
 	case <-c.front.last: // this process ends: the client must hear so before that
 		a.Kind = hoptiller.StepFail
 	case <-ctx.Done():
+		c.leftUnanswered(s.id)
 		c.front.Counts.Finished(s.class, metrics.Failed)
 		return false
 	}
@@ -180,6 +181,9 @@
 	if a.Body != nil {
 		a.Body.Close()
 	}
+	if !written {
+		c.leftUnanswered(s.id)
+	}
 	how := metrics.Failed
 	switch {
 	case a.Kind == hoptiller.StepServed && written:
@@ -219,11 +223,15 @@
 	if !c.write(meta.AppendValueHead(nil, id, body.Len())) {
 		return false
 	}
+	given := 0
+	var unwritable error
 	if err := body.Copy(func(piece []byte) error {
 		c.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, err := c.Write(piece)
+		n, err := c.Write(piece)
+		given, unwritable = given+n, err
 		return err
 	}); err != nil {
+		c.valueCut(id, given, body.Len(), err, unwritable != nil)
 		return false
 	}
 	return c.write([]byte("\r\n"))
@@ -233,5 +241,8 @@
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	b := net.Buffers(parts)
 	_, err := b.WriteTo(c.Conn)
+	if err != nil {
+		c.closing(CloseUnwritable, err)
+	}
 	return err == nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -113,6 +113,8 @@
 
 // Relay carries the requests of one router.
 type Relay struct {
+	AttemptEnded func(hoptiller.Status) // told how each attempt ended; nil: nobody is. It is set before the first request
+
 	core    *hoptiller.Facade
 	caches  Upstream
 	origins Upstream
@@ -163,12 +165,16 @@
 func (r *Relay) Run(ctx context.Context, dir Directory) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	due := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-r.wake:
 		case <-timer.C:
+			if late := time.Since(due); late > heldUp {
+				slog.Warn("held up", "by", late.Round(time.Millisecond))
+			}
 		}
 		orders := r.core.Tick(r.now())
 		for _, c := range orders.Cancelled {
@@ -185,7 +191,9 @@
 			slog.Info("module", "said", text)
 		}
 		if orders.Next > 0 {
-			timer.Reset(max(0, orders.Next-r.now()))
+			wait := max(0, orders.Next-r.now())
+			due = time.Now().Add(wait)
+			timer.Reset(wait)
 		}
 	}
 }
@@ -217,9 +225,11 @@
 
 	step := r.core.Pick(r.now(), req.decisionInput(id, time.Now()))
 	defer context.AfterFunc(ctx, func() { r.core.Gone(r.now(), id) })()
+	course := &course{begun: time.Now()}
 	for {
 		r.closeIdle(step.CloseIdle)
 		if step.Kind != hoptiller.StepCall {
+			course.unserved(req, step.Kind)
 			return Answer{Kind: step.Kind, RetryAfter: step.RetryAfter}
 		}
 		sent := r.now()
@@ -228,6 +238,10 @@
 		if ctx.Err() != nil { // whatever it comes to, no other call follows
 			r.core.Gone(now, id)
 		}
+		course.add(req, step.Server, result.Status, now-sent)
+		if r.AttemptEnded != nil {
+			r.AttemptEnded(result.Status)
+		}
 		call := hoptiller.AttemptID{Request: id, Attempt: step.Attempt}
 		step = r.core.Report(now, call, step.Server, result.Status, now-sent)
 		if step.Kind == hoptiller.StepServed {
@@ -242,11 +256,15 @@
 			call.Attempt = step.Attempt
 			r.core.Gone(r.now(), id)
 			r.core.Report(r.now(), call, step.Server, hoptiller.Moot, 0)
+			course.unserved(req, hoptiller.StepFail)
 			return Answer{Kind: hoptiller.StepFail}
 		}
 	}
 }
 
+// heldUp is how late a timer is that is logged: the process, or the machine, stood still for so long.
+const heldUp = 100 * time.Millisecond
+
 // errWindow ends the time in which an attempt may begin before its own time is over.
 var errWindow = errors.New("the window for repeats is over")
 
@@ -346,8 +364,21 @@
 		phase := [...]string{hoptiller.Gone: "gone", hoptiller.Draining: "draining", hoptiller.Ready: "ready"}[s.Phase]
 		slog.Info("server told", "server", s.Name, "id", fmt.Sprintf("%08x", s.ID), "phase", phase)
 	}
+	moved := known && (old.Addr != s.Addr || old.Started != s.Started)
+	if moved {
+		slog.Info("server moved", "server", s.Name, "id", fmt.Sprintf("%08x", s.ID), "from", old.Addr, "to", s.Addr,
+			"started_before", startTime(old.Started), "started", startTime(s.Started))
+	}
 	r.servers[s.ID] = s
-	r.caller(s).Update(s, known && (old.Addr != s.Addr || old.Started != s.Started))
+	r.caller(s).Update(s, moved)
+}
+
+// startTime is a server's start as the log has it.
+func startTime(started time.Duration) string {
+	if started == 0 {
+		return "long ago"
+	}
+	return time.Unix(0, int64(started)).UTC().Format("2006-01-02T15:04:05.000Z")
 }
 
 func (r *Relay) caller(s Server) Upstream {
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -76,13 +76,21 @@
 	}
 	c.body = nil
 	if err != nil {
-		p.end(c, hoptiller.Cancelled) // what waits behind it is no fault of the server's
+		p.closeConn(c, hoptiller.Cancelled, valueCloseReason(err)) // what waits behind it is no fault of the server's
 	} else if c.leave(); !b.keep {
-		p.drop(c)
+		p.drop(c, CloseLastAnswer)
 	}
 	close(b.ended)
 }
 
+// valueCloseReason tells why a long value did not come whole.
+func valueCloseReason(err error) CloseReason {
+	if errors.Is(err, errAbandoned) {
+		return CloseValueAbandoned
+	}
+	return CloseValueFailed
+}
+
 // hand gives the body to whoever waits for the answer, if anybody still does, and waits for its end. It tells
 // whether the connection can be read on.
 func (b *body) hand() bool {
@@ -90,7 +98,7 @@
 	p.mu.Lock()
 	if b.out.abandoned || b.conn.dead {
 		b.conn.body = nil
-		p.end(b.conn, hoptiller.Cancelled)
+		p.closeConn(b.conn, hoptiller.Cancelled, CloseWithdrawn)
 		p.mu.Unlock()
 		return false
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -42,23 +41,7 @@
 
 // drop closes a connection whose other side has ended or broken it: what is out on it is reset.
 // p.mu is held.
-func (p *Pool) drop(c *conn) { p.end(c, hoptiller.Reset) }
-
-// end closes a connection; what is out on it ends with a status. p.mu is held.
-func (p *Pool) end(c *conn, status hoptiller.Status) {
-	if c.dead {
-		return
-	}
-	c.dead = true
-	c.Close()
-	p.total--
-	s := c.server
-	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
-	for _, out := range c.calls {
-		out.done <- relay.Result{Status: status}
-	}
-	c.calls = nil
-}
+func (p *Pool) drop(c *conn, reason CloseReason) { p.closeConn(c, hoptiller.Reset, reason) }
 
 // failUnreadable ends a connection on which something has come that can't be read. The server did answer the
 // first call, which may have run. Those behind it end by this router's choice and no fault of theirs.
@@ -68,7 +51,7 @@
 	if len(calls) > 0 {
 		c.calls = calls[1:]
 	}
-	p.end(c, hoptiller.Cancelled) // first: as long as it is open, a call on it counts as out
+	p.closeConn(c, hoptiller.Cancelled, CloseUnreadable) // first: as long as it is open, a call on it counts as out
 	if len(calls) > 0 {
 		calls[0].done <- relay.Result{Status: hoptiller.ServerError}
 	}
@@ -100,7 +83,7 @@
 		if c.body != nil { // that one's client has begun to get it
 			return false
 		}
-		p.end(c, hoptiller.Cancelled) // the neighbours too, by no fault of the server's
+		p.closeConn(c, hoptiller.Cancelled, CloseOverdue) // the neighbours too, by no fault of the server's
 		return true
 	}
 	return r, false
@@ -116,7 +99,10 @@
 			return
 		}
 	}
-	if c.ending || c.server.Phase != hoptiller.Ready {
-		c.pool.drop(c)
+	switch {
+	case c.ending:
+		c.pool.drop(c, CloseWithdrawn)
+	case c.server.Phase != hoptiller.Ready:
+		c.pool.drop(c, CloseServerLeaving)
 	}
 }
--- a/internal/upstream/find.go
+++ b/internal/upstream/find.go
@@ -80,7 +80,7 @@
 		}
 	}
 	if oldest != nil {
-		p.drop(oldest)
+		p.drop(oldest, CloseMadeRoom)
 	}
 	return oldest != nil
 }
@@ -109,7 +109,7 @@
 			continue
 		}
 		if p.set.IdleLimit > 0 && time.Since(c.idleAt) >= p.set.IdleLimit {
-			p.drop(c)
+			p.drop(c, CloseIdleLimit)
 			continue
 		}
 		copy(s.conns[i:], s.conns[i+1:])
@@ -123,7 +123,7 @@
 func (p *Pool) dropResting(s *server) bool {
 	for _, c := range s.conns {
 		if c.load == 0 {
-			p.drop(c)
+			p.drop(c, CloseMadeRoom)
 			return true
 		}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,6 +32,7 @@
 	Reports        *loadreport.Table        // keeps what servers tell of their load; nil: nothing does
 	Seen           func(id uint32, up bool) // told of a server that has no process, and that answers again; nil: nobody is
 	Called         func()                   // told of each call that was written whole; nil: nobody is
+	Closed         func(CloseReason)        // told of each connection that was closed; nil: nobody is
 }
 
 // Pool has the connections to all servers of a kind. It is a relay.Upstream.
@@ -79,11 +80,11 @@
 	s.Server = entry
 	if moved { // what is out on connections to a process that is no more will never be answered
 		for _, c := range slices.Clone(s.conns) {
-			p.drop(c)
+			p.drop(c, CloseServerMoved)
 		}
 	}
 	if entry.Phase != hoptiller.Ready { // idle connections have no use any more
-		p.closeIdle(s)
+		p.closeIdle(s, CloseServerLeaving)
 	}
 }
 
@@ -106,14 +107,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.servers[id]; s != nil {
-		p.closeIdle(s)
+		p.closeIdle(s, CloseIdleSuspect)
 	}
 }
 
-func (p *Pool) closeIdle(s *server) {
+func (p *Pool) closeIdle(s *server, reason CloseReason) {
 	for _, c := range slices.Clone(s.conns) {
 		if c.load == 0 {
-			p.drop(c)
+			p.drop(c, reason)
 		}
 	}
 }
@@ -126,7 +127,7 @@
 	p.cancel()
 	for _, s := range p.servers {
 		for _, c := range slices.Clone(s.conns) {
-			p.drop(c)
+			p.drop(c, CloseShutdown)
 		}
 	}
 }
--- a/internal/upstream/reap.go
+++ b/internal/upstream/reap.go
@@ -29,7 +29,7 @@
 			c := s.conns[i]
 			left := limit - now.Sub(c.idleAt)
 			if c.load == 0 && left <= 0 {
-				p.drop(c)
+				p.drop(c, CloseIdleSurplus)
 				continue
 			}
 			if c.load == 0 {
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -52,7 +52,7 @@
 	if !c.useful && !c.dead {
 		p.observe(c.server, false)
 	}
-	p.drop(c)
+	p.drop(c, CloseServerEnded)
 }
 
 // goesOn tells whether more of an answer has come just as the time for it was over, as it has where the program stood still
@@ -105,7 +105,7 @@
 			r.Data = bytes.Clone(reply.Data)
 		}
 		if c.leave(); !reply.Keep {
-			p.drop(c)
+			p.drop(c, CloseLastAnswer)
 		}
 		out.done <- r
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -42,7 +42,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.calls = slices.DeleteFunc(c.calls, func(o *call) bool { return o == out })
-	p.drop(c) // half a call is on it
+	p.drop(c, CloseWriteFailed) // half a call is on it
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return false, hoptiller.Moot
 	}
@@ -71,7 +71,7 @@
 		return 0, false, hoptiller.Moot
 	case len(c.calls) == 0 && c.useful && !c.reader.Resting(): // it has ended while it rested, or says what nobody asked for
 		c.leave()
-		p.drop(c)
+		p.drop(c, CloseNotAtRest)
 		return 0, true, hoptiller.OK
 	}
 	out.sent = time.Now()
