Add failing tests of requests lost at news of a server and at a shutdown's end

`Pool.Update` closes every connection of a server that is told with a new start, the one that leads to the new process included. `Front.writeAnswer` answers what is open as failed when a shutdown's time is over, but the request's context goes on until the connection has lingered, so that another attempt may follow; commands behind that are begun one by one, or dropped with their connection.

--- /dev/null
+++ b/cmd/hoptiller/lost_requests_test.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// longValue is a value that is passed on as it comes.
+var longValue = strings.Repeat("x", 100_000)
+
+// A cache server comes back on its address, and the router has a connection to the new process before the list tells of it. The long
+// answer that comes on that connection is given to its client whole.
+func TestLongAnswerOutlivesNewsOfItsServer(t *testing.T) {
+	t.Parallel()
+	w := start(t, []string{"p1"}, "")
+	client := dial(t, w.actors["program"].addr)
+	fmt.Fprint(client, "mg k1 v O01 Pc=read,d=9000\r\n")
+	call := w.attemptAt(t, "p1", "mg k1 *")
+	fmt.Fprintf(call.conn, "VA %d O01\r\n%s", len(longValue), longValue[:1000])
+	r := bufio.NewReader(client)
+	if head, err := r.ReadString('\n'); head != fmt.Sprintf("VA %d O01\r\n", len(longValue)) || err != nil {
+		t.Fatalf("got %q, %v", head, err)
+	}
+	w.play(t, t.Name(), []string{
+		"d wait GET /registry/instances?watch=1&after=1 HTTP/1.1",
+		"d send HTTP/1.1 200 OK",
+		"d send Transfer-Encoding: chunked",
+		"d send",
+		`d chunk {"version":2,"full":false,"servers":[{p1 active 5}]}`,
+		`program wait * msg="server moved" *`,
+	})
+	fmt.Fprintf(call.conn, "%s\r\n", longValue[1000:])
+	value := make([]byte, len(longValue)+2)
+	if n, err := io.ReadFull(r, value); string(value) != longValue+"\r\n" {
+		t.Errorf("%d of %d bytes of the value came, then %v", n, len(value), err)
+	}
+}
+
+// At the end of a shutdown what is open is answered as failed. Whatever has been read by then is answered, and nothing is sent on any
+// more.
+func TestEndOfAShutdown(t *testing.T) {
+	t.Parallel()
+	t.Run("no attempt after the answer", noAttemptAfterTheAnswer)
+	t.Run("every command that was read is answered", everyCommandIsAnswered)
+}
+
+// The attempt that is out ends when its request has been answered, in a way after which there would be another one.
+func noAttemptAfterTheAnswer(t *testing.T) {
+	t.Parallel()
+	w := startShort(t)
+	client := dial(t, w.actors["program"].addr)
+	fmt.Fprint(client, "mg k1 v O01 Pc=read,d=9000\r\n")
+	calls := []attempt{w.attemptAt(t, "p1", "mg k1 *")}
+	w.play(t, t.Name(), []string{"program close", "program wait * msg=stopping*"})
+	if line, err := bufio.NewReader(client).ReadString('\n'); !strings.HasPrefix(line, "SERVER_ERROR") {
+		t.Fatalf("got %q, %v", line, err)
+	}
+	answered := time.Now()
+	for len(w.actors["p1"].lines) > 0 { // a silent attempt may have been repeated
+		if next := <-w.actors["p1"].lines; like("mg k1 *", next.text) {
+			calls = append(calls, attempt{conn: next.conn})
+		}
+	}
+	for _, call := range calls {
+		fmt.Fprint(call.conn, "EN O01\r\n") // after a miss the origin is asked
+	}
+	w.play(t, t.Name(), []string{"program expect 0"})
+	for _, text := range w.linesOf("o") {
+		if strings.HasPrefix(text, "GET /k1 ") {
+			t.Errorf("%q came after the answer, within %v", text, time.Since(answered))
+		}
+	}
+}
+
+// A client has sent more commands than are begun at once.
+func everyCommandIsAnswered(t *testing.T) {
+	t.Parallel()
+	const begun, commands = 16, 20
+	w := startShort(t)
+	client := dial(t, w.actors["program"].addr)
+	var all strings.Builder
+	for i := range commands {
+		fmt.Fprintf(&all, "mg k%02d v O%02d Pc=read,d=9000\r\n", i, i)
+	}
+	fmt.Fprint(client, all.String())
+	for range begun {
+		w.attemptAt(t, "p1", "mg *")
+	}
+	w.play(t, t.Name(), []string{"program close", "program wait * msg=stopping*"})
+	r := bufio.NewReader(client)
+	for i := range commands {
+		if line, err := r.ReadString('\n'); !strings.HasPrefix(line, "SERVER_ERROR") {
+			t.Fatalf("answer %d is %q, %v", i, line, err)
+		}
+	}
+	w.play(t, t.Name(), []string{"program expect 0"})
+	for _, text := range w.linesOf("p1") {
+		if strings.HasPrefix(text, "mg ") {
+			t.Errorf("%q was sent on when the shutdown had ended", text)
+		}
+	}
+}
+
+// linesOf takes the lines that have come at a server and were not read yet, up to the end of a connection, if one was opened. It is for
+// when the program has ended, and every connection with it.
+func (w *world) linesOf(server string) (lines []string) {
+	for len(w.actors[server].lines) > 0 {
+		lines = append(lines, (<-w.actors[server].lines).text)
+	}
+	return lines
+}
