Keep answers that come from a restarted server, and end requests when answered

`Pool.Update` closed every connection of a server told with a new start, though the connection had been opened to the new process before the list told of it. At the end of a shutdown `conn.writeAnswer` answered as failed, while the request's context went on until its connection had lingered for up to 0.5 s: an attempt that ended by then was followed by another one. `conn.command` ended a connection behind the first command taken after that; commands read with it were dropped.

Change: what is out on a connection that came up after the told start goes on, and a long value that has begun is not cut off by news. A request's own context ends with its answer. All commands that were read are answered; once the shutdown has answered, no command is sent on. A long value whose connection had ended before it was handed over ends its call at once.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -164,18 +164,17 @@
 	c.arm()
 	c.mu.Unlock()
 	for next := c.reader.Next; ; {
-		var last, full, gone bool
-		var taken int
+		var gone bool
+		var got int
+		what := takenPart
 		err := next(func(b []byte) (used int) {
-			defer func() { taken = used }()
-			if gone = c.reader.Gone(); gone { // it came and has left: nothing that it asked for is wanted
-				return 0
-			}
-			for n := -1; n != 0 && !last && !full && c.long == nil && used < len(b); used += n {
-				n, last, full = c.command(ctx, b, used)
+			if gone = c.reader.Gone(); !gone { // else it came and has left: nothing that it asked for is wanted
+				used, what = c.commands(ctx, b)
 			}
+			got = used
 			return used
 		})
+		last, later := what == takenLast, what == takenLater
 		next = c.reader.Next
 		if gone {
 			c.closing(CloseClientLeft, nil)
@@ -191,8 +190,10 @@
 				continue
 			}
 		}
+		// One that is to go and was not silent for that is ended behind what it has asked by now.
+		last = last || got > 0 && !later && c.front.rest() > 0 && c.ending() && c.reader.Unread() == 0
 		c.mu.Lock()
-		if part := c.reader.Unread() > 0 && !full; part != c.part || part && taken > 0 { // another command has begun, or none is left
+		if part := c.reader.Unread() > 0 && !later; part != c.part || part && got > 0 { // another command has begun, or none is left
 			c.part, c.since = part, time.Now()
 		}
 		if c.arm(); errors.Is(err, os.ErrDeadlineExceeded) && (c.out == 0 || c.part) && c.reader.Waiting() {
@@ -212,8 +213,8 @@
 		case err != nil:
 			c.readFailed(err)
 			return false, false
-		case full:
-			if err := c.readAhead(ctx); err != nil {
+		case later:
+			if err := c.awaitAnswer(ctx); err != nil {
 				c.readFailed(err)
 				return false, false
 			}
@@ -222,6 +223,30 @@
 	}
 }
 
+// commands takes the commands at the start of b, and tells what became of the last of them. A long value ends them: it is gathered first.
+func (c *conn) commands(ctx context.Context, b []byte) (used int, what taken) {
+	for what = takenOne; what == takenOne && c.long == nil && used < len(b); {
+		var n int
+		n, what = c.command(ctx, b, used)
+		used += n
+	}
+	return used, what
+}
+
+// awaitAnswer waits until one of a client's commands is answered. Where the connection ends behind them nothing more is read: whatever is
+// has to be answered.
+func (c *conn) awaitAnswer(ctx context.Context) error {
+	if c.front.rest() == 0 || !c.ending() && !c.front.over() {
+		return c.readAhead(ctx)
+	}
+	select {
+	case <-c.freed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // readAhead waits until one of a client's commands is answered, as whoever sends much ahead must. It reads on meanwhile, so that
 // a client which goes is seen to be gone; but only so much is kept that is not yet taken, of one and of all.
 func (c *conn) readAhead(ctx context.Context) (err error) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -94,6 +94,16 @@
 	return err
 }
 
+// over tells whether all that is open has been answered, and whatever comes now is answered at once.
+func (f *Front) over() bool {
+	select {
+	case <-f.last:
+		return true
+	default:
+		return false
+	}
+}
+
 // answerAll has all open requests answered, since the process is about to be killed.
 func (f *Front) answerAll() {
 	f.mu.Lock()
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -25,23 +25,35 @@
 	class  int
 	write  bool
 	answer chan relay.Answer
-	at     time.Time // when it came
+	over   context.CancelFunc // ends the request: no attempt begins for it any more
+	at     time.Time          // when it came
 }
 
-// command takes the command that begins in b at an offset, if it is whole. last tells that nothing more is read, full
-// that the command must wait until another one is answered.
-func (c *conn) command(ctx context.Context, b []byte, offset int) (used int, last, full bool) {
-	closing := c.front.rest() > 0
-	if c.full(readAhead) || closing && c.full(1) {
-		return 0, false, true
+// taken is what became of a command that may stand at the start of what was read.
+type taken uint8
+
+const (
+	takenPart  taken = iota // it has not come whole
+	takenOne                // it is taken, and the next may be
+	takenLast               // it is the last: nothing behind it is read
+	takenLater              // it must wait until another one is answered
+)
+
+// command takes the command that begins in b at an offset, if it is whole.
+func (c *conn) command(ctx context.Context, b []byte, offset int) (used int, what taken) {
+	if c.full(readAhead) || c.front.rest() > 0 && c.full(1) {
+		return 0, takenLater
 	}
 	cmd, n, err := meta.ParseCommand(b[offset:])
 	switch {
+	case err != nil && meta.Fatal(err):
+		c.fault(err.Error())
+		return n, takenLast
 	case err != nil:
 		c.fault(err.Error())
-		return n, meta.Fatal(err) || c.faults >= mostFaults, false
+		return n, c.afterFault()
 	case n == 0:
-		return 0, false, false
+		return 0, takenPart
 	}
 	switch cmd.Verb {
 	case meta.Noop:
@@ -49,30 +61,37 @@
 	case meta.Version:
 		c.put(pendingAnswer{line: "VERSION hoptiller\r\n"})
 	case meta.Quit:
-		return n, true, false
+		return n, takenLast
 	case meta.Unknown:
 		c.fault("ERROR")
 	default:
 		if c.front.crowded() && c.full(1) {
-			return 0, false, true
+			return 0, takenLater
 		}
 		req, fault := c.request(&cmd)
 		switch {
 		case fault != "" && cmd.Long > 0: // what follows is a value
 			c.fault(fault)
-			return n, true, false
+			return n, takenLast
 		case fault != "":
 			c.fault(fault)
 		case cmd.Long > 0:
 			c.long, c.longLen = req, cmd.Long
-			return n, false, false
+			return n, takenOne
 		default:
 			req.Arrived = c.reader.Arrived(offset + n)
 			c.invoke(ctx, req, func() {})
 		}
 	}
-	// One that is to go and was not silent for that is ended behind what it has asked by now.
-	return n, c.faults >= mostFaults || closing && c.ending(), false
+	return n, c.afterFault()
+}
+
+// afterFault tells whether commands are taken from a client that has sent some that make no sense.
+func (c *conn) afterFault() taken {
+	if c.faults >= mostFaults {
+		return takenLast
+	}
+	return takenOne
 }
 
 // here answers whoever asks whether this router wants clients.
@@ -118,13 +137,21 @@
 	return req, ""
 }
 
-// invoke starts a request; over is called once nothing is out for it.
-func (c *conn) invoke(ctx context.Context, req *relay.Request, over func()) {
-	s := pendingAnswer{id: string(req.ID), class: req.Class, write: req.Write, answer: make(chan relay.Answer), at: time.Now()}
+// invoke starts a request; free is called once nothing is out for it.
+func (c *conn) invoke(ctx context.Context, req *relay.Request, free func()) {
 	c.front.Counts.Accepted()
+	if c.front.over() {
+		free()
+		c.front.ended(string(req.ID))
+		c.front.Counts.Finished(req.Class, metrics.Failed)
+		c.put(pendingAnswer{line: string(meta.AppendFailed(nil))})
+		return
+	}
+	ctx, over := context.WithCancel(ctx)
+	s := pendingAnswer{id: string(req.ID), class: req.Class, write: req.Write, answer: make(chan relay.Answer), over: over, at: time.Now()}
 	go func() {
 		a := c.front.Server.Serve(ctx, req)
-		over()
+		free()
 		c.front.ended(s.id)
 		select {
 		case s.answer <- a:
@@ -167,10 +194,12 @@
 	if s.answer == nil {
 		return !broken && c.write([]byte(s.line))
 	}
+	defer s.over()
 	var a relay.Answer
 	select {
 	case a = <-s.answer:
-	case <-c.front.last: // this process ends: the client must hear so before that
+	case <-c.front.last: // this process ends: the client must hear so before that, and nothing may be sent on after that
+		s.over()
 		a.Kind = hoptiller.StepFail
 	case <-ctx.Done():
 		c.leftUnanswered(s.id)
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -98,6 +98,9 @@
 	p.mu.Lock()
 	if b.out.abandoned || b.conn.dead {
 		b.conn.body = nil
+		if !b.out.abandoned {
+			b.out.done <- relay.Result{Status: hoptiller.Cancelled}
+		}
 		p.closeConn(b.conn, hoptiller.Cancelled, CloseWithdrawn)
 		p.mu.Unlock()
 		return false
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -16,7 +16,9 @@
 	net.Conn
 	pool   *Pool
 	server *server
-	host   string // its name
+	host   string    // its name
+	addr   string    // to which it was opened
+	opened time.Time // when it came up
 	reader *buffer.Reader
 	idleAt time.Time
 
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -80,7 +80,7 @@
 		p.observe(s, false)
 	}
 	if d.err = err; err == nil {
-		c := &conn{Conn: nc, pool: p, server: s, host: s.Name, reader: reader, load: 1}
+		c := &conn{Conn: nc, pool: p, server: s, host: s.Name, addr: addr, opened: time.Now(), reader: reader, load: 1}
 		d.conn, s.conns = c, append(s.conns, c)
 		go c.read()
 		if d.left {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -78,16 +78,35 @@
 		p.servers[entry.ID] = s
 	}
 	s.Server = entry
-	if moved { // what is out on connections to a process that is no more will never be answered
-		for _, c := range slices.Clone(s.conns) {
-			p.drop(c, CloseServerMoved)
-		}
+	if moved {
+		p.leaveFormer(s)
 	}
 	if entry.Phase != hoptiller.Ready { // idle connections have no use any more
 		p.closeIdle(s, CloseServerLeaving)
 	}
 }
 
+// leaveFormer ends the connections to a server that runs elsewhere or anew, since what is out at a process that is no more will never be
+// answered. But news of a start come late: a connection may lead to the new process already, and what is out on it goes on. A long value
+// that has begun towards its client is never cut off: if its server is no more, the system says so. p.mu is held.
+func (p *Pool) leaveFormer(s *server) {
+	for _, c := range slices.Clone(s.conns) {
+		switch {
+		case c.load > 0 && s.reachedBy(c.addr, c.opened):
+		case c.body != nil:
+			c.ending = true
+		default:
+			p.drop(c, CloseServerMoved)
+		}
+	}
+}
+
+// reachedBy tells whether a connection that came up to an address at a time leads to the process that is listed now. Both times are
+// wall-clock times, which may have been stepped in between; either mistake costs no more than the calls that are out.
+func (s *server) reachedBy(addr string, opened time.Time) bool {
+	return addr == s.Addr && !opened.Before(time.Unix(0, int64(s.Started)))
+}
+
 // Forget implements relay.Upstream.
 func (p *Pool) Forget(id uint32) bool {
 	p.mu.Lock()
