Look at the client's socket and the clock right before an attempt's first byte

Cause: `upstream.conn.enter`, the last look, asked the request's contexts. They end once a goroutine has read the client's end, or a timer has run. Class: a decision taken by the order in which events are heard, and not by how things stand. Related, by reading: a call whose time is up before its first byte fails its write with nothing written, and its connection was closed with all that others had out on it.

Change: the last look peeks at the client's socket and compares the clock with both times. A write that failed before its first byte, for want of time, leaves the connection to the others.

--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -119,7 +119,7 @@
 
 // request makes one of a command, or tells what is wrong with it.
 func (c *conn) request(cmd *meta.Command) (req *relay.Request, fault string) {
-	req = &relay.Request{Write: cmd.Verb == meta.Set, Client: c.client}
+	req = &relay.Request{Write: cmd.Verb == meta.Set, Client: c.client, Gone: c.reader.Gone}
 	if fault := c.front.facts(req, cmd.Facts); fault != "" {
 		return nil, "CLIENT_ERROR " + fault
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,12 +32,16 @@
 	Wait    time.Duration // that the client waits for the answer, from then on
 
 	Client netip.Addr          // not valid where it is not known
+	Gone   func() bool         // looks whether the client has left, which may not have been heard yet; nil: nobody can tell
 	Narrow hoptiller.Narrowing // what an operator forbids it; nil: nothing
 }
 
 // Deadline is when the client gives up.
 func (req *Request) Deadline() time.Time { return req.Arrived.Add(req.Wait) }
 
+// ClientGone looks whether the client has left. The request's context tells so later: somebody has to hear of it first.
+func (req *Request) ClientGone() bool { return req.Gone != nil && req.Gone() }
+
 // decisionInput is what the module is told of it.
 func (req *Request) decisionInput(id uint32, now time.Time) hoptiller.Request {
 	return hoptiller.Request{
@@ -235,7 +239,7 @@
 		sent := r.now()
 		result := r.call(ctx, l, req, step)
 		now := r.now()
-		if ctx.Err() != nil { // whatever it comes to, no other call follows
+		if ctx.Err() != nil || result.Status == hoptiller.Moot && req.ClientGone() { // whatever it comes to, no other call follows
 			r.core.Gone(now, id)
 		}
 		course.add(req, step.Server, result.Status, now-sent)
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"slices"
 	"time"
 
@@ -31,7 +32,7 @@
 	head, tail := p.proto.Append(free, attempt)
 	c.SetWriteDeadline(by)
 	stop := context.AfterFunc(ctx, func() { c.SetWriteDeadline(time.Unix(1, 0)) })
-	err := c.put(head, out.req, tail)
+	written, err := c.put(head, out.req, tail)
 	c.stopped(stop())
 	if err == nil {
 		if p.set.Called != nil {
@@ -42,7 +43,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.calls = slices.DeleteFunc(c.calls, func(o *call) bool { return o == out })
-	p.drop(c, CloseWriteFailed) // half a call is on it
+	if written == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.leave() // what others have out on it goes on
+	} else {
+		p.drop(c, CloseWriteFailed) // half a call is on it
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return false, hoptiller.Moot
 	}
@@ -56,6 +61,7 @@
 // connection can still carry it; else another may. Of one that is queued it says how much time is left.
 func (c *conn) enter(begin, ctx context.Context, out *call) (left time.Duration, again bool, status hoptiller.Status) {
 	p := c.pool
+	gone := out.req.ClientGone()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	left = timeLeft(ctx)
@@ -66,6 +72,9 @@
 	case begin.Err() != nil:
 		c.leave()
 		return 0, false, notBegun(begin)
+	case gone || over(begin):
+		c.leave()
+		return 0, false, hoptiller.Moot
 	case c.server.Phase != hoptiller.Ready || left < leastLeft:
 		c.leave()
 		return 0, false, hoptiller.Moot
@@ -79,6 +88,12 @@
 	return left, false, hoptiller.OK
 }
 
+// over tells whether a context's time is up by the clock. Its timer may not have run yet, where the process stood still.
+func over(ctx context.Context) bool {
+	end, known := ctx.Deadline()
+	return known && !time.Now().Before(end)
+}
+
 // stopped is told whether the call's end can no longer cut off what is written. Where it may, nothing more is to be.
 func (c *conn) stopped(stopped bool) {
 	if stopped {
@@ -91,11 +106,11 @@
 	}
 }
 
-// put writes a call with its value.
-func (c *conn) put(head []byte, req *relay.Request, tail string) error {
+// put writes a call with its value, and tells how many bytes of it were written.
+func (c *conn) put(head []byte, req *relay.Request, tail string) (written int64, err error) {
 	if !req.Write {
-		_, err := c.Write(head)
-		return err
+		n, err := c.Write(head)
+		return int64(n), err
 	}
 	parts := net.Buffers{head, req.Value}
 	if req.Long != nil {
@@ -104,8 +119,7 @@
 	if tail != "" {
 		parts = append(parts, []byte(tail))
 	}
-	_, err := parts.WriteTo(c.Conn)
-	return err
+	return parts.WriteTo(c.Conn)
 }
 
 // leave takes a call off the connection's count. p.mu is held.
