--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test fuzz drills scale lint run
+.PHONY: build test fuzz drills soak scale lint run
 
 # Drills that every change has to pass, under three minutes.
 DRILLS = $(addprefix lab/drills/,view-one-way.toml view-restarted.toml view-all-restarted.toml view-killed.toml view-left.toml \
@@ -26,6 +26,10 @@
 drills: build
 	bin/hoplab drill --at-once 3 $(DRILLS)
 
+# Drawn days in which several kinds of trouble meet, under a minute. More by hand: bin/hoplab soak --seeds 50 --at-once 6
+soak: build
+	bin/hoplab soak --seeds 4 --at-once 4
+
 # A fleet of 30 routers, four of them processes, under a minute.
 scale: build
 	bin/hoplab scale lab/scale/short.toml --quiet
--- a/cmd/hoplab/main.go
+++ b/cmd/hoplab/main.go
@@ -24,6 +24,7 @@
 	Hunt    huntCmd    `cmd:"" help:"Draw random days until one breaks a rule or a rival does better."`
 	Story   storyCmd   `cmd:"" help:"Play one run again and tell the course of one request."`
 	Drill   drillCmd   `cmd:"" help:"Start several routers, put faults on them and between them, and hold what comes of it against claims."`
+	Soak    soakCmd    `cmd:"" help:"Play drawn days in which several kinds of trouble meet, and tell which break a rule."`
 	Scale   scaleCmd   `cmd:"" help:"Run fleets of up to 1,000 routers, most of them hollow, and measure what their control costs."`
 	View    viewCmd    `cmd:"" help:"Measure the view of the fleet in virtual time, or search through all orders of events."`
 	Permits permitsCmd `cmd:"" help:"Search for an order of events in which more go out by permit than may."`
--- a/internal/lab/drill/file.go
+++ b/internal/lab/drill/file.go
@@ -59,6 +59,9 @@
 	Jitter unit.Duration `toml:"jitter,omitempty"` // up to so much more delay
 	Cut    bool          `toml:"cut,omitempty"`    // all are lost
 
+	Signals []string `toml:"signals,omitempty"` // restart and reload: what the process is sent, one after another: hup and term
+	Crowd   int      `toml:"crowd,omitempty"`   // crowd: idle connections
+
 	Path string `toml:"path,omitempty"` // call: what operators post to each router
 
 	Do   string `toml:"do,omitempty"`   // release: start, resume, back or halt
@@ -76,6 +79,10 @@
 	{"pause", "processes stand still (SIGSTOP) and go on after for"},
 	{"kill", "processes are killed and started anew after for"},
 	{"term", "processes are asked to end (SIGTERM), and started anew after for"},
+	{"restart", "processes get signals that end with SIGTERM, are killed as early as the platform does, and are started anew after for"},
+	{"reload", "processes get signals (SIGHUP), one after another"},
+	{"interrupt", "processes are held up for up to 150 ms, again and again"},
+	{"crowd", "idle connections come to the routers and stay"},
 	{"call", "operators post to path of each router, once; {cache 2} stands for the name of the third slot cache"},
 	{"release", "the router's program is run to start, resume, halt or take back the release of the file's plan"},
 	{"driver", "the process that drives the release is killed (SIGKILL), or stands still for"},
@@ -193,11 +200,17 @@
 	case !grams && (len(s.To) > 0 || s.Both || s.Drop+s.Double+s.Spoil+s.Late > 0 || s.Jitter > 0 || s.Cut):
 		return "kind", "to, both, drop, double, spoil, late, jitter and cut are for datagrams"
 	case !tcp && (s.Stall || s.Refuse || s.After > 0 || s.Rate > 0):
-		return "kind", "stall, refuse, after and rate are for TCP: " + names(stepKinds[7:])
+		return "kind", "stall, refuse, after and rate are for TCP: " + names(stepKinds[len(stepKinds)-4:])
 	case (s.Kind == "call") != (s.Path != "") || s.Path != "" && (s.Path[0] != '/' || s.For > 0):
 		return "path", "call wants a path that begins with /, and no time; no other step has a path"
 	case (s.Kind == "release") != (s.Do != "") || s.Do != "" && (day == nil || !slices.Contains([]string{"start", "resume", "back", "halt"}, s.Do)):
 		return "do", "release wants do to be start, resume, back or halt, and no other step has it"
+	case (s.Kind == "restart" || s.Kind == "reload") != (len(s.Signals) > 0) || !s.endsBy("term") && s.Kind == "restart" || s.Kind == "reload" && s.endsBy("term"):
+		return "signals", "restart wants signals with a term among them, reload some without, and no other step has them"
+	case slices.ContainsFunc(s.Signals, func(name string) bool { return name != "hup" && name != "term" }):
+		return "signals", "hup and term are possible signals"
+	case (s.Kind == "crowd") != (s.Crowd > 0) || s.Crowd > 10000:
+		return "crowd", "crowd wants a number of connections from 1 to 10000, and no other step has one"
 	case !tcp && !grams && s.Delay > 0:
 		return "delay", "delay is for ways"
 	case s.After < 0 || s.Rate < 0:
@@ -218,6 +231,9 @@
 	return "", ""
 }
 
+// endsBy tells whether a signal is among those that a step sends.
+func (s *Step) endsBy(name string) bool { return slices.Contains(s.Signals, name) }
+
 func unknown(routers []int, day *model.Day) string {
 	for _, i := range routers {
 		if i < 0 || i >= day.Routers {
--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -69,6 +69,7 @@
 	started []*os.Process // all
 	ways    map[wayKey][]*faultproxy.StreamProxy
 	state   map[wayKey]faultproxy.StreamFaults // that new ways begin with
+	crowds  map[int]func()                     // by router: ends its crowd
 	hand    standin.Control
 }
 
@@ -87,7 +88,7 @@
 func Play(ctx context.Context, f *File, opt Options) (*Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p := &player{f: f, timeline: &Timeline{}, ways: map[wayKey][]*faultproxy.StreamProxy{}, state: map[wayKey]faultproxy.StreamFaults{}}
+	p := &player{f: f, timeline: &Timeline{}, ways: map[wayKey][]*faultproxy.StreamProxy{}, state: map[wayKey]faultproxy.StreamFaults{}, crowds: map[int]func(){}}
 	defer p.close()
 	if err := p.files(); err != nil {
 		return nil, err
@@ -267,6 +268,18 @@
 		default:
 			hand.Signal(i, syscall.SIGTERM)
 		}
+	case "restart":
+		p.restart(i, s, on, hand)
+	case "reload":
+		if on {
+			p.signals(i, s.Signals, hand)
+		}
+	case "interrupt":
+		if on {
+			p.interrupt(i, s, hand)
+		}
+	case "crowd":
+		p.crowd(i, s, on, hand)
 	case "call":
 		if on {
 			go p.post(i, place(s.Path, hand.Cache))
--- /dev/null
+++ b/internal/lab/drill/soak_test.go
@@ -0,0 +1,31 @@
+package drill
+
+import (
+	"bytes"
+	"testing"
+)
+
+// A seed gives the same day each time, each day can be written as a file and read again, and no process is stopped twice at once.
+func TestSoakDays(t *testing.T) {
+	for seed := range uint64(300) {
+		f := Soak(seed)
+		text, err := Text(f)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		again, err := Text(Soak(seed))
+		if err != nil || !bytes.Equal(text, again) {
+			t.Fatalf("seed %d gives two days, %v", seed, err)
+		}
+		if _, err := Parse("soak.toml", text); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+		for i, s := range f.Steps {
+			for _, o := range f.Steps[:i] {
+				if stops(s) && stops(o) && s.Routers[0] == o.Routers[0] && s.At.D() < o.At.D()+o.For.D() && o.At.D() < s.At.D()+s.For.D() {
+					t.Errorf("seed %d: router %d is stopped at %v and at %v", seed, s.Routers[0], o.At, s.At)
+				}
+			}
+		}
+	}
+}
--- a/internal/lab/model/day.go
+++ b/internal/lab/model/day.go
@@ -103,6 +103,7 @@
 	Offset   float64       `toml:"offset"`
 	Drift    float64       `toml:"drift"`     // of the keys that change places in a second
 	Sizes    float64       `toml:"sizes"`     // sigma of objects' sizes
+	Bytes    int           `toml:"bytes"`     // of a value on sockets, in the mean
 	SizeWork float64       `toml:"size_work"` // part of a read's work that goes with the size of its object
 	ZoneSkew float64       `toml:"zone_skew"`
 	Tenants  int           `toml:"tenants"`
@@ -130,6 +131,7 @@
 	Honour   float64       `toml:"honour"`    // part that comes back when told to
 	MostWait unit.Duration `toml:"most_wait"` // that is honoured
 	Notice   unit.Duration `toml:"notice"`    // until the front sends nobody to a dead router
+	Leave    float64       `toml:"leave"`     // part that closes its connection before the answer, on sockets
 }
 
 // Rules are the figures that must be kept.
@@ -166,7 +168,7 @@
 		Net: Net{Same: unit.Duration(200 * time.Microsecond), Cross: ms(8), Client: unit.Duration(700 * time.Microsecond),
 			Jitter: 0.2, Resend: ms(200), Peer: ms(15), PeerLoss: 0.01},
 		Load: Load{Level: 0.5, Shape: "wave", Swing: 0.25, Period: ms(20000), Keys: 60, Zipf: 1, Offset: 3, Drift: 0.005,
-			Sizes: 0.6, SizeWork: 0.3, ZoneSkew: 0.3, Tenants: 1},
+			Sizes: 0.6, Bytes: 200, SizeWork: 0.3, ZoneSkew: 0.3, Tenants: 1},
 		Classes: []Class{
 			{Name: "slot-view", Share: 0.963, Work: ms(130), Aim: ms(1200), Deadline: ms(4000), Worth: 1, Effect: "safe"},
 			{Name: "book", Share: 0.024, Work: ms(200), Aim: ms(1500), Deadline: ms(5000), Worth: 3, Effect: "unsafe", Write: true},
@@ -200,9 +202,9 @@
 		{"net.jitter", d.Net.Jitter, 0, 1}, {"net.loss", d.Net.Loss, 0, 0.9}, {"net.peer_loss", d.Net.PeerLoss, 0, 1},
 		{"load.level", d.Load.Level, 0, 10}, {"load.swing", d.Load.Swing, 0, 1}, {"load.keys", float64(d.Load.Keys), 1, 1e5},
 		{"load.zipf", d.Load.Zipf, 0, 3}, {"load.offset", d.Load.Offset, 0, 1e6}, {"load.drift", d.Load.Drift, 0, 1},
-		{"load.sizes", d.Load.Sizes, 0, 3}, {"load.size_work", d.Load.SizeWork, 0, 1}, {"load.zone_skew", d.Load.ZoneSkew, 0, 1},
+		{"load.sizes", d.Load.Sizes, 0, 3}, {"load.bytes", float64(d.Load.Bytes), 1, 1 << 20}, {"load.size_work", d.Load.SizeWork, 0, 1}, {"load.zone_skew", d.Load.ZoneSkew, 0, 1},
 		{"load.tenants", float64(d.Load.Tenants), 1, 1e5}, {"load.period", d.Load.Period.Seconds(), 0.1, 86400},
-		{"clients.retries", float64(d.Clients.Retries), 0, 10}, {"clients.honour", d.Clients.Honour, 0, 1},
+		{"clients.retries", float64(d.Clients.Retries), 0, 10}, {"clients.honour", d.Clients.Honour, 0, 1}, {"clients.leave", d.Clients.Leave, 0, 1},
 		{"clients.try", d.Clients.Try[0], 0.01, d.Clients.Try[1]}, {"clients.try", d.Clients.Try[1], 0.01, 1},
 		{"rules.attempts", float64(d.Rules.Attempts), 1, 100}, {"rules.overload", d.Rules.Overload, 0.1, 100},
 		{"rules.fall", d.Rules.Fall.Seconds(), 0.01, 60},
--- /dev/null
+++ b/internal/lab/rules/after.go
@@ -0,0 +1,36 @@
+package rules
+
+import "time"
+
+const (
+	leaveSlack = 100 * time.Millisecond // after its client's close in which an attempt may begin
+	seenLater  = 5 * time.Millisecond   // at the most, on loopback, beside the lag that is measured
+)
+
+// Ending is how a request ended for its client.
+type Ending struct {
+	At   time.Duration // when the client had its answer, or closed its connection
+	Left bool          // it closed its connection before an answer was there
+
+	heldBack time.Duration // how long the router's calls had been held back by then
+}
+
+// Ends notes the end of a request of a router's client, for Begun.
+func (c *Checker) Ends(now time.Duration, router int, left bool) Ending {
+	return Ending{At: now, Left: left, heldBack: c.obstacles[router].heldBack.read(now)}
+}
+
+// Begun tells of an attempt whose first byte has come to a server at a time when its request had ended. What relays have held back since
+// then tells nothing of when the router sent it.
+func (c *Checker) Begun(at time.Duration, router int, id uint32, ending Ending) {
+	if c.obstacles[router].heldBack.read(at) > ending.heldBack {
+		return
+	}
+	late := at - ending.At - c.Lag - seenLater
+	switch {
+	case ending.Left && late > leaveSlack:
+		c.breach(OneAnswer, at, router, id, "an attempt begins %v after the client has left", at-ending.At)
+	case !ending.Left && late > 0:
+		c.breach(OneAnswer, at, router, id, "an attempt begins %v after the client has its answer", at-ending.At)
+	}
+}
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -63,10 +63,10 @@
 		return
 	}
 	e.Check.Unanswered(e.World.Now(), n.index, r.number)
-	e.over(r)
 	if r.conn != nil {
 		r.conn.c.Close()
 	}
+	e.ends(r, true)
 }
 
 // ask carries one request to its end.
@@ -81,7 +81,7 @@
 			}
 			return
 		}
-		e.over(r)
+		e.ends(r, err != nil)
 		if err != nil {
 			f = model.Lost
 			if errors.Is(err, errNoRoute) {
@@ -115,9 +115,9 @@
 		return f, after, err
 	}
 	n.e.mu.Lock()
-	killed := r.life != n.life
+	killed, sentOn := r.life != n.life, r.calls > 0
 	n.e.mu.Unlock()
-	if killed {
+	if killed || sentOn { // one that a server has seen was taken, whatever became of its connection
 		return f, after, err
 	}
 	return n.exchange(r, nil)
@@ -158,6 +158,9 @@
 	if _, err := io.WriteString(c.c, command); err != nil {
 		return 0, 0, err
 	}
+	if after, leaves := n.e.leavesAfter(r, left); leaves {
+		defer time.AfterFunc(after, func() { n.leave(r) }).Stop()
+	}
 	n.e.mu.Lock()
 	n.e.Check.WrittenLate(n.index, r.number, time.Since(counted))
 	n.e.mu.Unlock()
@@ -176,7 +179,7 @@
 		if _, err := io.ReadFull(c.r, b); err != nil {
 			return 0, 0, err
 		}
-		if string(b[:size]) != value(r.id, op.Size) {
+		if string(b[:size]) != value(r.id, n.e.day.Load.Bytes, op.Size) {
 			return 0, 0, errors.New("a value that was not made for this request")
 		}
 		return model.Value, 0, nil
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -76,6 +76,12 @@
 type Control interface {
 	Signal(router int, s os.Signal)
 	Kill(router int)
+	// Interrupt holds a process up for a short while, as a machine that is short of cores does; no rule makes allowance for it.
+	Interrupt(router int, span time.Duration)
+	// KillTerminated kills a process that was asked to end and has not: what it has not answered is lost.
+	KillTerminated(router int)
+	// Crowd opens connections to a router on which nothing is said, until release is called.
+	Crowd(router, connections int) (release func())
 	Start(router int)
 	// Replace asks a router's process to end and starts another one, of a variant, once it has; done is called then, and told what
 	// went wrong.
@@ -110,6 +116,7 @@
 	tally.Judge
 	nodes   []*node
 	tries   map[string]*request     // by id, of requests that are open
+	ended   map[string]endedRequest // by id, of those that are over
 	byTry   map[*model.Try]*request // and by what they are for
 	nextID  uint64
 	closing bool
@@ -134,7 +141,7 @@
 // Run plays a day, which must have passed Check, and then ends all that it has started.
 func Run(ctx context.Context, day *model.Day, opt Options) (*tally.Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	e := &Engine{opt: opt, day: day, ctx: ctx, wake: make(chan struct{}, 1), tries: map[string]*request{}, byTry: map[*model.Try]*request{},
+	e := &Engine{opt: opt, day: day, ctx: ctx, wake: make(chan struct{}, 1), tries: map[string]*request{}, ended: map[string]endedRequest{}, byTry: map[*model.Try]*request{},
 		closers: map[io.Closer]bool{}, begun: time.Now()}
 	judged := *day
 	judged.Rules.Drain += unit.Duration(slack)
@@ -343,9 +350,12 @@
 	return r
 }
 
-// value is what is answered to one request, and to no other.
-func value(id string, size float64) string {
-	n := max(len(id), min(60000, int(200*size)))
+// mostValue bounds the bytes of a value: a few times what routers hold whole.
+const mostValue = 256 << 10
+
+// value is what is answered to one request, and to no other, for an object of a size where the mean value has so many bytes.
+func value(id string, bytes int, size float64) string {
+	n := max(len(id), min(mostValue, int(float64(bytes)*size)))
 	b := make([]byte, n)
 	for i := range b {
 		b[i] = id[i%len(id)]
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -190,6 +190,7 @@
 			e.Check.Taken(e.World.Now(), l.n.index, r.number, r.try.Op.Class, e.World.Now()+time.Hour)
 		}
 		if r == nil { // its client has gone, and with it what is known of the request
+			l.begunAfterEnd(a)
 			if l.calls[l.last] != nil {
 				l.gone[l.last]++
 			} else {
@@ -300,7 +301,7 @@
 	if r == nil {
 		return
 	}
-	text := value(r.id, call.Try.Op.Size)
+	text := value(r.id, l.n.e.day.Load.Bytes, call.Try.Op.Size)
 	if call.Try.Op.Write {
 		text = "r" + r.id
 	}
--- a/internal/lab/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -163,7 +163,7 @@
 
 // A value is its request's own.
 func TestValue(t *testing.T) {
-	if value("aa", 1) == value("ab", 1) || len(value("aa", 0.01)) < 2 || len(value("aa", 1e9)) > 64<<10 {
+	if value("aa", 200, 1) == value("ab", 200, 1) || len(value("aa", 200, 0.001)) < 2 || len(value("aa", 200, 1e9)) > mostValue {
 		t.Error("values are alike, too short or too long")
 	}
 }
--- a/internal/lab/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -1,10 +1,13 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"syscall"
+	"time"
 
 	"hoptiller"
 	"hoptiller/internal/config"
@@ -36,6 +39,40 @@
 	s.nodes[i].life++
 }
 
+// Interrupt implements Control.
+func (s *steward) Interrupt(i int, span time.Duration) {
+	n := s.nodes[i]
+	process := n.process.Load()
+	if process == nil || process.Signal(syscall.SIGSTOP) != nil {
+		return
+	}
+	time.AfterFunc(span, func() { process.Signal(syscall.SIGCONT) })
+}
+
+// KillTerminated implements Control.
+func (s *steward) KillTerminated(i int) { s.nodes[i].signal(syscall.SIGKILL) }
+
+// Crowd implements Control.
+func (s *steward) Crowd(i, connections int) (release func()) {
+	e, n := (*Engine)(s), s.nodes[i]
+	ctx, cancel := context.WithCancel(e.ctx)
+	e.goes(func() {
+		var open []net.Conn
+		for range connections {
+			c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", n.addr)
+			if err != nil {
+				break
+			}
+			open = append(open, c)
+		}
+		<-ctx.Done()
+		for _, c := range open {
+			c.Close()
+		}
+	})
+	return cancel
+}
+
 // Signal implements Control.
 func (s *steward) Signal(i int, sig os.Signal) {
 	s.nodes[i].signal(sig)
