Leave requests that cross the end of a connection unread, and hold routers to it

When a connection ends, `conn.serve` shut its sending and then read and dropped what came, so that the last answer would not be lost by a reset. A request that comes between the last look and the shutdown was read that way.

Change: it waits for the client's end with a peek, and what comes stays with the system, so that its client may ask again elsewhere. The lab takes a connection that a router ends without a byte of the answer, though the request had been sent on, for a broken rule.

--- /dev/null
+++ b/internal/buffer/awaitend_test.go
@@ -0,0 +1,48 @@
+package buffer
+
+import (
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"hoptiller/internal/testprog"
+)
+
+// Whoever waits for the other side's end reads nothing of what comes before it, and is told of the end where nothing does.
+func TestAwaitEndReadsNothing(t *testing.T) {
+	for name, sent := range map[string]string{"silent": "", "speaks": "hello"} {
+		t.Run(name, func(t *testing.T) {
+			l := testprog.Listen(t)
+			peer, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Close()
+			conn, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			r, err := NewReader(conn)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := peer.Write([]byte(sent)); err != nil {
+				t.Fatal(err)
+			}
+			peer.(*net.TCPConn).CloseWrite()
+			conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			if err := r.AwaitEnd(); sent == "" && err != nil || sent != "" && !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("the wait ends with %v", err)
+			}
+			conn.SetReadDeadline(time.Now().Add(testprog.Patience))
+			got := ""
+			r.Next(func(b []byte) int { got = string(b); return len(b) })
+			if got != sent {
+				t.Errorf("%q is left of %q", got, sent)
+			}
+		})
+	}
+}
--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -109,6 +109,16 @@
 	return n, err
 }
 
+// AwaitEnd waits until the other side has ended or broken the connection, or its read deadline has passed. Nothing is read: what comes
+// meanwhile stays with the system, and an end that lies behind it is not seen.
+func (r *Reader) AwaitEnd() error {
+	return r.raw.Read(func(fd uintptr) (ended bool) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+}
+
 // Next waits for more and hands over all that has come and was not taken. take tells how much it has used
 // up, and must not keep it. What it leaves is handed over again, with more behind it. The error is that
 // of the connection: io.EOF at its end, and io.ErrShortBuffer if too much is left.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -23,7 +23,6 @@
 	closeTimeout = 500 * time.Millisecond  // for a client to close its side
 	mostAhead    = 2 << 20                 // bytes of all clients together that wait behind their commands
 	mostAheadOne = 64 << 10                // and of one
-	mostUnread   = 256 << 10               // bytes of a client that was told off, skipped while it closes
 )
 
 // conn is one client connection.
@@ -140,13 +139,10 @@
 		// To close with something unread, or before something comes that is on its way, resets the connection, and the last
 		// answer may be lost with it. Where there was none the place is needed: a client that says nothing does not close its
 		// side either.
+		// A request that crosses the end must not be read: its client may ask again elsewhere only because it was not.
 		tcp.CloseWrite()
 		c.SetReadDeadline(time.Now().Add(closeTimeout))
-		for skipped := 0; skipped < mostUnread; {
-			if c.reader.Next(func(b []byte) int { skipped += len(b); return len(b) }) != nil {
-				break
-			}
-		}
+		c.reader.AwaitEnd()
 	}
 }
 
--- a/internal/lab/rules/after.go
+++ b/internal/lab/rules/after.go
@@ -20,6 +20,11 @@
 	return Ending{At: now, Left: left, heldBack: c.obstacles[router].heldBack.read(now)}
 }
 
+// Dropped tells that a router has ended a client's connection without a byte of the answer to a request that it had sent on.
+func (c *Checker) Dropped(now time.Duration, router int, id uint32) {
+	c.breach(OneAnswer, now, router, id, "its connection is ended without an answer, though it was sent on")
+}
+
 // Begun tells of an attempt whose first byte has come to a server at a time when its request had ended. What relays have held back since
 // then tells nothing of when the router sent it.
 func (c *Checker) Begun(at time.Duration, router int, id uint32, ending Ending) {
--- a/internal/lab/rules/after_test.go
+++ b/internal/lab/rules/after_test.go
@@ -42,3 +42,13 @@
 		})
 	}
 }
+
+// A connection that a router ends without an answer to what it had sent on breaks the rule, once for each.
+func TestDropped(t *testing.T) {
+	day := model.Prairie()
+	checker := New(&day)
+	checker.Dropped(time.Second, 0, 1)
+	if checker.Count != 1 || checker.Found[0].Rule != OneAnswer {
+		t.Errorf("%d rules broken: %v", checker.Count, checker.Found)
+	}
+}
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -88,6 +88,9 @@
 				f = model.NoRoute
 				e.Check.Left(n.index, r.number)
 			}
+			if errors.Is(err, errNoAnswer) && r.life == n.life && r.calls > 0 {
+				e.Check.Dropped(e.World.Now(), n.index, r.number)
+			}
 			e.Check.Unanswered(e.World.Now(), n.index, r.number) // what it had taken before it was killed the rules have forgotten
 			if r.conn != nil {
 				r.conn.c.Close()
@@ -123,7 +126,10 @@
 	return n.exchange(r, nil)
 }
 
-var errNoRoute = errors.New("no router there")
+var (
+	errNoRoute  = errors.New("no router there")
+	errNoAnswer = errors.New("the connection ended without an answer")
+)
 
 // exchange writes a request and reads its answer, on an open connection or a new one.
 func (n *node) exchange(r *request, c *client) (f model.Final, after time.Duration, err error) {
@@ -165,6 +171,9 @@
 	n.e.Check.WrittenLate(n.index, r.number, time.Since(counted))
 	n.e.mu.Unlock()
 	line, err := c.r.ReadString('\n')
+	if err != nil && line == "" {
+		return 0, 0, errors.Join(errNoAnswer, err)
+	}
 	if err != nil {
 		return 0, 0, err
 	}
