--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -76,7 +76,8 @@
 type Control interface {
 	Signal(router int, s os.Signal)
 	Kill(router int)
-	// Interrupt holds a process up for a short while, as a machine that is short of cores does; no rule makes allowance for it.
+	// Interrupt holds a process up for a short while, as a machine that is short of cores does. What comes late by that is allowed for, and
+	// nothing else is: what it does when it goes on has to be right.
 	Interrupt(router int, span time.Duration)
 	// KillTerminated kills a process that was asked to end and has not: what it has not answered is lost.
 	KillTerminated(router int)
--- a/internal/lab/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -39,14 +39,21 @@
 	s.nodes[i].life++
 }
 
-// Interrupt implements Control.
+// Interrupt implements Control. It may be called at any time.
 func (s *steward) Interrupt(i int, span time.Duration) {
 	n := s.nodes[i]
 	process := n.process.Load()
 	if process == nil || process.Signal(syscall.SIGSTOP) != nil {
 		return
 	}
-	time.AfterFunc(span, func() { process.Signal(syscall.SIGCONT) })
+	e := (*Engine)(s)
+	paused := func(on bool) { e.do(func() { e.Check.Paused(e.World.Now(), i, on) }) }
+	go func() { // whoever calls may hold e.mu
+		paused(true)
+		pause(e.ctx, span)
+		process.Signal(syscall.SIGCONT)
+		paused(false)
+	}()
 }
 
 // KillTerminated implements Control.
