Tell each router first what it misses, so that no living router's drain is taken over

Cause: an answer holds 160 of the notes, those that were sent least to anybody. A renewal that all but one router have is sent often, so it stands behind all newer ones for the one that misses it as well, for 1.1 s and 1.3 s in the two takeovers that a trace shows; 1.4 s after a renewal that was missed the next router takes over. Map order only decided which note it was. Ruled out by the trace: a late permit (8.62 s were held), lost datagrams (there are none).

Change: an answer begins with what its asker has not been told from there, the answerer's own notes and the latest ones first. A router that has had no renewal when 6 s are left asks the keeper itself. Datagrams are as they were.

--- a/internal/fleet/notes/keeper.go
+++ b/internal/fleet/notes/keeper.go
@@ -13,6 +13,8 @@
 // router goes on with the permit: the first after the owner that is there, or the owner itself in its next life.
 const (
 	takeOverAt = 5 * time.Second // of its lease left; a renewal is due when two thirds are left
+	overdueAt  = 6 * time.Second // of its lease left: its owner is asked whether it has been renewed
+	askPause   = 60 * time.Millisecond
 	inTurn     = 100 * time.Millisecond
 	oneMore    = 1 << 16 // of epochs, and of a permit's asks
 )
@@ -41,6 +43,7 @@
 	Store
 	agent *permit.Agent
 	kept  map[Key]*kept
+	asked time.Duration // when an owner was last asked for a renewal
 }
 
 // NewKeeper makes the keeper of a router whose process has started now.
@@ -161,9 +164,31 @@
 	for key, own := range k.kept {
 		k.keep(now, key, own)
 	}
+	k.askForRenewal(now)
 	k.takeOverSome(now)
 }
 
+// askForRenewal asks an owner of notes whose renewals should have come by now. While many notes are renewed each answer holds but a
+// part of them, and one that has missed here is no sign that its owner is gone.
+func (k *Keeper) askForRenewal(now time.Duration) {
+	if now-k.asked < askPause {
+		return
+	}
+	var owners []uint16
+	for key, h := range k.notes {
+		if k.kept[key] == nil && !h.Off && int(h.Owner) != k.self && now < h.until && h.until-now <= overdueAt {
+			owners = append(owners, h.Owner)
+		}
+	}
+	if len(owners) == 0 {
+		return
+	}
+	slices.Sort(owners)
+	owners = slices.Compact(owners)
+	k.asked = now
+	k.ask(now, int(owners[k.chance()%uint64(len(owners))]))
+}
+
 // keep goes on with a note of this router's.
 func (k *Keeper) keep(now time.Duration, key Key, own *kept) {
 	known, _, told := k.Get(now, key)
--- a/internal/fleet/notes/many_test.go
+++ b/internal/fleet/notes/many_test.go
@@ -73,3 +73,46 @@
 		t.Errorf("%d are left, their sum is %x", len(s.notes), s.sum)
 	}
 }
+
+// takenOver are the notes of which some router says that another one than was asked keeps them.
+func (f *fleet) takenOver() (all []Note) {
+	for _, r := range f.routers {
+		for _, n := range r.keeper.All(f.clock(r)) {
+			if n.Epoch%oneMore != 0 {
+				all = append(all, n)
+			}
+		}
+	}
+	return all
+}
+
+// No note is taken over from a router that is there while renewals come faster than one answer can tell them: asked of one router or of
+// all, with datagrams lost, in fleets in which two routers seldom ask each other.
+func TestRenewalsAreNotStarved(t *testing.T) {
+	const caches, over = 1024, 20 * time.Second
+	for _, c := range []struct {
+		name           string
+		routers, asked int
+		loss           float64
+	}{
+		{"asked of one", 5, 1, 0},
+		{"asked of all", 5, 5, 0},
+		{"with datagrams lost", 5, 3, 0.05},
+		{"among twenty", 20, 3, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(c.routers, 1, permit.Bound{Number: caches}, caches)
+			f.loss = c.loss
+			for i := range caches {
+				must(t, f.ask(i%c.asked, uint32(100+i), time.Hour))
+			}
+			f.run(over)
+			if !f.knowAll(caches) {
+				t.Errorf("not all are out after %v", over)
+			}
+			if taken := f.takenOver(); len(taken) > 0 {
+				t.Errorf("%d notes are taken over, slot cache %d by router %d", len(taken), taken[0].ID, taken[0].Owner)
+			}
+		})
+	}
+}
--- a/internal/fleet/notes/notes.go
+++ b/internal/fleet/notes/notes.go
@@ -75,7 +75,9 @@
 	until time.Duration // it is believed
 	ends  time.Duration
 	print uint64 // its part in the sum
-	sent  int    // in how many answers
+	taken time.Duration
+	sent  int       // in how many answers
+	told  routerSet // routers to which an answer has been sent with it
 }
 
 const (
@@ -92,7 +94,7 @@
 	pullPause = pullTime / (mostPulls / 2)
 
 	// mostReplies bounds the datagrams of one answer. A slot cache's note takes a fifth of one, so that up to 160 drains are told
-	// whole; of more those are told that have been told least, which the next answers go on from.
+	// whole; of more those come first that the asker has not been told, and the next answers go on from there.
 	mostReplies = 32
 )
 
@@ -188,7 +190,7 @@
 	if len(s.notes) == 0 || until < s.expires {
 		s.expires = until
 	}
-	h := &held{Note: n, until: until, ends: now + n.Ends, print: fingerprint(&n)}
+	h := &held{Note: n, until: until, ends: now + n.Ends, print: fingerprint(&n), taken: now}
 	s.notes[n.Key] = h
 	s.sum ^= h.print
 }
@@ -247,11 +249,20 @@
 
 func (s *Store) pull(now time.Duration, from int) {
 	many := len(s.pulls) >= mostPulls/2
-	if from == s.self || len(s.pulls) >= mostPulls || many && now-s.pulled < pullPause {
+	if from == s.self || many && now-s.pulled < pullPause {
+		return
+	}
+	s.pulled = now
+	s.ask(now, from)
+}
+
+// ask sends a pull, if not too many are open.
+func (s *Store) ask(now time.Duration, from int) {
+	if len(s.pulls) >= mostPulls {
 		return
 	}
 	number := uint32(s.chance())
-	s.pulls[number], s.pulled = now, now
+	s.pulls[number] = now
 	s.out = append(s.out, Datagram{from, appendPull(uint16(s.self), uint16(from), number, s.sum)})
 }
 
