Tell how calls came that the lab holds to be two at once, or too late

Neither text tells the router's fault from the machine's: a router that is held up between its last look and its write, a relay or a stand-in that reads late, a connection that was accepted late.

No check moves.

--- a/internal/lab/rules/after_test.go
+++ b/internal/lab/rules/after_test.go
@@ -35,7 +35,7 @@
 				checker.HeldBack(end, 0, true)
 			}
 			checker.Lag = c.lag
-			checker.Begun(end+c.after, 0, 1, ending)
+			checker.Begun(end+c.after, 0, 1, 3, ending)
 			if checker.Count != c.broken {
 				t.Errorf("%d rules broken: %v", checker.Count, checker.Found)
 			}
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -210,9 +210,21 @@
 	c.forget(router, id, q)
 }
 
-// Together tells that two calls of a request were out at once.
-func (c *Checker) Together(now time.Duration, router int, id uint32, first, second int) {
-	c.breach(OneCall, now, router, id, "calls %d and %d are out at once", first, second)
+// Together tells that two calls of a request were out at once, and how each came.
+func (c *Checker) Together(now time.Duration, router int, id uint32, first, second *Came) {
+	c.breach(OneCall, now, router, id, "calls %d and %d are out at once: %v; %v; lag %v", first.Attempt, second.Attempt, first, second, c.Lag)
+}
+
+// Came is how a call came to a server.
+type Came struct {
+	Attempt, Server int
+	Connected       time.Duration // when its connection was accepted
+	Written         time.Duration // when its first byte came, though the server may have read it later
+	Read            time.Duration
+}
+
+func (m *Came) String() string {
+	return fmt.Sprintf("call %d to server %d came at %v and was read at %v, on a connection of %v", m.Attempt, m.Server, m.Written, m.Read, m.Connected)
 }
 
 // Final tells of a final answer: StepServed, StepReject or StepFail.
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -134,6 +134,7 @@
 	calls  int
 	life   int                           // of its router, when it was sent there
 	out    *model.Call                   // the latest
+	came   *rules.Came                   // how that came
 	sent   map[*model.Call]time.Duration // when each came
 	ended  map[*model.Call]bool
 	conn   *client // that carries it
--- a/internal/lab/standin/leave.go
+++ b/internal/lab/standin/leave.go
@@ -31,7 +31,7 @@
 		return
 	}
 	e.Check.Lag = 2 * e.lag.most(time.Since(e.begun)) // the router's own is no excuse: it is to look again when it goes on
-	e.Check.Begun(a.at.Sub(e.begun), past.router, past.number, past.ending)
+	e.Check.Begun(a.at.Sub(e.begun), past.router, past.number, l.server, past.ending)
 }
 
 // mostPatience is how long a client that leaves early has waited at the most. Most answers come sooner.
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -16,6 +16,7 @@
 	"hoptiller"
 	"hoptiller/internal/lab/loopback"
 	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rules"
 	"hoptiller/internal/meta"
 )
 
@@ -67,6 +68,8 @@
 	last  *model.Call         // the latest
 	gone  map[*model.Call]int // after it, those whose requests are over: they too are answered in their turn
 	ended bool
+
+	accepted time.Duration
 }
 
 const mostOut = 256 // answers that wait to be written; a router that reads none is not waited for
@@ -79,7 +82,7 @@
 	}
 	defer e.forget(c)
 	l := &link{n: n, server: server, c: c, arrived: arrived, out: make(chan []byte, mostOut), opened: make(chan struct{}),
-		calls: map[*model.Call]*request{}, gone: map[*model.Call]int{}}
+		calls: map[*model.Call]*request{}, gone: map[*model.Call]int{}, accepted: time.Since(n.e.begun)}
 	e.goes(func() {
 		for b := range l.out {
 			c.SetWriteDeadline(time.Now().Add(5 * time.Second))
@@ -205,7 +208,7 @@
 		if r.life == l.n.life { // else it was killed since: the rules know nothing of what it had taken
 			e.Check.Sent(e.World.Now(), l.n.index, r.number, server)
 			l.holdToTime(r, a)
-			l.alone(r, call)
+			l.alone(r, call, a.at)
 		}
 		m := e.World.Member(server)
 		e.Tally.Called(m.Zone != l.n.index%e.day.Zones)
@@ -227,15 +230,18 @@
 // alone sees to it that no other call of the request is out. The end of one may be read here a little after the
 // beginning of the next, on another connection; and a call on a connection that was still coming up is read after
 // it has been closed, and after the next one. What is out a while later, both of it, was out at the same time.
-func (l *link) alone(r *request, call *model.Call) {
-	e, before := l.n.e, r.out
+func (l *link) alone(r *request, call *model.Call, at time.Time) {
+	e, before, cameBefore := l.n.e, r.out, r.came
 	r.out = call
+	r.came = &rules.Came{Attempt: call.Attempt, Server: l.server, Connected: l.accepted, Written: at.Sub(e.begun), Read: e.World.Now()}
 	if before == nil || e.day.Rules.Copies {
 		return
 	}
+	came := r.came
 	e.World.After(slack, func() {
 		if !r.ended[before] && !r.ended[call] {
-			e.Check.Together(e.World.Now(), l.n.index, r.number, before.Attempt, call.Attempt)
+			e.Check.Lag = l.n.recentLag()
+			e.Check.Together(e.World.Now(), l.n.index, r.number, cameBefore, came)
 		}
 	})
 }
