Count work at a cold server by what its router had been told when it came

What callers saw: a cache server that crashes and comes back cold is still listed as warm, gets a warm one's load, and now and then falls over.

Why the check is replaced, and how strict it is: each piece of work counts if its router had been told when it came; the two thirds and what a server stands are as they were, and what a router's former life knew counts now, too.

--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -53,7 +53,8 @@
 	kept    map[string]int // of each rule, those in Found and more
 	day     *model.Day
 	routers []routerState
-	ended   map[int]time.Duration // servers that drain or are gone, since when that is listed
+	starts  map[serverOf]toldStart // the start of each server that was told last
+	ended   map[int]time.Duration  // servers that drain or are gone, since when that is listed
 	runs    map[uint64]int
 
 	obstacles  []obstacle            // by router
@@ -69,8 +70,7 @@
 	left     map[int]time.Duration // servers told to drain or gone, since when
 	aside    map[int]time.Duration // and those that it says to send nothing more, since when
 	named    map[int]bool
-	starts   map[int]toldStart // the start that was told last
-	asked    time.Duration     // last call or word of the directory
+	asked    time.Duration // last call or word of the directory
 	watching bool
 	failed   bool // the last call failed
 	service  service
@@ -98,7 +98,8 @@
 // New returns a Checker for a day.
 func New(day *model.Day) *Checker {
 	c := &Checker{day: day, routers: make([]routerState, day.Routers), ended: map[int]time.Duration{}, runs: map[uint64]int{},
-		kept: map[string]int{}, obstacles: make([]obstacle, day.Routers), idle: map[int]time.Duration{}}
+		starts: map[serverOf]toldStart{},
+		kept:   map[string]int{}, obstacles: make([]obstacle, day.Routers), idle: map[int]time.Duration{}}
 	for i := range c.routers {
 		c.Reset(i)
 	}
@@ -107,13 +108,9 @@
 
 // Reset forgets what a router held, since it has died.
 func (c *Checker) Reset(router int) {
-	c.routers[router] = routerState{requests: map[uint32]*request{}, left: map[int]time.Duration{}, aside: map[int]time.Duration{}, named: map[int]bool{},
-		starts: map[int]toldStart{}}
+	c.routers[router] = routerState{requests: map[uint32]*request{}, left: map[int]time.Duration{}, aside: map[int]time.Duration{}, named: map[int]bool{}}
 }
 
-// toldStart is a server's start as a router was told of it, and when that was.
-type toldStart struct{ started, told time.Duration }
-
 func (c *Checker) breach(rule string, at time.Duration, router int, id uint32, format string, args ...any) {
 	c.Count++
 	if c.kept[rule]++; c.kept[rule] <= keep {
@@ -287,9 +284,7 @@
 		listed[m.Index], s.named[m.Index] = true, true
 		if m.Phase == model.Ready {
 			delete(s.left, m.Index)
-			if start, known := s.starts[m.Index]; !known || start.started != m.Started {
-				s.starts[m.Index] = toldStart{m.Started, now}
-			}
+			c.startTold(now, router, m)
 		} else if _, known := s.left[m.Index]; !known {
 			s.left[m.Index] = now
 		}
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -98,6 +98,19 @@
 			c.Sent(40500*ms, 0, 1, 1)
 		}},
 		{"a cold cache pushed by those who knew", Cold, func(c *Checker) { c.FellOver(0, pushedOver(0)) }},
+		{"by one who knew, in a former life", Cold, func(c *Checker) {
+			c.Told(100*ms, 0, startOf(1, 50*ms))
+			c.Reset(0)
+			c.FellOver(300*ms, &model.Fall{Server: 1, Started: 50 * ms, Pushes: []model.Push{{At: 100 * ms, Work: 2}, {At: 100 * ms, Work: 1, Router: 1}}})
+		}},
+		{"by one who knew only afterwards", "", func(c *Checker) {
+			c.Told(100*ms, 0, startOf(1, 50*ms))
+			c.FellOver(100*ms, &model.Fall{Server: 1, Started: 50 * ms, Pushes: []model.Push{{At: 100*ms - 1, Work: 1}, {At: 100 * ms, Work: 1.9}}})
+		}},
+		{"two thirds of it after that", Cold, func(c *Checker) {
+			c.Told(100*ms, 0, startOf(1, 50*ms))
+			c.FellOver(100*ms, &model.Fall{Server: 1, Started: 50 * ms, Pushes: []model.Push{{At: 100*ms - 1, Work: 1}, {At: 100 * ms, Work: 2}}})
+		}},
 		{"and by those who did not", "", func(c *Checker) { c.FellOver(0, pushedOver(time.Second)) }},
 		{"an origin stopped by misses at cold caches", Origin, func(c *Checker) { c.OriginStopped(0, 0.31, 1.26) }},
 		{"by those that were due there", "", func(c *Checker) { c.OriginStopped(0, 0.31, 1.25) }},
@@ -192,6 +205,11 @@
 	}
 }
 
+// startOf is news of a server's start.
+func startOf(server int, at time.Duration) model.Update {
+	return model.Update{Members: []model.Member{{Index: server, Phase: model.Ready, Started: at}}}
+}
+
 // pushedOver is the fall of server 1, of which router 0 has two thirds.
 func pushedOver(started time.Duration) *model.Fall {
 	return &model.Fall{Server: 1, Started: started, Pushes: []model.Push{{Work: 2, Router: 0}, {Work: 1, Router: 1}}}
