Count what a cold server was sent before its start was told against its budget

What callers saw: nothing that a trace shows; found beside the entry on a cold server. After the news of a start a router began its cold budget from nothing, though the server's window held what it had been sent as a warm one.

Change: own attempts of the fall window are kept by server; those since the start and before the news take away from the router's part of that window.

Evidence: TestNewsOfAStartCountsWhatWasSentBefore fails before: "390 ms after the news it is sent one more after 32 in the window, 17.7 are its part". It and TestColdSum (1,000 drawn starts) pass.

--- a/router.go
+++ b/router.go
@@ -84,6 +84,8 @@
 	seenAt     time.Duration
 	asked      float64 // lately, of a cold server; see coldRoom
 	askedAt    time.Duration
+	sent       []time.Duration // own attempts of the latest fall window
+	toldAt     time.Duration   // when this start was listed
 }
 
 // attempt is one send of a request.
@@ -229,7 +231,7 @@
 		r.known[e.ID] = s
 	}
 	if s.Started != e.Started || s.window == 0 {
-		*s = server{out: s.out, window: math.Inf(1), heard: r.now}
+		*s = server{out: s.out, window: math.Inf(1), heard: r.now, sent: s.sent, toldAt: r.now}
 	}
 	if !(e.Weight > 0) || math.IsInf(e.Weight, 1) {
 		e.Weight = 1
@@ -515,16 +517,32 @@
 	}
 	unit := r.unit * s.Weight * r.near(s.Zone)
 	rate := max(r.warmth(s)*unit*max(1, r.set.OverloadFactor/2.5), 1/r.balancers())
-	room := max(1, rate*max(r.set.Fall, time.Second).Seconds()/4)
+	room := max(1, rate*r.fallWindow().Seconds()/4)
 	s.asked = 1 + s.asked*math.Exp(-(r.now-s.askedAt).Seconds()*rate/room)
 	s.askedAt = r.now
 	expected := r.arrivals / rate // what this instance sees too rarely to count
 	if home {                     // a key seen but once may be a hot one all the same
 		expected *= max(s.weight/max(r.upWeight, 1e-9), float64(r.keys[q.Key])/float64(max(r.reads, 8)))
 	}
+	room *= max(0, 1-float64(r.sentBeforeNews(s))/(rate*r.fallWindow().Seconds()))
 	return r.chance()*max(s.asked, expected) < room
 }
 
+// fallWindow is the time over which what a cold server gets is summed.
+func (r *Router) fallWindow() time.Duration { return max(r.set.Fall, time.Second) }
+
+// sentBeforeNews counts own attempts since a server's start, within the fall window, that were sent before the start was listed: as to
+// a warm server, but the cold one has got them.
+func (r *Router) sentBeforeNews(s *server) (n int) {
+	from := max(s.Started, r.now-r.fallWindow())
+	for _, at := range s.sent {
+		if at >= from && at < s.toldAt {
+			n++
+		}
+	}
+	return n
+}
+
 // ---- requests ----
 
 func (r *Router) classOf(i int) *Class {
@@ -645,6 +663,9 @@
 	}
 	q.tries = append(q.tries, t)
 	s.out++
+	if !s.origin {
+		s.sent = append(since(s.sent, r.now-r.fallWindow()), r.now)
+	}
 	s.most = max(s.most, s.out)
 	if s.out == 1 {
 		s.heard = r.now
