Take a start in the future of the router's clock for the time of its news

What callers would see: a router whose wall clock was an hour behind when it began holds each server that restarts to be cold for an hour longer: its age is negative, so it keeps a hundredth of its weight.

Change: a server's age runs from its listed start or from the news, whichever is earlier. The other direction, a clock that is ahead, has no such bound: the module can't tell late news from a wrong clock.

Evidence: TestStartByAClockBehind fails before and passes.

--- a/router.go
+++ b/router.go
@@ -279,13 +279,17 @@
 // fade is the part of its weight that a server counts with: near zero at its listed start,
 // full when the stated warm-up is over, and under the warm-up in between.
 func (r *Router) fade(s *server) float64 {
-	age := r.now - s.Started
+	age := r.now - s.coldSince()
 	if s.Started == 0 || r.set.Cold <= 0 || age >= r.set.Cold {
 		return 1
 	}
 	return max(0.01, float64(age)/float64(r.set.Cold))
 }
 
+// coldSince is a server's listed start, or when that was listed where it lies in the future of this instance's clock: by a clock that is
+// an hour behind a server would stay cold for an hour.
+func (s *server) coldSince() time.Duration { return min(s.Started, s.toldAt) }
+
 func (r *Router) weigh() {
 	r.upWeight = 0
 	for _, s := range r.caches {
@@ -534,7 +538,7 @@
 // sentBeforeNews counts own attempts since a server's start, within the fall window, that were sent before the start was listed: as to
 // a warm server, but the cold one has got them.
 func (r *Router) sentBeforeNews(s *server) (n int) {
-	from := max(s.Started, r.now-r.fallWindow())
+	from := max(s.coldSince(), r.now-r.fallWindow())
 	for _, at := range s.sent {
 		if at >= from && at < s.toldAt {
 			n++
