Give a router whose clock was set back a life of its own in the fleet's view

What operators saw: nothing yet; found by a test. A router that restarts after its wall clock was set back by an hour outbids its former life by a count. All others hold it to be alive in that former life, and what it now tells of itself (version, settings, zone) to be older news: a release's driver would wait for a version that is running.

Cause: hearOfSelf answers any later word with its next count; details are ordered by number within one life, and numbers begin anew with the process.

Change: a word of another life is answered with a later life's start.

--- a/internal/fleet/view/member.go
+++ b/internal/fleet/view/member.go
@@ -33,6 +33,10 @@
 	return a
 }
 
+// nextLife is the first incarnation of a life that follows one whose clock was ahead. What that life has told of itself is not held to
+// be of this one, as it would be by a greater count.
+func (a Incarnation) nextLife() Incarnation { return Incarnation{Start: a.Start + 1} }
+
 // State is what a router is taken for. Of two that are said of one incarnation the greater holds.
 type State uint8
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -323,6 +323,9 @@
 	}
 	m := *v.own
 	m.Inc = c.inc.next()
+	if c.inc.Start != v.own.Inc.Start {
+		m.Inc = c.inc.nextLife()
+	}
 	v.set(v.self, m)
 	if v.told.Seq != 0 && v.own.Details.Seq == 0 { // told in a life that others take for another one now
 		v.renew()
