--- a/cmd/hoplab/drill.go
+++ b/cmd/hoplab/drill.go
@@ -65,10 +65,11 @@
 	played, broken := 0, 0
 	var g errgroup.Group
 	g.SetLimit(c.AtOnce)
+	bases := c.bases(all)
 	for i, f := range all {
 		g.Go(func() error {
 			var text bytes.Buffer
-			holds, err := c.play(ctx, &text, f, i >= len(c.Files))
+			holds, err := c.play(ctx, &text, f, bases[i], i >= len(c.Files))
 			mu.Lock()
 			defer mu.Unlock()
 			os.Stdout.Write(text.Bytes())
@@ -98,8 +99,21 @@
 	return nil
 }
 
+// bases are where the timelines of plays go, without their endings. Plays of one drill are numbered from the second on.
+func (c *drillCmd) bases(all []*drill.File) (bases []string) {
+	plays := map[string]int{}
+	for _, f := range all {
+		base := filepath.Join(c.Out, f.Name)
+		if plays[f.Name]++; plays[f.Name] > 1 {
+			base = fmt.Sprintf("%s-play-%d", base, plays[f.Name])
+		}
+		bases = append(bases, base)
+	}
+	return bases
+}
+
 // play plays a drill until the machine leaves it the time, tells what became of its claims, and keeps the timeline.
-func (c *drillCmd) play(ctx context.Context, w io.Writer, f *drill.File, drawn bool) (holds bool, err error) {
+func (c *drillCmd) play(ctx context.Context, w io.Writer, f *drill.File, base string, drawn bool) (holds bool, err error) {
 	var r *drill.Report
 	for n := 1; ; n++ {
 		if r, err = drill.Play(ctx, f, drill.Options{Router: c.Router}); err != nil {
@@ -118,7 +132,6 @@
 		fmt.Fprintf(w, "  %-6s %-8s %s\n", map[bool]string{true: "holds", false: "BROKEN"}[v.Holds], v.Claim.Kind, v.Why)
 	}
 	fmt.Fprintf(w, "  over the day %.3f of %d requests' worth was served\n", r.Result.Service, r.Result.Asked)
-	base := filepath.Join(c.Out, f.Name)
 	out, err := os.Create(base + ".jsonl")
 	if err != nil {
 		return false, err
