--- a/cmd/hoplab/soak.go
+++ b/cmd/hoplab/soak.go
@@ -14,6 +14,8 @@
 
 	"hoptiller/internal/command"
 	"hoptiller/internal/lab/drill"
+	"hoptiller/internal/lab/rival"
+	"hoptiller/internal/lab/sim"
 )
 
 type soakCmd struct {
@@ -32,8 +34,8 @@
 	if err := os.MkdirAll(c.Out, 0o755); err != nil {
 		return err
 	}
-	fmt.Println("| seed | routers | requests | served | held up | troubles | broken |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Println("| seed | routers | requests | served | not served | ring, module | held up | troubles | broken |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	var mu sync.Mutex // of what is counted and written
 	played, broken, unclear := 0, 0, 0
 	var g errgroup.Group
@@ -48,9 +50,13 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", f.Name, err)
 			}
+			besides, err := playBeside(ctx, f)
+			if err != nil {
+				return fmt.Errorf("%s in virtual time: %w", f.Name, err)
+			}
 			mu.Lock()
 			defer mu.Unlock()
-			fmt.Println(soakRow(f, report))
+			fmt.Println(soakRow(f, report, besides))
 			played++
 			switch {
 			case report.Busy():
@@ -72,8 +78,29 @@
 	return nil
 }
 
+// beside is what others serve of the same day in virtual time: its fleet, load and faults of cache servers, without what is done to
+// routers and their ways, and with clients that wait for their answers.
+type beside struct {
+	ring, module float64 // a hash ring, and the decision module
+}
+
+func playBeside(ctx context.Context, f *drill.File) (b beside, err error) {
+	for _, player := range []struct {
+		policy  sim.Policy
+		service *float64
+	}{{rival.New("ring"), &b.ring}, {sim.Hoptiller, &b.module}} {
+		day := f.Day
+		result, err := sim.Run(ctx, &day, player.policy, sim.Options{})
+		if err != nil {
+			return b, err
+		}
+		*player.service = result.Service
+	}
+	return b, nil
+}
+
 // soakRow is a day's row of the table.
-func soakRow(f *drill.File, r *drill.Report) string {
+func soakRow(f *drill.File, r *drill.Report, b beside) string {
 	counts := map[string]int{}
 	var kinds []string
 	for _, s := range f.Steps {
@@ -97,8 +124,8 @@
 		}
 		verdict = strings.Join(texts, "; ")
 	}
-	return fmt.Sprintf("| %d | %d | %d | %.3f | %v | %s | %s |", f.Day.Seed, f.Day.Routers, r.Result.Asked, r.Result.Service,
-		r.Lag.Round(time.Millisecond), strings.Join(kinds, ", "), verdict)
+	return fmt.Sprintf("| %d | %d | %d | %.3f | %v | %.3f, %.3f | %v | %s | %s |", f.Day.Seed, f.Day.Routers, r.Result.Asked, r.Result.Service,
+		&r.Result.Unserved, b.ring, b.module, r.Lag.Round(time.Millisecond), strings.Join(kinds, ", "), verdict)
 }
 
 // keep writes a day that broke a claim as a drill that can be played again, with what happened.
--- a/internal/lab/drill/drill_test.go
+++ b/internal/lab/drill/drill_test.go
@@ -175,6 +175,8 @@
 		"viewed by both":         {Claim{Kind: "viewed", Text: "; s-1 back", Within: span(2)}, seen("a alive alive; s-1 back", "a alive alive; s-1 back"), good, true},
 		"viewed by one":          {Claim{Kind: "viewed", Text: "; s-1 back", Within: span(2)}, seen("a alive alive; s-1 back", "a alive alive"), good, false},
 		"never seen":             {Claim{Kind: "ready", Within: span(1)}, up[:1], good, false},
+		"as much unserved":       {Claim{Kind: "unserved", Share: 0.4}, nil, &tally.Result{Unserved: tally.Unserved{Refused: 0.1, Failed: 0.1, Late: 0.1, Lost: 0.05, Unanswered: 0.05, Left: 0.3, NoRouter: 0.3}}, true},
+		"too much unserved":      {Claim{Kind: "unserved", Share: 0.4}, nil, &tally.Result{Unserved: tally.Unserved{Refused: 0.1, Failed: 0.1, Late: 0.1, Lost: 0.05, Unanswered: 0.051}}, false},
 		"service comes back":     {Claim{Kind: "service", Least: 0.9, Within: span(1)}, nil, good, true},
 		"service comes too late": {Claim{Kind: "service", Least: 0.94, Within: span(0.5)}, nil, good, false},
 		"service never comes":    {Claim{Kind: "service", Least: 0.9, Within: span(9)}, nil, &tally.Result{Series: &tally.Series{Service: []float64{1, 1, 1, 1, 1, 1, 0.5, 1, 1, 1, 1}}}, false},
--- a/internal/lab/drill/file.go
+++ b/internal/lab/drill/file.go
@@ -100,6 +100,7 @@
 	Routers []int         `toml:"routers,omitempty"` // whom it is about; none: all
 	Least   float64       `toml:"least,omitempty"`   // service
 	Most    int           `toml:"most,omitempty"`    // permits and drains
+	Share   float64       `toml:"share,omitempty"`   // unserved
 	None    bool          `toml:"none,omitempty"`    // permits and drains: holds also where nobody ever is out
 	Within  unit.Duration `toml:"within,omitempty"`  // of the end of the last step or fault
 }
@@ -117,6 +118,7 @@
 	{"ready", "the routers are ready within the time, and stay so"},
 	{"view", "the routers that run say the same of the fleet, and what is so, within the time, and stay so"},
 	{"viewed", "each router's view has fitted text since the first step, within the time"},
+	{"unserved", "always: of the worth asked for routers refuse, fail, answer late or leave without an answer no more than share"},
 	{"service", "each second of five in a row has a service of least, within the time"},
 }
 
@@ -244,7 +246,7 @@
 }
 
 func (c *Claim) wrong(day *model.Day) (figure, why string) {
-	timed := c.Kind != "rules" && c.Kind != "alive" && c.Kind != "never" && c.Kind != "permits" && c.Kind != "drains" && c.Kind != "replaced"
+	timed := !slices.Contains([]string{"rules", "alive", "never", "permits", "drains", "replaced", "unserved"}, c.Kind)
 	switch _, err := regexp.Compile(c.Text); {
 	case !has(claimKinds, c.Kind):
 		return "kind", fmt.Sprintf("kind is %q: one of %s is meant", c.Kind, names(claimKinds))
@@ -256,6 +258,8 @@
 		return "within", "said, told, ready, view, viewed and service want a time, and no other claim does"
 	case (c.Kind == "permits" || c.Kind == "drains") != (c.Most > 0):
 		return "most", "it wants a most of 1 or more where it is about permits or drains, and no other claim does"
+	case (c.Kind == "unserved") != (c.Share > 0) || c.Share > 1:
+		return "share", "unserved wants a share over 0 and up to 1, and no other claim does"
 	case (c.Kind == "service") != (c.Least > 0) || c.Least > 1:
 		return "least", "service wants a least over 0 and up to 1, and no other claim does"
 	}
--- a/internal/lab/drill/judge.go
+++ b/internal/lab/drill/judge.go
@@ -33,6 +33,9 @@
 			if !holds && len(result.Violations) > 0 {
 				why += ", first " + result.Violations[0].String()
 			}
+		case "unserved":
+			by := result.Unserved.OfRouters()
+			holds, why = by <= c.Share, fmt.Sprintf("routers did not serve %.3f of the worth: %v", by, &result.Unserved)
 		case "alive":
 			holds, why = alive(events)
 		case "never":
--- a/internal/lab/drill/soak.go
+++ b/internal/lab/drill/soak.go
@@ -16,14 +16,15 @@
 	soakLongBytes    = 40_000 // mean bytes of a value where some are long: those over 64 KiB are passed on as they come
 	soakCrowd        = 900    // idle connections, of 1,024 descriptors
 	soakShortestTerm = 0.4    // the least deadline of all classes, in seconds
+	soakMostUnserved = 0.55   // of the worth asked for, by routers
 )
 
 // soakKinds are the kinds of step of which a soak's days are drawn, each as often as it stands here.
 var soakKinds = []string{"restart", "restart", "restart", "interrupt", "interrupt", "reload", "crowd", "cache", "cache", "origin", "directory", "kill"}
 
 // Soak draws a day of a soak from a seed: a few routers in trouble of several kinds at once, with deadlines, values and load that differ
-// from seed to seed. The same seed gives the same day. No rule may be broken, no process may end by itself, and all routers are to be
-// ready in the end.
+// from seed to seed. The same seed gives the same day. No rule may be broken, no process may end by itself, all routers are to be
+// ready in the end, and they may leave a stated part of what is asked for unserved.
 func Soak(seed uint64) *File {
 	r := rand.New(rand.NewPCG(seed, 0x736f616b))
 	f := &File{Title: fmt.Sprintf("Soak, seed %d", seed), Name: fmt.Sprintf("soak-%d", seed), Day: soakDay(r)}
@@ -37,7 +38,7 @@
 	}
 	f.Steps = withoutClashes(f.Steps)
 	f.Day.Faults = soakFaults(r)
-	f.Claims = []Claim{{Kind: "rules"}, {Kind: "alive"}, {Kind: "ready", Within: span(6)}}
+	f.Claims = []Claim{{Kind: "rules"}, {Kind: "alive"}, {Kind: "ready", Within: span(6)}, {Kind: "unserved", Share: soakMostUnserved}}
 	return f
 }
 
--- a/internal/lab/model/client.go
+++ b/internal/lab/model/client.go
@@ -22,6 +22,8 @@
 	Tries  int
 	Over   bool
 	Served time.Duration // when its answer came; 0: not served
+	Last   Ending        // how its last try ended, if it is not served
+	Left   bool          // its client closed its connection under a try, of its own accord
 
 	patience float64 // part of the deadline for one try
 	honours  bool
@@ -52,6 +54,24 @@
 	NoRoute              // no router was there
 )
 
+// Ending is how a try ended.
+type Ending uint8
+
+// The endings.
+const (
+	Unended      Ending = iota // the day was over
+	WasRefused                 // by a router, as harmless to repeat
+	WasFailed                  // by a router
+	WasLost                    // its connection ended
+	FoundNoRoute               // no router was there
+	Unanswered                 // its time was up
+)
+
+// endingOf is the ending that a final answer is, other than the value.
+func endingOf(f Final) Ending {
+	return [...]Ending{Refused: WasRefused, Failure: WasFailed, Lost: WasLost, NoRoute: FoundNoRoute}[f]
+}
+
 // Tier is the routers, as clients and the front see them.
 type Tier interface {
 	// Take hands a router a try. It tells whether the router was there.
@@ -187,7 +207,7 @@
 	c.w.After(t.Remaining, func() {
 		if !t.over {
 			c.w.After(c.w.ClientDelay(), func() { c.w.tier.Leave(t) })
-			c.answered(t, Failure, 0)
+			c.ended(t, Failure, Unanswered, 0)
 		}
 	})
 }
@@ -220,13 +240,17 @@
 	w.After(w.ClientDelay(), func() { w.clients.answered(t, f, after) })
 }
 
-// answered takes the end of a try, and asks again where the class permits that.
-func (c *clients) answered(t *Try, f Final, after time.Duration) {
+// answered takes the final answer to a try.
+func (c *clients) answered(t *Try, f Final, after time.Duration) { c.ended(t, f, endingOf(f), after) }
+
+// ended takes the end of a try, and asks again where the class permits that.
+func (c *clients) ended(t *Try, f Final, how Ending, after time.Duration) {
 	if t.over {
 		return
 	}
 	t.over = true
 	op, now := t.Op, c.w.Now()
+	op.Last = how
 	if f == Value {
 		op.Served = now
 		c.end(op)
--- a/internal/lab/standin/leave.go
+++ b/internal/lab/standin/leave.go
@@ -54,6 +54,7 @@
 			return
 		}
 		r.conn.c.Close()
+		r.try.Op.Left = true
 		e.Check.Left(n.index, r.number)
 		e.ends(r, true)
 	})
--- a/internal/lab/tally/tally.go
+++ b/internal/lab/tally/tally.go
@@ -21,6 +21,7 @@
 	Worst   float64 `json:"worst"`   // the same in the worst 10 s
 	Score   float64 `json:"score"`   // 0.45 of the whole, 0.35 of the worst 10 s, 0.2 of the worst class
 
+	Unserved Unserved       `json:"unserved"`
 	Asked    int            `json:"asked"`    // by clients, repeats not counted
 	Tries    float64        `json:"tries"`    // of a client for each
 	Taken    int            `json:"taken"`    // by routers, warm-up included
@@ -95,6 +96,7 @@
 	falls     int
 	peerBytes int
 	work      float64
+	unserved  Unserved // by worth
 	ends      [hoptiller.Miss + 1]int
 	times     *hdrhistogram.Histogram // of calls that were answered
 	finals    [model.NoRoute + 1]int
@@ -155,10 +157,13 @@
 	c.ops++
 	s.asked += worth
 	c.asked += worth
+	took := op.Served - op.At
+	if op.Served == 0 || took > set.Aim.D() {
+		t.unserved.add(op, worth)
+	}
 	if op.Served == 0 {
 		return
 	}
-	took := op.Served - op.At
 	c.ok++
 	c.times.RecordValue(max(1, took.Microseconds()))
 	if took > set.Aim.D() {
@@ -309,6 +314,7 @@
 		fetches, peak = fetches+s.fetches, max(peak, s.fetches)
 	}
 	r.Service, r.Worst = part(served, asked), 1
+	r.Unserved = t.unserved.over(asked)
 	const window = 10
 	for i := 0; i+window <= len(t.seconds)-1; i++ {
 		var a, b float64
