Hold an answer that comes late to how long its router really stood still

Cause: took every request whose router had been held up at any time since it was taken out of the count of those with no answer in time.

What has no answer then counts, unless the router stands still at that moment or stood still for longer.

--- a/internal/lab/rules/unanswered.go
+++ b/internal/lab/rules/unanswered.go
@@ -10,14 +10,28 @@
 	unansweredMore  = 5
 )
 
-// Unanswered tells that the time of a request, with the grace, is up, or its connection has ended, and no final answer
-// has come: nothing is owed any more. A router that stood still meanwhile could not answer.
+// MostStandstill is by how much an answer may be late at the most since its router stood still meanwhile: what comes half a second after
+// its time earns nothing, and what comes later is lost.
+const MostStandstill = 500 * time.Millisecond
+
+// Standstill is for how long its router has stood still since a request was taken.
+func (c *Checker) Standstill(now time.Duration, router int, id uint32) time.Duration {
+	q := c.routers[router].requests[id]
+	if q == nil {
+		return 0
+	}
+	return c.obstacles[router].paused.read(now) - q.pausedBefore
+}
+
+// Unanswered tells that the time of a request is up, with the grace and what its router stood still for, or its connection has ended,
+// and no final answer has come: nothing is owed any more. A router that stands still, or did for longer than an answer is waited for,
+// could not answer.
 func (c *Checker) Unanswered(now time.Duration, router int, id uint32) {
 	q := c.routers[router].requests[id]
 	if q == nil || q.final {
 		return
 	}
-	if paused := &c.obstacles[router].paused; paused.running == 0 && paused.read(now) == q.pausedBefore {
+	if c.obstacles[router].paused.running == 0 && c.Standstill(now, router, id) <= MostStandstill {
 		c.unanswered++
 	}
 	c.Left(router, id)
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/rules"
 )
 
 // tier is the routers as the model's clients see them; e.mu is held.
@@ -52,13 +53,14 @@
 // grace is how long after its time a request may be answered.
 func (e *Engine) grace() time.Duration { return e.day.Rules.Grace.D() + slack }
 
-// expire ends a request that has no answer: at once, or as much later as the machine is late. e.mu is held.
+// expire ends a request that has no answer: at once, or as much later as the machine is late and its router stood still. e.mu is held.
 func (e *Engine) expire(r *request) {
 	if e.tries[r.id] != r {
 		return // it has been answered, or lost
 	}
 	n := e.nodes[r.try.Router]
-	if last := r.end + e.grace() + min(n.recentLag(), mostLag); e.World.Now() < last {
+	stoodStill := min(e.Check.Standstill(e.World.Now(), n.index, r.number), rules.MostStandstill)
+	if last := r.end + e.grace() + min(n.recentLag(), mostLag) + stoodStill; e.World.Now() < last {
 		e.World.At(last, func() { e.expire(r) })
 		return
 	}
