Hold routers to ending an answer that has begun, unless a server breaks it

Change: a client that gets a part of a value and then the end of its connection breaks one-answer, unless a server or a relay has ended a connection of the router's to servers since the request was taken.

--- a/internal/lab/rules/after.go
+++ b/internal/lab/rules/after.go
@@ -27,6 +27,16 @@
 	c.breach(OneAnswer, now, router, id, "its connection is ended without an answer, though it was sent on")
 }
 
+// CutOff tells that a router has ended a client's connection within an answer that had begun. broken tells that a server has ended a
+// connection under the request, and then nobody has the rest.
+func (c *Checker) CutOff(now time.Duration, router int, id uint32, broken bool) {
+	q, breaks := c.routers[router].requests[id], &c.obstacles[router].breaks
+	if q == nil || broken || breaks.running > 0 || breaks.read(now) > q.breaksBefore {
+		return
+	}
+	c.breach(OneAnswer, now, router, id, "its answer is cut off, though its server was giving it")
+}
+
 // Begun tells of an attempt whose first byte has come to a server at a time when its request had ended. What relays have held back since
 // then tells nothing of when the router sent it.
 func (c *Checker) Begun(at time.Duration, router int, id uint32, server int, ending Ending) {
--- a/internal/lab/rules/after_test.go
+++ b/internal/lab/rules/after_test.go
@@ -52,3 +52,36 @@
 		t.Errorf("%d rules broken: %v", checker.Count, checker.Found)
 	}
 }
+
+// An answer that has begun ends whole, unless its server or a relay before that breaks it.
+func TestCutOff(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		broken, relay bool
+		relayBefore   bool
+		breaches      int
+	}{
+		{name: "by the router", breaches: 1},
+		{name: "by its server", broken: true},
+		{name: "by a relay", relay: true},
+		{name: "by the router, after a relay had broken others", relayBefore: true, breaches: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			day := model.Prairie()
+			checker := New(&day)
+			if c.relayBefore {
+				checker.Breaks(0, 0, true)
+				checker.Breaks(ms, 0, false)
+			}
+			checker.Taken(time.Second, 0, 1, 0, 2*time.Second)
+			if c.relay {
+				checker.Breaks(time.Second, 0, true)
+				checker.Breaks(time.Second+ms, 0, false)
+			}
+			checker.CutOff(time.Second+2*ms, 0, 1, c.broken)
+			if checker.Count != c.breaches {
+				t.Errorf("%d rules broken: %v", checker.Count, checker.Found)
+			}
+		})
+	}
+}
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -90,6 +90,9 @@
 				f = model.NoRoute
 				e.Check.Left(n.index, r.number)
 			}
+			if errors.Is(err, errCutOff) && r.life == n.life {
+				e.Check.CutOff(e.World.Now(), n.index, r.number, r.broken)
+			}
 			if errors.Is(err, errNoAnswer) && r.life == n.life && r.calls > 0 {
 				e.Check.Dropped(e.World.Now(), n.index, r.number)
 			}
@@ -131,6 +134,7 @@
 var (
 	errNoRoute  = errors.New("no router there")
 	errNoAnswer = errors.New("the connection ended without an answer")
+	errCutOff   = errors.New("the connection ended within an answer")
 )
 
 // exchange writes a request and reads its answer, on an open connection or a new one.
@@ -188,7 +192,7 @@
 		}
 		b := make([]byte, size+2)
 		if _, err := io.ReadFull(c.r, b); err != nil {
-			return 0, 0, err
+			return 0, 0, errors.Join(errCutOff, err)
 		}
 		if string(b[:size]) != value(r.id, n.e.day.Load.Bytes, op.Size) {
 			return 0, 0, errors.New("a value that was not made for this request")
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -93,6 +93,8 @@
 	Cache(n int) string
 	// HeldBack tells that a relay begins to hold back what a router sends to servers, or that it ends doing so.
 	HeldBack(router int, on bool)
+	// Breaks tells that a relay begins to end connections of a router to servers, or that it ends doing so.
+	Breaks(router int, on bool)
 	// Aside tells that a router has said to send a slot cache nothing new, or that it does again.
 	Aside(router int, cache string, yes bool)
 }
@@ -138,6 +140,7 @@
 	sent   map[*model.Call]time.Duration // when each came
 	ended  map[*model.Call]bool
 	conn   *client // that carries it
+	broken bool    // a server has ended a connection with a call of it
 }
 
 // Run plays a day, which must have passed Check, and then ends all that it has started.
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -65,9 +65,11 @@
 
 	conn  *model.Conn // guarded by e.mu, as is the rest
 	calls map[*model.Call]*request
-	last  *model.Call         // the latest
-	gone  map[*model.Call]int // after it, those whose requests are over: they too are answered in their turn
-	ended bool
+	last  *model.Call // the latest
+
+	carried []*request          // of late, whose answers may still be on their way
+	gone    map[*model.Call]int // after it, those whose requests are over: they too are answered in their turn
+	ended   bool
 
 	accepted time.Duration
 }
@@ -204,6 +206,7 @@
 		call := &model.Call{Try: r.try, Attempt: r.calls}
 		r.calls++
 		l.calls[call], r.sent[call], l.last = r, e.World.Now(), call
+		l.carry(r)
 		server := e.World.Occupant(l.server)
 		if r.life == l.n.life { // else it was killed since: the rules know nothing of what it had taken
 			e.Check.Sent(e.World.Now(), l.n.index, r.number, server)
@@ -216,6 +219,17 @@
 	})
 }
 
+// mostCarried is for how many requests a link is held to have had a part in their answers.
+const mostCarried = 64
+
+// carry notes that an answer to a request may come over the link.
+func (l *link) carry(r *request) {
+	if len(l.carried) == mostCarried {
+		l.carried = append(l.carried[:0], l.carried[1:]...)
+	}
+	l.carried = append(l.carried, r)
+}
+
 // holdToTime holds an attempt to the time that its client has left. What a stranger has told the router is not known here.
 func (l *link) holdToTime(r *request, a attempt) {
 	e := l.n.e
@@ -291,6 +305,9 @@
 
 // Lost implements model.Holder.
 func (l *link) Lost(*model.Conn) {
+	for _, r := range l.carried {
+		r.broken = true
+	}
 	l.end(hoptiller.Reset)
 	if tcp, ok := l.c.(*net.TCPConn); ok {
 		tcp.SetLinger(0) // as when a process dies
