--- a/internal/lab/drill/known_red_test.go
+++ b/internal/lab/drill/known_red_test.go
@@ -3,8 +3,13 @@
 import "testing"
 
 // A soak's day on which a cold cache server was pushed over by routers that had been told of its start, once in seven plays.
-func TestColdServerUnderHoldUps(t *testing.T) {
-	f, err := Load("../../../lab/drills/known-red/cold-after-crash.toml")
+func TestColdServerUnderHoldUps(t *testing.T) { playKnownRed(t, "cold-after-crash") }
+
+// A soak's day on which two attempts of a request were out at once, in one of 19 plays.
+func TestOneCallUnderHoldUps(t *testing.T) { playKnownRed(t, "one-call") }
+
+func playKnownRed(t *testing.T, name string) {
+	f, err := Load("../../../lab/drills/known-red/" + name + ".toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -208,9 +208,10 @@
 	c.forget(router, id, q)
 }
 
-// Together tells that two calls of a request were out at once, and how each came.
-func (c *Checker) Together(now time.Duration, router int, id uint32, first, second *Came) {
-	c.breach(OneCall, now, router, id, "calls %d and %d are out at once: %v; %v; lag %v", first.Attempt, second.Attempt, first, second, c.Lag)
+// Together tells that two calls of a request were out at once, how each came, and how late the router and the lab itself were.
+func (c *Checker) Together(now time.Duration, router int, id uint32, first, second *Came, ofRouter, ofLab time.Duration) {
+	c.breach(OneCall, now, router, id, "calls %d and %d are out at once: %v; %v; lag of the router %v, of the lab %v",
+		first.Attempt, second.Attempt, first, second, ofRouter, ofLab)
 }
 
 // Came is how a call came to a server.
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -254,8 +254,8 @@
 	came := r.came
 	e.World.After(slack, func() {
 		if !r.ended[before] && !r.ended[call] {
-			e.Check.Lag = l.n.recentLag()
-			e.Check.Together(e.World.Now(), l.n.index, r.number, cameBefore, came)
+			at := time.Since(e.begun)
+			e.Check.Together(e.World.Now(), l.n.index, r.number, cameBefore, came, l.n.lag.most(at), e.lag.most(at))
 		}
 	})
 }
