Test two fixes that were held by reading: calls over before a byte, failing accepts

Change: tests with the crossing forced: a context that is over right after the look, and a listener that fails 18 times (ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EINTR) with two places.

--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -218,3 +219,35 @@
 		t.Error("its room was not given back")
 	}
 }
+
+// failingListener fails with each of these errors before it accepts.
+type failingListener struct {
+	net.Listener
+	errs []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.errs) > 0 {
+		err := l.errs[0]
+		l.errs = l.errs[1:]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	return l.Listener.Accept()
+}
+
+// Crossing: accept fails for a moment, in each way that the system has. No place is lost by it, and the next client is served.
+func TestAcceptFailsForAMoment(t *testing.T) {
+	var errs []error
+	for range 3 {
+		errs = append(errs, syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR)
+	}
+	f := &Front{MostConns: 2, MostOpen: 1, Server: &counter{}}
+	connect := startOn(t, f, func(l net.Listener) net.Listener { return &failingListener{Listener: l, errs: errs} })
+	for range 2 {
+		conn := connect()
+		fmt.Fprint(conn, "mg k v O1 Pc=read,d=900\r\n")
+		if line, err := bufio.NewReader(conn).ReadString('\n'); err != nil || line != "VA 1 O1\r\n" {
+			t.Errorf("after %d failures: %q, %v", len(errs), line, err)
+		}
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -56,9 +56,14 @@
 
 // start serves clients until the test ends and returns a function that connects one.
 func start(t *testing.T, f *Front) (connect func() net.Conn) {
+	return startOn(t, f, func(l net.Listener) net.Listener { return l })
+}
+
+// startOn does so on what is made of the listener.
+func startOn(t *testing.T, f *Front, on func(net.Listener) net.Listener) (connect func() net.Conn) {
 	f.Classes, f.Deadlines = []string{"read"}, []time.Duration{time.Second}
 	f.Life, f.Counts = lifecycle.New(), metrics.New(f.Classes)
-	return testprog.Serve(t, func(ctx context.Context, l net.Listener) error { return f.Serve(ctx, l) })
+	return testprog.Serve(t, func(ctx context.Context, l net.Listener) error { return f.Serve(ctx, on(l)) })
 }
 
 // A crowd that says nothing, many times the places, cuts off none who is long in asking, and holds off none who asks.
--- a/internal/upstream/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -232,3 +232,37 @@
 		t.Error("the connection stays when its last call has its answer")
 	}
 }
+
+// overAfterItsLook is a context whose time is up right after it was looked at for the first time.
+type overAfterItsLook struct {
+	context.Context
+	looks int
+}
+
+func (o *overAfterItsLook) Deadline() (time.Time, bool) {
+	if o.looks++; o.looks == 1 {
+		return time.Now().Add(time.Hour), true
+	}
+	return time.Now().Add(-time.Hour), true
+}
+
+// Crossing: a call's time is up between the last look and its first byte. Nothing of it is written, and what others have out on the
+// connection goes on.
+func TestCallOverBeforeItsFirstByte(t *testing.T) {
+	t.Parallel()
+	p, c, _ := resting(t)
+	waits := &call{req: named("01"), done: make(chan relay.Result, 1), sent: time.Now()}
+	p.mu.Lock()
+	c.load, c.calls = 2, []*call{waits}
+	p.mu.Unlock()
+	begin := &overAfterItsLook{Context: t.Context()}
+	sent, status := c.send(begin, t.Context(), &call{req: named("02"), done: make(chan relay.Result, 1)})
+	if sent || status == hoptiller.OK || begin.looks < 2 {
+		t.Errorf("the call: sent %v, status %d, after %d looks", sent, status, begin.looks)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.dead || len(c.calls) != 1 || c.calls[0] != waits || len(waits.done) > 0 {
+		t.Errorf("connection dead %v, %d calls on it, %d ended", c.dead, len(c.calls), len(waits.done))
+	}
+}
