--- /dev/null
+++ b/slow_start.go
@@ -0,0 +1,87 @@
+package hoptiller
+
+// Slow start: what a server gets between its start and the end of the stated warm-up. A server that has
+// just started has an empty cache and a part of its capacity; sent more than it stands, by all instances
+// together, it falls over. Its weight in the ranking fades in, and beside that what is sent to it is
+// bounded (coldRoom). Times and parts come from the settings (Cold, ColdFrom, Fall, OverloadFactor); rates
+// are requests a second.
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+// warmth is the part of its capacity that a server has at the least: the stated warm-up.
+func (r *Router) warmth(s *server) float64 { return r.set.ColdFrom + (1-r.set.ColdFrom)*r.fade(s) }
+
+// fade is the part of its weight that a server counts with: near zero at its listed start, full when the
+// stated warm-up is over, and under the warm-up in between.
+func (r *Router) fade(s *server) float64 {
+	age := r.now - s.coldSince()
+	if s.Started == 0 || r.set.Cold <= 0 || age >= r.set.Cold {
+		return 1
+	}
+	return max(0.01, float64(age)/float64(r.set.Cold))
+}
+
+// coldSince is a server's listed start, or when that was listed where it lies in the future of this
+// instance's clock: by a clock that is an hour behind a server would stay cold for an hour.
+func (s *server) coldSince() time.Duration { return min(s.Started, s.toldAt) }
+
+// coldRoom bounds what all instances together send a cold server, whatever the ranking says. This
+// instance's part of what the server can do then is a rate; what is asked beyond it is thinned out by
+// chance, which is right in the mean for any number of instances. What is asked is counted, or taken from
+// the server's part of the weight that is up, so that a mass failure is met at once; what is not at home
+// there comes from others in trouble, and may be all of the traffic.
+func (r *Router) coldRoom(q *request, s *server, home bool) bool {
+	if r.fade(s) >= 1 {
+		return true
+	}
+	unit := r.unit * s.Weight * r.near(s.Zone)
+	rate := max(r.warmth(s)*unit*max(1, r.set.OverloadFactor/2.5), 1/r.balancers())
+	room := max(1, rate*r.fallWindow().Seconds()/4)
+	s.asked = 1 + s.asked*math.Exp(-(r.now-s.askedAt).Seconds()*rate/room)
+	s.askedAt = r.now
+	expected := r.arrivals / rate // what this instance sees too rarely to count
+	if home {                     // a key seen but once may be a hot one all the same
+		expected *= max(s.weight/max(r.upWeight, 1e-9), float64(r.keys[q.Key])/float64(max(r.reads, 8)))
+	}
+	room *= max(0, 1-float64(r.sentBeforeNews(s))/(rate*r.fallWindow().Seconds()))
+	return r.chance()*max(s.asked, expected) < room
+}
+
+// fallWindow is the time over which what a cold server gets is summed.
+func (r *Router) fallWindow() time.Duration { return max(r.set.Fall, time.Second) }
+
+// sentBeforeNews counts own attempts since a server's start, within the fall window, that were sent before
+// the start was listed: as to a warm server, but the cold one has got them.
+func (r *Router) sentBeforeNews(s *server) (n int) {
+	from := max(s.coldSince(), r.now-r.fallWindow())
+	for _, at := range s.sent {
+		if at >= from && at < s.toldAt {
+			n++
+		}
+	}
+	return n
+}
+
+// learnUnit keeps what a unit of warm weight is seen to carry, for the cold budget; until something is
+// seen, the tenants' allowance over the fleet stands in.
+func (r *Router) learnUnit(span, part float64) {
+	warm, all, allowed := 0.0, 0.0, 0.0
+	for _, s := range r.caches {
+		w := s.Weight * r.near(s.Zone)
+		if all += w; r.fade(s) >= 1 {
+			warm += w
+		}
+	}
+	for i := range r.set.Tenants {
+		allowed += r.tenantRate(i)
+	}
+	r.warm = cmp.Or(r.warm, warm)
+	if r.warm += (warm - r.warm) * part; warm > 0 { // many may vanish at once, with what they carried
+		r.unit = max(r.carried/r.warm, r.unit*(1-span/30))
+	}
+	r.unit = max(r.unit, allowed/max(all, 1e-9)/2)
+}
