--- a/internal/fleet/notes/many_test.go
+++ b/internal/fleet/notes/many_test.go
@@ -101,6 +101,7 @@
 		{"among twenty", 20, 3, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(c.routers, 1, permit.Bound{Number: caches}, caches)
 			f.loss = c.loss
 			for i := range caches {
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -167,30 +167,8 @@
 		{"six of them", Unanswered, func(c *Checker) { leave(c, 492, 6) }},
 		{"seven of 501", Unanswered, func(c *Checker) { leave(c, 493, 7) }},
 		{"six of 500", "", func(c *Checker) { leave(c, 493, 6) }},
-		{"without an answer though the router stood still no longer than they were waited for", Unanswered, func(c *Checker) {
-			c.Left(0, 1)
-			for id := range uint32(20) {
-				c.Taken(0, 0, 100+id, read, time.Second)
-			}
-			c.Paused(100*ms, 0, true)
-			c.Paused(100*ms+MostStandstill, 0, false)
-			for id := range uint32(20) {
-				c.Unanswered(1200*ms, 0, 100+id)
-			}
-			c.Finish(9 * time.Second)
-		}},
-		{"while it stood still for longer", "", func(c *Checker) {
-			c.Left(0, 1)
-			for id := range uint32(20) {
-				c.Taken(0, 0, 100+id, read, time.Second)
-			}
-			c.Paused(100*ms, 0, true)
-			c.Paused(101*ms+MostStandstill, 0, false)
-			for id := range uint32(20) {
-				c.Unanswered(1200*ms, 0, 100+id)
-			}
-			c.Finish(9 * time.Second)
-		}},
+		{"without an answer though the router stood still no longer than they were waited for", Unanswered, func(c *Checker) { standStill(c, MostStandstill) }},
+		{"while it stood still for longer", "", func(c *Checker) { standStill(c, MostStandstill+ms) }},
 		{"without an answer while the router stands still", "", func(c *Checker) { c.Paused(0, 0, true); leave(c, 0, 400) }},
 		{"a router that refuses all for 4 s", Serving, func(c *Checker) { refuse(c, 15, 4000*ms); c.Finish(9 * time.Second) }},
 		{"for less", "", func(c *Checker) { refuse(c, 15, 3999*ms); c.Finish(9 * time.Second) }},
@@ -239,6 +217,21 @@
 	return &model.Fall{Server: 1, Started: started, Pushes: []model.Push{{Work: 2, Router: 0}, {Work: 1, Router: 1}}}
 }
 
+// standStill has the router stand still for a time while 20 requests are open, and none of them answered.
+func standStill(c *Checker, span time.Duration) {
+	const requests = 20
+	c.Left(0, 1)
+	for id := range uint32(requests) {
+		c.Taken(0, 0, 100+id, 0, time.Second)
+	}
+	c.Paused(100*ms, 0, true)
+	c.Paused(100*ms+span, 0, false)
+	for id := range uint32(requests) {
+		c.Unanswered(1200*ms, 0, 100+id)
+	}
+	c.Finish(9 * time.Second)
+}
+
 // leave has so many requests answered, so many others not, and the day end.
 func leave(c *Checker, answered, unanswered int) {
 	c.Left(0, 1)
--- a/internal/upstream/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -266,3 +266,26 @@
 		t.Errorf("connection dead %v, %d calls on it, %d ended", c.dead, len(c.calls), len(waits.done))
 	}
 }
+
+// Crossing: a long value's connection ends between its head and its hand-over. Its call ends at once, and not when its time is up.
+func TestLongValueOnAnEndedConnection(t *testing.T) {
+	t.Parallel()
+	p, c, _ := resting(t)
+	out := &call{req: named("01"), done: make(chan relay.Result, 1), sent: time.Now()}
+	b := &body{conn: c, out: out, ended: make(chan struct{})}
+	p.mu.Lock()
+	c.body = b
+	p.closeConn(c, hoptiller.Reset, CloseServerEnded)
+	p.mu.Unlock()
+	if b.hand() {
+		t.Error("the connection is read on")
+	}
+	select {
+	case r := <-out.done:
+		if r.Status != hoptiller.Cancelled || r.Body != nil {
+			t.Errorf("the call ends as %d, with body %v", r.Status, r.Body)
+		}
+	default:
+		t.Error("the call waits for its deadline")
+	}
+}
