Take a changed start for a time between two lists, whatever any wall clock says

Callers saw nothing yet but a cache server that fell: by a router whose clock was an hour ahead of discovery's when it began, a server that had just come back cold counted as warm, got a warm server's share, and was pushed over.

Cause: slow start set the listed start, a wall-clock time of another machine, against the router's own clock. Only a start in the future was taken for what it is. A clock that is ahead makes starts old, and nothing told that.

Change: a start that was not in the list before lies between the two lists, by the router's own monotonic clock, and up to 6 s earlier, since a crash is listed late. A start outside of that is no evidence, and the server counts as cold from the news on. The list that a router begins with may be of long ago and bounds nothing. A server that is listed for the first time still counts by its listed start: it may have run for long.

Ruled out: steps of the router's own clock while it runs, which the module does not see (its clock is monotonic).

TestStartSinceACachedList and TestStartThatIsToldLate hold the cases that must not count as a contradiction.

--- a/cold_clock_test.go
+++ b/cold_clock_test.go
@@ -34,3 +34,28 @@
 		t.Errorf("at once it counts with %.2f of its weight", part)
 	}
 }
+
+// The list that a router begins with may be of long ago. A server that has started since then is as warm as its start says.
+func TestStartSinceACachedList(t *testing.T) {
+	const now = 1000 * time.Hour
+	set := testSettings()
+	r := New(now, set, 1, newRecorder())
+	r.List(now, ListCached, fleet(1, 1, 1))
+	r.List(now+time.Second, ListFull, []Server{{ID: 2, Phase: Ready, Weight: 1, Started: now - time.Hour}})
+	if part := r.fade(r.known[2]); part < 1 {
+		t.Errorf("it counts with %.2f of its weight an hour after its start", part)
+	}
+}
+
+// News of a start may be late by some seconds, while other news came. Its age counts all the same.
+func TestStartThatIsToldLate(t *testing.T) {
+	const now = 1000 * time.Hour
+	set := testSettings()
+	r := New(now-time.Minute, set, 1, newRecorder())
+	r.List(now-time.Minute, ListFull, fleet(1, 1, 1))
+	r.List(now-time.Second, ListDelta, []Server{{ID: 1, Phase: Draining, Weight: 1}})
+	r.List(now, ListDelta, []Server{{ID: 2, Phase: Ready, Weight: 1, Started: now - 5*time.Second}})
+	if part, want := r.fade(r.known[2]), 5/set.Cold.Seconds(); part != want {
+		t.Errorf("it counts with %.2f of its weight 5 s after its start, not with %.2f", part, want)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -86,6 +86,7 @@
 	askedAt    time.Duration
 	sent       []time.Duration // own attempts of the latest fall window
 	toldAt     time.Duration   // when this start was listed
+	coldSince  time.Duration   // when the process started, at the latest
 }
 
 // attempt is one send of a request.
@@ -138,6 +139,8 @@
 	usual           []float64       // smoothed latency of answers by class, seconds
 	ranked          []*server
 
+	listedAt          time.Duration // when the list was told or changed last; 0: not yet
+
 	rate              float64 // answers a second from warm caches, smoothed
 	served            int     // of them that were no misses
 	carried, warm     float64 // and those a second, and the weight of warm caches, smoothed alike
@@ -215,6 +218,9 @@
 			}
 		}
 	}
+	if kind != ListCached { // which may be of long ago
+		r.listedAt = now
+	}
 	r.rebuild()
 }
 
@@ -231,7 +237,7 @@
 		r.known[e.ID] = s
 	}
 	if s.Started != e.Started || s.window == 0 {
-		*s = server{out: s.out, window: math.Inf(1), heard: r.now, sent: s.sent, toldAt: r.now}
+		*s = server{out: s.out, window: math.Inf(1), heard: r.now, sent: s.sent, toldAt: r.now, coldSince: r.startOf(s, e.Started)}
 	}
 	if !(e.Weight > 0) || math.IsInf(e.Weight, 1) {
 		e.Weight = 1
--- a/slow_start.go
+++ b/slow_start.go
@@ -18,16 +18,36 @@
 // fade is the part of its weight that a server counts with: near zero at its listed start, full when the
 // stated warm-up is over, and under the warm-up in between.
 func (r *Router) fade(s *server) float64 {
-	age := r.now - s.coldSince()
+	age := r.now - s.coldSince
 	if s.Started == 0 || r.set.Cold <= 0 || age >= r.set.Cold {
 		return 1
 	}
 	return max(0.01, float64(age)/float64(r.set.Cold))
 }
 
-// coldSince is a server's listed start, or when that was listed where it lies in the future of this
-// instance's clock: by a clock that is an hour behind a server would stay cold for an hour.
-func (s *server) coldSince() time.Duration { return min(s.Started, s.toldAt) }
+// latestNews is how long after a process has started its list entry may come at the latest, while others come.
+const latestNews = 6 * time.Second
+
+// StartInterval bounds when a process has started whose start is listed now and was not in the list before. A listed
+// start is the wall-clock time of another machine, which may be hours off or be stepped. It counts only where it lies
+// between the two lists, by this instance's own clock: else all that is known is that the process started between them.
+func StartInterval(listBefore, now, listed time.Duration) (from, to time.Duration) {
+	from = listBefore - latestNews
+	if listed >= from && listed <= now {
+		return listed, listed
+	}
+	return from, now
+}
+
+// startOf is when a server's process started, at the latest, as its start is listed now. What was not in the list
+// before may have run for long; its start counts, but never as one to come.
+func (r *Router) startOf(s *server, listed time.Duration) time.Duration {
+	if before := s.window != 0; !before {
+		return min(listed, r.now)
+	}
+	_, to := StartInterval(r.listedAt, r.now, listed)
+	return to
+}
 
 // coldRoom bounds what all instances together send a cold server, whatever the ranking says. This
 // instance's part of what the server can do then is a rate; what is asked beyond it is thinned out by
@@ -57,7 +77,7 @@
 // sentBeforeNews counts own attempts since a server's start, within the fall window, that were sent before
 // the start was listed: as to a warm server, but the cold one has got them.
 func (r *Router) sentBeforeNews(s *server) (n int) {
-	from := max(s.coldSince(), r.now-r.fallWindow())
+	from := max(s.coldSince, r.now-r.fallWindow())
 	for _, at := range s.sent {
 		if at >= from && at < s.toldAt {
 			n++
