Compare connections with a server's start by the monotonic clock, and keep those in doubt

Callers saw SERVER_ERROR for a booking whose server was answering it: news of a start that seemed to lie in the future of the router's clock (discovery's was ahead, or one of the two was stepped) broke the connection to the new process.

Cause: upstream.reachedBy set the wall-clock time at which a connection came up against the listed start. Either may have been stepped.

Change: the relay tells its callers since when a server's process can have started at the earliest, as a time with a monotonic reading: the listed start where it lies between two lists, else 6 s before the list before the news. What came up later is kept. A connection kept by mistake costs what the calls on it wait, and usually its end is heard.

TestMovedServer sets the new field in the place of the listed start, its two steps as they were.

--- a/cmd/hoptiller/lost_requests_test.go
+++ b/cmd/hoptiller/lost_requests_test.go
@@ -40,6 +40,28 @@
 	}
 }
 
+// The same where discovery's clock is an hour ahead of the router's, or was set forward meanwhile: a call that waits for its answer on a
+// connection to the new process is answered, and not broken off by news of a start that seems to lie in the future.
+func TestCallOutlivesNewsByAnotherClock(t *testing.T) {
+	t.Parallel()
+	w := start(t, []string{"p1"}, "")
+	client := dial(t, w.actors["program"].addr)
+	fmt.Fprint(client, "mg k1 v O01 Pc=book,d=9000\r\n")
+	call := w.attemptAt(t, "p1", "mg k1 *")
+	w.play(t, t.Name(), []string{
+		"d wait GET /registry/instances?watch=1&after=1 HTTP/1.1",
+		"d send HTTP/1.1 200 OK",
+		"d send Transfer-Encoding: chunked",
+		"d send",
+		fmt.Sprintf(`d chunk {"version":2,"full":false,"servers":[{p1 active %d}]}`, time.Now().Add(time.Hour).UnixMilli()),
+		`program wait * msg="server moved" *`,
+	})
+	fmt.Fprint(call.conn, "VA 1 O01\r\nx\r\n")
+	if line, err := bufio.NewReader(client).ReadString('\n'); line != "VA 1 O01\r\n" {
+		t.Errorf("got %q, %v", line, err)
+	}
+}
+
 // startHasty starts the program in a world in which no client waits long, so that a shutdown soon ends, and no answer counts as late: no
 // attempt that is silent meanwhile is repeated.
 func startHasty(t *testing.T) *world {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,6 +107,7 @@
 	Name   string
 	Addr   string
 	Origin bool
+	Since  time.Time // when its process started at the earliest, by this machine's monotonic clock; set by the Relay
 }
 
 // Directory is told what to ask of the directory. Its calls return at once.
@@ -125,8 +126,9 @@
 	start   time.Time
 	wake    chan struct{}
 
-	mu      sync.RWMutex
-	servers map[uint32]Server
+	mu       sync.RWMutex
+	servers  map[uint32]Server
+	listedAt time.Duration // when the list was told or changed last; 0: not yet
 
 	liveMu sync.Mutex
 	live   map[uint32]*live
@@ -341,6 +343,9 @@
 	for _, s := range leaving {
 		r.update(s)
 	}
+	if kind == hoptiller.ListFull || kind == hoptiller.ListDelta {
+		r.listedAt = r.now()
+	}
 	// On a long day servers come and go without end, and each would leave its trace.
 	for id, s := range r.servers {
 		if s.Phase == hoptiller.Gone && !r.core.Knows(id) && r.caller(s).Forget(id) {
@@ -364,6 +369,9 @@
 	if s.Phase == hoptiller.Gone && known { // an entry for what is gone may lack the rest
 		s.Addr, s.Started, s.Origin = old.Addr, old.Started, old.Origin
 	}
+	if s.Since = old.Since; !known || old.Started != s.Started {
+		s.Since = r.sinceStart(s.Started)
+	}
 	if !known || old.Phase != s.Phase {
 		phase := [...]string{hoptiller.Gone: "gone", hoptiller.Draining: "draining", hoptiller.Ready: "ready"}[s.Phase]
 		slog.Info("server told", "server", s.Name, "id", fmt.Sprintf("%08x", s.ID), "phase", phase)
@@ -377,6 +385,13 @@
 	r.caller(s).Update(s, moved)
 }
 
+// sinceStart is when a process has started at the earliest whose start is listed now. It is compared with when connections came up, and
+// must not change with the wall clock. r.mu is held.
+func (r *Relay) sinceStart(listed time.Duration) time.Time {
+	from, _ := hoptiller.StartInterval(r.listedAt, r.now(), listed)
+	return r.start.Add(from - time.Duration(r.start.UnixNano()))
+}
+
 // startTime is a server's start as the log has it.
 func startTime(started time.Duration) string {
 	if started == 0 {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 	asked  []string
 	block  chan struct{} // if set, a call waits until its context ends, and then tells here
 	keeps  bool          // has connections, so that nothing is forgotten
+	since  time.Time     // of the server that was told last
 }
 
 func (c *caller) note(format string, args ...any) {
@@ -45,6 +46,7 @@
 
 func (c *caller) Update(s Server, moved bool) {
 	c.note("update %d phase %d moved %v", s.ID, s.Phase, moved)
+	c.since = s.Since
 }
 func (c *caller) Forget(server uint32) bool { c.note("forget %d", server); return !c.keeps }
 func (c *caller) CloseIdle(server uint32)   { c.note("idle %d", server) }
@@ -153,6 +155,27 @@
 	}
 }
 
+// A connection that came up just before the news of a start may lead to the new process, unless the start is known to be later. By a clock
+// that is an hour off nothing is known but when the news came.
+func TestStartByAnotherClock(t *testing.T) {
+	for _, test := range []struct {
+		off  time.Duration // of the start's clock
+		kept bool
+	}{{0, false}, {time.Hour, true}, {-time.Hour, true}} {
+		r, p, _ := newRelay([]Result{{Status: hoptiller.OK}}, []Result{{Status: hoptiller.OK}})
+		opened := time.Now()
+		moved := entry(1, hoptiller.Ready, false)
+		moved.Started = r.now() + test.off
+		r.Told(hoptiller.ListDelta, []Server{moved})
+		if kept := !opened.Before(p.since); kept != test.kept {
+			t.Errorf("clock off by %v: a connection %v before the news is kept %v", test.off, time.Since(opened), kept)
+		}
+		if age := time.Since(p.since); age < 0 || age > 2*time.Minute {
+			t.Errorf("clock off by %v: started %v ago", test.off, age)
+		}
+	}
+}
+
 // The callers hear of a newcomer before it may be picked and of a drain after it may not; what has left is
 // forgotten as soon as nothing leads to it, and a new start time or address tells that it runs anew.
 func TestTold(t *testing.T) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -101,10 +101,10 @@
 	}
 }
 
-// reachedBy tells whether a connection that came up to an address at a time leads to the process that is listed now. Both times are
-// wall-clock times, which may have been stepped in between; either mistake costs no more than the calls that are out.
+// reachedBy tells whether a connection that came up to an address at a time leads to the process that is listed now. Where that can't be
+// known it does, which costs no more than the calls that are out.
 func (s *server) reachedBy(addr string, opened time.Time) bool {
-	return addr == s.Addr && !opened.Before(time.Unix(0, int64(s.Started)))
+	return addr == s.Addr && !opened.Before(s.Since)
 }
 
 // Forget implements relay.Upstream.
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -211,10 +211,10 @@
 	go func() { result <- p.Call(context.Background(), context.Background(), 1, read) }()
 	until(t, p, "a connection with one call", func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
 	moved := entry(p.servers[1].Addr, hoptiller.Ready)
-	moved.Started = time.Duration(time.Now().Add(-time.Hour).UnixNano()) // news of a start before the connection came up
+	moved.Since = time.Now().Add(-time.Hour) // news of a start before the connection came up
 	p.Update(moved, true)
 	until(t, p, "the connection with its call", func(s *server) bool { return len(s.conns) == 1 && len(s.conns[0].calls) == 1 })
-	moved.Started = time.Duration(time.Now().UnixNano())
+	moved.Since = time.Now()
 	p.Update(moved, true)
 	if r := testprog.Await(t, result, "end of the call"); r.Status != hoptiller.Reset {
 		t.Errorf("status %d", r.Status)
