Hold each router's process in the lab to its own life only, whatever ended the one before

Cause: only Kill and a replacement told the checker of a new life. A drill's restart ends and starts a process with neither, so that every rule went on with what the former one was told, had asked and had turned away.

Change: a life begins where a process is started (node.config), and nowhere else; rules.Begins forgets what the former life was told and said, and keeps what it has taken: that is still owed, or "no final answer" breaks. Only a kill without notice owes nothing. What an ended process's watch is told, or its late attempts, count for no other life; a request that the former process took nothing of counts for the one that it reaches.

Evidence: rules.TestBounds, "a router that refused in its former life as well" and "a call ... that only the former one had listed" fail before (breach of serving; of drain in place of listed) and pass now; "did not answer" holds in both. standin.TestNextLife: ended by itself, by a signal, killed, replaced. Two cases called Reset or Begins; they call what took their place, with the same bound.

--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -101,16 +101,11 @@
 		starts: map[serverOf]toldStart{},
 		kept:   map[string]int{}, obstacles: make([]obstacle, day.Routers), idle: map[int]time.Duration{}}
 	for i := range c.routers {
-		c.Reset(i)
+		c.forgetLife(i)
 	}
 	return c
 }
 
-// Reset forgets what a router held, since it has died.
-func (c *Checker) Reset(router int) {
-	c.routers[router] = routerState{requests: map[uint32]*request{}, left: map[int]time.Duration{}, aside: map[int]time.Duration{}, named: map[int]bool{}}
-}
-
 func (c *Checker) breach(rule string, at time.Duration, router int, id uint32, format string, args ...any) {
 	c.Count++
 	if c.kept[rule]++; c.kept[rule] <= keep {
@@ -173,9 +168,6 @@
 	}
 }
 
-// Begins tells that a router's process starts: what its former life has said binds it no more, other than what it was told.
-func (c *Checker) Begins(router int) { clear(c.routers[router].aside) }
-
 // leftSince tells since when a router is held to know that a server drains or is gone.
 func (c *Checker) leftSince(router, server int) (time.Duration, bool) {
 	s := &c.routers[router]
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -37,8 +37,47 @@
 			c.Aside(200*ms, 0, 1, false)
 			c.Sent(900*ms, 0, 1, 1)
 		}},
-		{"a call of its next life", "", func(c *Checker) { c.Aside(100*ms, 0, 1, true); c.Begins(0); c.Sent(900*ms, 0, 1, 1) }},
-		{"a router that dies", "", func(c *Checker) { c.Reset(0); c.Finish(9000 * ms) }},
+		{"a call of its next life", "", func(c *Checker) { c.Aside(100*ms, 0, 1, true); begin(c, 200*ms); c.Sent(900*ms, 0, 2, 1) }},
+		{"a call of its next life after a drain that it has not heard of", "", func(c *Checker) {
+			c.Told(0, 0, left)
+			begin(c, 200*ms)
+			c.Sent(900*ms, 0, 2, 1)
+		}},
+		{"a call of its next life to a server that only the former one had listed", Listed, func(c *Checker) {
+			c.Told(0, 0, model.Update{Members: []model.Member{{Index: 5, Phase: model.Ready}}})
+			begin(c, 200*ms)
+			c.Sent(900*ms, 0, 2, 5)
+		}},
+		{"a router that refused in its former life as well", "", func(c *Checker) {
+			refuse(c, 14, 2000*ms)
+			begin(c, 3000*ms)
+			c.Left(0, 2)
+			c.Taken(4000*ms, 1, 3, read, 5*time.Second)
+			c.Sent(4000*ms, 1, 3, 1)
+			c.Ended(4000*ms, 1, 3, 0, hoptiller.OK)
+			c.Final(4000*ms, 1, 3, hoptiller.StepServed)
+			c.Taken(4000*ms, 0, 4, read, 5*time.Second)
+			c.Final(4000*ms, 0, 4, hoptiller.StepReject)
+			c.Finish(9 * time.Second)
+		}},
+		{"what a life that has ended sent on and did not answer", OneAnswer, func(c *Checker) {
+			c.Sent(0, 0, 1, 1)
+			begin(c, 200*ms)
+			c.Left(0, 2)
+			c.Finish(9 * time.Second)
+		}},
+		{"what a life that is killed has", "", func(c *Checker) {
+			c.Left(0, 1)
+			for id := range uint32(6) {
+				c.Taken(0, 0, 100+id, read, time.Second)
+				c.Sent(0, 0, 100+id, 1)
+			}
+			c.Killed(100*ms, 0)
+			begin(c, 200*ms)
+			c.Left(0, 2)
+			c.Finish(9 * time.Second)
+		}},
+		{"a router that dies", "", func(c *Checker) { c.Killed(0, 0); c.Finish(9000 * ms) }},
 		{"a read repeated after an error", "", func(c *Checker) {
 			c.Sent(0, 0, 1, 1)
 			c.Ended(0, 0, 1, 0, hoptiller.ServerError)
@@ -100,7 +139,7 @@
 		{"a cold cache pushed by those who knew", Cold, func(c *Checker) { c.FellOver(0, pushedOver(0)) }},
 		{"by one who knew, in a former life", Cold, func(c *Checker) {
 			c.Told(100*ms, 0, startOf(1, 50*ms))
-			c.Reset(0)
+			c.Killed(0, 0)
 			c.FellOver(300*ms, &model.Fall{Server: 1, Started: 50 * ms, Pushes: []model.Push{{At: 100 * ms, Work: 2}, {At: 100 * ms, Work: 1, Router: 1}}})
 		}},
 		{"by one who knew only afterwards", "", func(c *Checker) {
@@ -217,6 +256,13 @@
 	return &model.Fall{Server: 1, Started: started, Pushes: []model.Push{{Work: 2, Router: 0}, {Work: 1, Router: 1}}}
 }
 
+// begin has router 0 begin a life with the list of the day's first moment, and take a request.
+func begin(c *Checker, now time.Duration) {
+	c.Begins(0)
+	c.Told(now, 0, model.Update{Full: true, Members: []model.Member{{Index: 0, Phase: model.Ready}, {Index: 1, Phase: model.Ready}}})
+	c.Taken(now, 0, 2, 0, now+4*time.Second)
+}
+
 // standStill has the router stand still for a time while 20 requests are open, and none of them answered.
 func standStill(c *Checker, span time.Duration) {
 	const requests = 20
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -120,7 +120,7 @@
 		t.lives = append(t.lives, 0)
 	}
 	t.lives[i]++
-	t.Check.Reset(i)
+	t.Check.Begins(i)
 	t.routers[i] = newRouter(t, i, t.lives[i])
 }
 
@@ -136,7 +136,7 @@
 	if r := t.routers[i]; r != nil {
 		t.routers[i] = nil
 		r.die()
-		t.Check.Reset(i)
+		t.Check.Killed(t.World.Now(), i)
 		t.World.Directory.Ask(i, false, false, nil)
 	}
 }
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -90,10 +90,10 @@
 				f = model.NoRoute
 				e.Check.Left(n.index, r.number)
 			}
-			if errors.Is(err, errCutOff) && r.life == n.life {
+			if errors.Is(err, errCutOff) && !n.lost(r) {
 				e.Check.CutOff(e.World.Now(), n.index, r.number, r.broken)
 			}
-			if errors.Is(err, errNoAnswer) && r.life == n.life && r.calls > 0 {
+			if errors.Is(err, errNoAnswer) && !n.lost(r) && r.calls > 0 {
 				e.Check.Dropped(e.World.Now(), n.index, r.number)
 			}
 			e.Check.Unanswered(e.World.Now(), n.index, r.number) // what it had taken before it was killed the rules have forgotten
@@ -104,7 +104,7 @@
 		} else {
 			if e.World.Now() > r.end+e.grace() { // and no later than the machine is
 				e.Check.Left(n.index, r.number)
-			} else if r.life == n.life { // else it was killed since: the rules know nothing of what it had taken
+			} else if !n.lost(r) { // else it was killed since: the rules know nothing of what it had taken
 				e.Check.Final(e.World.Now(), n.index, r.number, final[f])
 			}
 			n.idle = append(n.idle, r.conn)
@@ -123,7 +123,7 @@
 		return f, after, err
 	}
 	n.e.mu.Lock()
-	killed, sentOn := r.life != n.life, r.calls > 0
+	killed, sentOn := n.lost(r), r.calls > 0
 	n.e.mu.Unlock()
 	if killed || sentOn { // one that a server has seen was taken, whatever became of its connection
 		return f, after, err
@@ -139,7 +139,8 @@
 
 // exchange writes a request and reads its answer, on an open connection or a new one.
 func (n *node) exchange(r *request, c *client) (f model.Final, after time.Duration, err error) {
-	if c == nil {
+	fresh := c == nil
+	if fresh {
 		nc, err := net.DialTimeout("tcp", n.addr, time.Second)
 		if err != nil {
 			return 0, 0, errNoRoute
@@ -152,6 +153,10 @@
 	n.e.mu.Lock()
 	r.conn = c
 	gone := n.e.tries[r.id] != r
+	if fresh && r.life != n.life && r.calls == 0 && !gone { // the process that it was meant for took nothing of it
+		r.life = n.life
+		n.e.Check.Taken(n.e.World.Now(), n.index, r.number, r.try.Op.Class, r.end)
+	}
 	counted := time.Now()
 	left := r.end - counted.Sub(n.e.begun) // as it writes, or a busy machine would have the router believe in more
 	n.e.mu.Unlock()
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -41,12 +41,16 @@
 	last  *tail
 	ended chan struct{}
 
-	life int      // counts kills, guarded by e.mu
-	lag  lagMeter // the same
+	life   int      // counts processes that were started, and those that were killed; guarded by e.mu
+	killed int      // the latest life that was killed without notice; the same
+	lag    lagMeter // the same
 
 	idle []*client // connections of clients without a request, guarded by e.mu
 }
 
+// lost tells whether the process that was to take a request was killed without notice since: then nothing is owed. e.mu is held.
+func (n *node) lost(r *request) bool { return r.life <= n.killed }
+
 // settings are those that the router of a variant is told.
 func (n *node) settings(variant string) map[string]any {
 	self := n.index
@@ -74,6 +78,7 @@
 	e.mu.Lock()
 	present := model.Update{Full: true, Members: e.World.Directory.Present()}
 	known := n.listing(present)
+	n.life++
 	e.Check.Begins(n.index)
 	e.Check.Told(e.World.Now(), n.index, present)
 	e.mu.Unlock()
@@ -256,10 +261,6 @@
 			n.kill()
 		}
 	}
-	n.e.mu.Lock()
-	n.e.Check.Reset(n.index)
-	n.life++
-	n.e.mu.Unlock()
 	n.mu.Lock()
 	n.kind = variant
 	n.mu.Unlock()
@@ -334,18 +335,22 @@
 	watching := r.URL.Query().Get("watch") == "1"
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	updates := make(chan []byte, 256) // the text of each; empty for the end
+	var life int                      // of the process that asks: what comes after it tells the next one nothing
 	told := func(u model.Update) {
 		var text []byte
 		if !u.Failed {
 			text, _ = json.Marshal(n.listing(u))
 		}
-		e.Check.Told(e.World.Now(), n.index, u)
+		if life == n.life {
+			e.Check.Told(e.World.Now(), n.index, u)
+		}
 		select {
 		case updates <- text:
 		default:
 		}
 	}
 	e.do(func() {
+		life = n.life
 		if watching {
 			e.World.Directory.Join(n.index, after, told)
 			e.Check.Watches(n.index, true)
@@ -354,6 +359,9 @@
 	})
 	if watching {
 		defer e.do(func() {
+			if life != n.life {
+				return
+			}
 			e.Check.Watches(n.index, false)
 			e.World.Directory.Ask(n.index, false, false, nil)
 		})
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -192,6 +192,7 @@
 			}
 			class, _ := meta.Fact([]byte(a.facts), "c")
 			r = e.stranger(a.id, string(class), number, a.write)
+			r.life = l.n.life
 			e.Check.Taken(e.World.Now(), l.n.index, r.number, r.try.Op.Class, e.World.Now()+time.Hour)
 		}
 		if r == nil { // its client has gone, and with it what is known of the request
@@ -208,7 +209,7 @@
 		l.calls[call], r.sent[call], l.last = r, e.World.Now(), call
 		l.carry(r)
 		server := e.World.Occupant(l.server)
-		if r.life == l.n.life { // else it was killed since: the rules know nothing of what it had taken
+		if r.life == l.n.life && !l.n.lost(r) { // what a former process sent is not held against the next one
 			e.Check.Sent(e.World.Now(), l.n.index, r.number, server)
 			l.holdToTime(r, a)
 			l.alone(r, call, a.at)
--- a/internal/lab/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -12,6 +12,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -284,3 +285,48 @@
 		t.Errorf("it ends with %v", err)
 	}
 }
+
+// Whatever ends a router's process, the next one is held to nothing of it: what it was told, and what it said.
+func TestNextLife(t *testing.T) {
+	for name, next := range map[string]func(c Control, n *node){
+		"ended by itself": func(c Control, n *node) {
+			process := n.process.Load()
+			n.bidden.Store(true) // the test ends it
+			process.Kill()
+			<-n.ended
+			c.Start(0)
+		},
+		"ended by a signal": func(c Control, n *node) { c.Signal(0, syscall.SIGTERM); <-n.ended; c.Start(0) },
+		"killed":            func(c Control, n *node) { c.Kill(0); <-n.ended; c.Start(0) },
+		"replaced":          func(c Control, n *node) { c.Replace(0, "", func(error) {}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			byHand(t, func(c Control) {
+				e := (*Engine)(c.(*steward))
+				n, now := e.nodes[0], e.World.Now()
+				e.Check.Told(now, 0, model.Update{Members: []model.Member{{Index: 7, Phase: model.Ready}}})
+				life := n.life
+				began := make(chan struct{})
+				go func() {
+					defer close(began)
+					next(c, n)
+					testprog.Until(t, "the next process", func() bool {
+						e.mu.Lock()
+						defer e.mu.Unlock()
+						return n.life > life && n.process.Load() != nil
+					})
+					e.do(func() {
+						before := e.Check.Count
+						e.Check.Taken(e.World.Now(), 0, 99, 0, e.World.Now()+time.Second)
+						e.Check.Sent(e.World.Now(), 0, 99, 7)
+						if e.Check.Count != before+1 || e.Check.Found[len(e.Check.Found)-1].Rule != rules.Listed {
+							t.Errorf("what only the former process was told counts for the next one: %v", e.Check.Found)
+						}
+					})
+				}()
+				t.Cleanup(func() { testprog.Await(t, began, "the next process") })
+			})
+		})
+	}
+}
--- a/internal/lab/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -34,9 +34,9 @@
 // held against a life that was told of nothing.
 func (s *steward) Kill(i int) {
 	s.nodes[i].signal(os.Kill)
-	s.Check.Paused(s.World.Now(), i, false)
-	s.Check.Reset(i)
-	s.nodes[i].life++
+	s.Check.Killed(s.World.Now(), i)
+	s.nodes[i].killed = s.nodes[i].life
+	s.nodes[i].life++ // what comes from now on is not for the one that was killed
 }
 
 // Interrupt implements Control. It may be called at any time.
