Count a server that comes back as a new entry as cold where its listed start can't be

A cache server that crashes leaves the list, and comes back as an entry that was not there before; by a clock that is an hour ahead it still counted as warm.

Change: an entry that a delta adds has come since the list before it, like one whose start has changed: a start that lies earlier by more than news are late is no evidence. Two cases count by their start as before: a server that a whole list names for the first time (after a move to another discovery all of them may have run for long), and one that comes back with the very start that it had when it left; the starts of up to 4,096 such are kept.

TestCrashedServerByAClockAhead: "at once it counts with 1.00 of its weight" before, passes now. TestServerThatWasLostFromTheList holds the second case.

--- a/cold_clock_test.go
+++ b/cold_clock_test.go
@@ -59,3 +59,29 @@
 		t.Errorf("it counts with %.2f of its weight 5 s after its start, not with %.2f", part, want)
 	}
 }
+
+// A server that crashes leaves the list and comes back as a new entry. It is cold, also by a clock that is an hour ahead.
+func TestCrashedServerByAClockAhead(t *testing.T) {
+	const now = 1000 * time.Hour
+	r := New(now-time.Minute, testSettings(), 1, newRecorder())
+	r.List(now-time.Minute, ListFull, fleet(1, 1, 1))
+	r.List(now-10*time.Second, ListDelta, []Server{{ID: 2, Phase: Gone}})
+	r.List(now, ListDelta, []Server{{ID: 2, Phase: Ready, Weight: 1, Started: now - time.Hour - time.Second}})
+	if part := r.fade(r.known[2]); part > 0.1 {
+		t.Errorf("at once it counts with %.2f of its weight", part)
+	}
+}
+
+// A server that was lost from the list for a while and comes back with the start that it had is as warm as that says.
+func TestServerThatWasLostFromTheList(t *testing.T) {
+	const now = 1000 * time.Hour
+	list := fleet(1, 1, 1)
+	list[1].Started = now - time.Hour
+	r := New(now-time.Minute, testSettings(), 1, newRecorder())
+	r.List(now-time.Minute, ListFull, list)
+	r.List(now-10*time.Second, ListDelta, []Server{{ID: 2, Phase: Gone}})
+	r.List(now, ListDelta, list[1:2])
+	if part := r.fade(r.known[2]); part < 1 {
+		t.Errorf("it counts with %.2f of its weight", part)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -139,7 +139,8 @@
 	usual           []float64       // smoothed latency of answers by class, seconds
 	ranked          []*server
 
-	listedAt          time.Duration // when the list was told or changed last; 0: not yet
+	former   formerStarts
+	listedAt time.Duration // when the list was told or changed last; 0: not yet
 
 	rate              float64 // answers a second from warm caches, smoothed
 	served            int     // of them that were no misses
@@ -177,7 +178,7 @@
 	}
 	r := &Router{set: set, act: act, rng: seed, salt: mix(seed), now: now,
 		known: map[uint32]*server{}, reqs: map[uint32]*request{}, keys: map[uint64]int{},
-		logged:  map[string]time.Duration{},
+		logged: map[string]time.Duration{}, former: formerStarts{},
 		buckets: make([]bucket, len(set.Tenants)), usual: make([]float64, len(set.Classes)),
 		rateAt: now, gate: 1, help: 1, held: map[uint64]time.Duration{},
 		paths: map[int]float64{}, times: map[int]float64{}}
@@ -209,7 +210,7 @@
 	listed := make(map[uint32]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
-		r.entry(e)
+		r.entry(e, kind)
 	}
 	if kind != ListDelta {
 		for id, s := range r.known {
@@ -226,7 +227,7 @@
 
 // entry takes one list entry. A new start time is a new process: what was learned of the
 // old one is forgotten, but its attempts still count until their outcomes are in.
-func (r *Router) entry(e Server) {
+func (r *Router) entry(e Server, kind ListKind) {
 	s := r.known[e.ID]
 	if s != nil && e.Phase == Gone {
 		r.leave(s)
@@ -237,7 +238,7 @@
 		r.known[e.ID] = s
 	}
 	if s.Started != e.Started || s.window == 0 {
-		*s = server{out: s.out, window: math.Inf(1), heard: r.now, sent: s.sent, toldAt: r.now, coldSince: r.startOf(s, e.Started)}
+		*s = server{out: s.out, window: math.Inf(1), heard: r.now, sent: s.sent, toldAt: r.now, coldSince: r.startOf(s, &e, kind)}
 	}
 	if !(e.Weight > 0) || math.IsInf(e.Weight, 1) {
 		e.Weight = 1
@@ -264,6 +265,7 @@
 	r.caches, r.origins = r.caches[:0], r.origins[:0]
 	for id, s := range r.known {
 		if s.Phase == Gone && s.out == 0 {
+			r.former.keep(s)
 			delete(r.known, id)
 		} else if s.Phase == Ready && s.origin {
 			r.origins = append(r.origins, s)
--- a/slow_start.go
+++ b/slow_start.go
@@ -39,16 +39,38 @@
 	return from, now
 }
 
-// startOf is when a server's process started, at the latest, as its start is listed now. What was not in the list
-// before may have run for long; its start counts, but never as one to come.
-func (r *Router) startOf(s *server, listed time.Duration) time.Duration {
-	if before := s.window != 0; !before {
-		return min(listed, r.now)
+// startOf is when a server's process started, at the latest, as its start is listed now. One that a whole list names for
+// the first time may have run for long, as after a move to another discovery: its start counts, but never as one to come.
+func (r *Router) startOf(s *server, e *Server, kind ListKind) time.Duration {
+	listedBefore := s.window != 0
+	if !listedBefore && (kind != ListDelta || r.former.had(e)) {
+		return min(e.Started, r.now)
 	}
-	_, to := StartInterval(r.listedAt, r.now, listed)
+	_, to := StartInterval(r.listedAt, r.now, e.Started)
 	return to
 }
 
+// formerStarts are the listed starts of servers that have left the list, by id: one that comes back with the start that
+// it had has not started anew.
+type formerStarts map[uint32]time.Duration
+
+// mostFormer bounds them.
+const mostFormer = 4096
+
+// keep remembers a server that leaves the list.
+func (f formerStarts) keep(s *server) {
+	if len(f) >= mostFormer {
+		clear(f)
+	}
+	f[s.ID] = s.Started
+}
+
+// had tells whether a server left the list with the start that it has now.
+func (f formerStarts) had(e *Server) bool {
+	started, known := f[e.ID]
+	return known && started == e.Started
+}
+
 // coldRoom bounds what all instances together send a cold server, whatever the ranking says. This
 // instance's part of what the server can do then is a rate; what is asked beyond it is thinned out by
 // chance, which is right in the mean for any number of instances. What is asked is counted, or taken from
