Excuse an answer that is cut off only by the connection on which it came

What was seen: by reading. rules.CutOff excused any request that had had a call on a connection which a server broke, though another server was answering it since, and all requests of a router while one of its relays broke connections. A router that cut just these was not seen.

Change: a request knows the connection on which a server gave its value last. Only where that one was broken, by the server or closed by its relay before the router ended it (arrival.Log.Closed), is nothing owed. The count of a router's relays that break connections has no use any more and is gone, from the checker to the drill's player.

Tests: TestBrokenConnection for the two sides; TestCutOff has "by the router" and "broken" (its two cases of relays have moved to the former, since the checker is no longer told of relays).

--- a/internal/lab/arrival/arrival.go
+++ b/internal/lab/arrival/arrival.go
@@ -27,6 +27,7 @@
 	parts    []part
 	last     time.Time // when the latest read bytes came
 	ended    time.Time // zero while the connection is open
+	closed   bool      // by its holder, before the peer ended it
 }
 
 // part says that the bytes up to an offset came at a time, as far as no earlier part has them.
@@ -80,10 +81,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.lookForEnd(); l.ended.IsZero() {
-		l.ended = time.Now()
+		l.ended, l.closed = time.Now(), true
 	}
 }
 
+// Closed tells whether the holder of the connection closed it before the peer ended it.
+func (l *Log) Closed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
 // End is when the peer ended the connection or its holder closed it; false: it is open. Of a connection that
 // the peer reset it is the time of the last segment before the reset: the kernel records no other.
 func (l *Log) End() (at time.Time, ended bool) {
--- a/internal/lab/arrival/arrival_test.go
+++ b/internal/lab/arrival/arrival_test.go
@@ -76,7 +76,8 @@
 		t.Errorf("ended %v at %v, closed between %v and %v", ended, at, before, after)
 	}
 	near.Close()
-	if again, _ := near.End(); again != at {
+	near.EndsNow()
+	if again, _ := near.End(); again != at || near.Closed() {
 		t.Errorf("it ended at %v, and at %v once it is closed", at, again)
 	}
 }
@@ -87,7 +88,7 @@
 	before := time.Now()
 	near.EndsNow()
 	near.Close()
-	if at, ended := near.End(); !ended || at.Before(before) {
+	if at, ended := near.End(); !ended || at.Before(before) || !near.Closed() {
 		t.Errorf("ended %v at %v, closed at %v", ended, at, before)
 	}
 }
--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -328,16 +328,13 @@
 		}
 		p.mu.Lock()
 		k := wayKey{i, standin.Party(s.Kind)}
-		held, broke := p.state[k].HoldsBack(), p.state[k].Breaks()
+		held := p.state[k].HoldsBack()
 		p.state[k] = x
 		list := p.ways[k]
 		p.mu.Unlock()
 		if holds := x.HoldsBack(); holds != held && (k.to == standin.Cache || k.to == standin.Origin) {
 			hand.HeldBack(i, holds)
 		}
-		if breaks := x.Breaks(); breaks != broke && (k.to == standin.Cache || k.to == standin.Origin) {
-			hand.Breaks(i, breaks)
-		}
 		for _, w := range list {
 			w.SetFaults(x)
 		}
--- a/internal/lab/faultproxy/stream.go
+++ b/internal/lab/faultproxy/stream.go
@@ -27,9 +27,6 @@
 	return f.Stall || f.Delay > 0 || f.BytesPerSecond > 0
 }
 
-// Breaks tells whether the faults end connections.
-func (f StreamFaults) Breaks() bool { return f.Reset || f.ResetAfter > 0 }
-
 // chunkSize is the largest number of bytes that are forwarded at once.
 const chunkSize = 4 << 10
 
--- a/internal/lab/rules/after.go
+++ b/internal/lab/rules/after.go
@@ -27,14 +27,13 @@
 	c.breach(OneAnswer, now, router, id, "its connection is ended without an answer, though it was sent on")
 }
 
-// CutOff tells that a router has ended a client's connection within an answer that had begun. broken tells that a server has ended a
-// connection under the request, and then nobody has the rest: nothing more is owed.
+// CutOff tells that a router has ended a client's connection within an answer that had begun. broken tells that the connection on which
+// the answer came from its server was broken by the server or a relay, and then nobody has the rest: nothing more is owed.
 func (c *Checker) CutOff(now time.Duration, router int, id uint32, broken bool) {
-	q, breaks := c.routers[router].requests[id], &c.obstacles[router].breaks
-	if q == nil {
+	if c.routers[router].requests[id] == nil {
 		return
 	}
-	if broken || breaks.running > 0 || breaks.read(now) > q.breaksBefore {
+	if broken {
 		c.Left(router, id)
 		return
 	}
--- a/internal/lab/rules/after_test.go
+++ b/internal/lab/rules/after_test.go
@@ -53,31 +53,20 @@
 	}
 }
 
-// An answer that has begun ends whole, unless its server or a relay before that breaks it.
+// An answer that has begun ends whole, unless the connection is broken on which it comes from its server.
 func TestCutOff(t *testing.T) {
 	for _, c := range []struct {
-		name          string
-		broken, relay bool
-		relayBefore   bool
-		breaches      int
+		name     string
+		broken   bool
+		breaches int
 	}{
 		{name: "by the router", breaches: 1},
-		{name: "by its server", broken: true},
-		{name: "by a relay", relay: true},
-		{name: "by the router, after a relay had broken others", relayBefore: true, breaches: 1},
+		{name: "by its server or a relay", broken: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			day := model.Prairie()
 			checker := New(&day)
-			if c.relayBefore {
-				checker.Breaks(0, 0, true)
-				checker.Breaks(ms, 0, false)
-			}
 			checker.Taken(time.Second, 0, 1, 0, 2*time.Second)
-			if c.relay {
-				checker.Breaks(time.Second, 0, true)
-				checker.Breaks(time.Second+ms, 0, false)
-			}
 			checker.CutOff(time.Second+2*ms, 0, 1, c.broken)
 			checker.Unanswered(time.Second+2*ms, 0, 1)
 			if checker.unanswered != c.breaches {
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -87,7 +87,7 @@
 	told     bool          // an attempt has told how much time is left
 	readLate time.Duration // how much more the first of them told
 
-	pausedBefore, heldBackBefore, breaksBefore time.Duration // how long its router's obstacles had lasted when it was taken
+	pausedBefore, heldBackBefore time.Duration // how long its router's obstacles had lasted when it was taken
 }
 
 type try struct {
@@ -117,8 +117,7 @@
 func (c *Checker) Taken(now time.Duration, router int, id uint32, class int, end time.Duration) {
 	o := &c.obstacles[router]
 	c.taken++
-	c.routers[router].requests[id] = &request{class: class, end: end, pausedBefore: o.paused.read(now), heldBackBefore: o.heldBack.read(now),
-		breaksBefore: o.breaks.read(now)}
+	c.routers[router].requests[id] = &request{class: class, end: end, pausedBefore: o.paused.read(now), heldBackBefore: o.heldBack.read(now)}
 }
 
 // Sent tells of a call.
--- a/internal/lab/rules/timeleft.go
+++ b/internal/lab/rules/timeleft.go
@@ -35,7 +35,6 @@
 type obstacle struct {
 	paused   stopwatch // its process stood still
 	heldBack stopwatch // a relay held back what it sends to servers
-	breaks   stopwatch // a relay ended its connections to servers
 }
 
 // Paused tells that a router's process is made to stand still, or goes on.
@@ -48,11 +47,6 @@
 	c.obstacles[router].heldBack.set(now, on)
 }
 
-// Breaks tells that a relay begins to end connections of a router to servers, or that it ends doing so.
-func (c *Checker) Breaks(now time.Duration, router int, on bool) {
-	c.obstacles[router].breaks.set(now, on)
-}
-
 // delayed is for how much of a request's time its router stood still or what it sends was held back. A router that was
 // paused has read the request so much later, and a server has got an attempt so much after it was written.
 func (c *Checker) delayed(now time.Duration, router int, q *request) time.Duration {
--- a/internal/lab/standin/arrival_test.go
+++ b/internal/lab/standin/arrival_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"hoptiller/internal/lab/arrival"
 )
 
 // The time that is left is read from an attempt's facts; what can't be read, or could be read in two ways, is told.
@@ -89,3 +91,18 @@
 		t.Error("a lag of long ago counts")
 	}
 }
+
+// An answer may be cut off only where the connection is broken on which it came: not where another one is, that carried an earlier call.
+func TestBrokenConnection(t *testing.T) {
+	open := func() *link { return &link{source: arrival.NewLog(nil)} }
+	answering, earlier := open(), open()
+	earlier.lost = true
+	r := &request{answer: answering}
+	if r.answer.broken() {
+		t.Error("the connection of an earlier call counts")
+	}
+	answering.source.EndsNow() // by a relay
+	if !r.answer.broken() {
+		t.Error("the connection of the answer does not count where a relay has closed it")
+	}
+}
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -91,7 +91,7 @@
 				e.Check.Left(n.index, r.number)
 			}
 			if errors.Is(err, errCutOff) && !n.lost(r) {
-				e.Check.CutOff(e.World.Now(), n.index, r.number, r.broken)
+				e.Check.CutOff(e.World.Now(), n.index, r.number, r.answer != nil && r.answer.broken())
 			}
 			if errors.Is(err, errNoAnswer) && !n.lost(r) && r.calls > 0 {
 				e.Check.Dropped(e.World.Now(), n.index, r.number)
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -97,8 +97,6 @@
 	Cache(n int) string
 	// HeldBack tells that a relay begins to hold back what a router sends to servers, or that it ends doing so.
 	HeldBack(router int, on bool)
-	// Breaks tells that a relay begins to end connections of a router to servers, or that it ends doing so.
-	Breaks(router int, on bool)
 	// Aside tells that a router has said to send a slot cache nothing new, or that it does again.
 	Aside(router int, cache string, yes bool)
 }
@@ -143,7 +141,7 @@
 	sent   map[*model.Call]time.Duration // when each came
 	ended  map[*model.Call]time.Time     // when each was answered or lost
 	conn   *client                       // that carries it
-	broken bool                          // a server has ended a connection with a call of it
+	answer *link                         // on which a server gave its value last; nil: none did
 }
 
 // Run plays a day, which must have passed Check, and then ends all that it has started.
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -69,9 +69,9 @@
 	calls map[*model.Call]*request
 	last  *model.Call // the latest
 
-	carried []*request          // of late, whose answers may still be on their way
-	gone    map[*model.Call]int // after it, those whose requests are over: they too are answered in their turn
-	ended   bool
+	gone  map[*model.Call]int // after it, those whose requests are over: they too are answered in their turn
+	ended bool
+	lost  bool // the server has broken it
 
 	accepted time.Duration
 }
@@ -217,7 +217,6 @@
 		call := &model.Call{Try: r.try, Attempt: r.calls}
 		r.calls++
 		l.calls[call], r.sent[call], l.last = r, e.World.Now(), call
-		l.carry(r)
 		server := e.World.Occupant(l.server)
 		if r.life == l.n.life && !l.n.lost(r) { // what a former process sent is not held against the next one
 			e.Check.Sent(e.World.Now(), l.n.index, r.number, server)
@@ -230,16 +229,8 @@
 	})
 }
 
-// mostCarried is for how many requests a link is held to have had a part in their answers.
-const mostCarried = 64
-
-// carry notes that an answer to a request may come over the link.
-func (l *link) carry(r *request) {
-	if len(l.carried) == mostCarried {
-		l.carried = append(l.carried[:0], l.carried[1:]...)
-	}
-	l.carried = append(l.carried, r)
-}
+// broken tells whether the server or a relay has broken the connection. e.mu is held.
+func (l *link) broken() bool { return l.lost || l.source.Closed() }
 
 // holdToTime holds an attempt to the time that its client has left. What a stranger has told the router is not known here.
 func (l *link) holdToTime(r *request, a attempt) {
@@ -306,6 +297,7 @@
 	select {
 	case l.out <- cache:
 	default:
+		l.lost = true
 		l.c.Close()
 	}
 }
@@ -341,9 +333,7 @@
 
 // Lost implements model.Holder.
 func (l *link) Lost(*model.Conn) {
-	for _, r := range l.carried {
-		r.broken = true
-	}
+	l.lost = true
 	l.end(hoptiller.Reset)
 	if tcp, ok := l.c.(*net.TCPConn); ok {
 		tcp.SetLinger(0) // as when a process dies
@@ -367,6 +357,7 @@
 	var cache, origin string
 	switch a {
 	case model.Served:
+		r.answer = l
 		cache = fmt.Sprintf("VA %d O%s h1\r\n%s\r\n", len(text), r.id, text)
 		origin = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 	case model.Missed:
--- a/internal/lab/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -91,9 +91,6 @@
 // HeldBack implements Control.
 func (s *steward) HeldBack(i int, on bool) { s.Check.HeldBack(s.World.Now(), i, on) }
 
-// Breaks implements Control.
-func (s *steward) Breaks(i int, on bool) { s.Check.Breaks(s.World.Now(), i, on) }
-
 // Stop implements model.Steward.
 func (s *steward) Stop(i int) { s.nodes[i].stop() }
 
