--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 .PHONY: build test fuzz drills soak scale lint run
 
-# Drills that every change has to pass, under three minutes.
+# Drills that every change has to pass, about three minutes.
 DRILLS = $(addprefix lab/drills/,view-one-way.toml view-restarted.toml view-all-restarted.toml view-killed.toml view-left.toml \
-	view-cache-back.toml view-wrong-list.toml view-former-life.toml permits-cut-off.toml killed.toml \
+	view-cache-back.toml view-wrong-list.toml view-former-life.toml permits-cut-off.toml killed.toml long-answers.toml \
 	drain-cache.toml release.toml)
 
 build:
--- a/internal/lab/model/day.go
+++ b/internal/lab/model/day.go
@@ -68,7 +68,8 @@
 	Fall     float64       `toml:"fall"`   // multiple of its capacity at which it stops
 	FallFor  unit.Duration `toml:"fall_for"`
 	DownFor  unit.Duration `toml:"down_for"`
-	Conns    int           `toml:"conns"` // from one router
+	Conns    int           `toml:"conns"`             // from one router
+	Unsized  float64       `toml:"unsized,omitempty"` // part of the values that have no length and end with their connection; on sockets only
 }
 
 // ListSet is the directory.
@@ -195,6 +196,7 @@
 		{"fleet.miss_work", d.Fleet.MissWork, 0, 1}, {"fleet.share", float64(d.Fleet.Share), 1, 1000},
 		{"fleet.conns_core", float64(d.Fleet.ConnsCore), 1, 1e4}, {"fleet.most_conns", float64(d.Fleet.MostConns), 1, 1e4},
 		{"fleet.connect_for", d.Fleet.ConnectFor.Seconds(), 0.001, 60}, {"fleet.idle_for", d.Fleet.IdleFor.Seconds(), 0.1, 86400},
+		{"origin.unsized", d.Origin.Unsized, 0, 1},
 		{"origin.headroom", d.Origin.Headroom, 0.01, 1000}, {"origin.time", d.Origin.Time.Seconds(), 0.0001, 60},
 		{"origin.write", d.Origin.Write, 0.01, 100}, {"origin.conns", float64(d.Origin.Conns), 1, 1e4},
 		{"origin.fall", d.Origin.Fall, 0, 1000},
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -89,10 +90,7 @@
 		calls: map[*model.Call]*request{}, gone: map[*model.Call]int{}, accepted: time.Since(n.e.begun)}
 	e.goes(func() {
 		for b := range l.out {
-			c.SetWriteDeadline(time.Now().Add(5 * time.Second))
-			if _, err := c.Write(b); err != nil {
-				c.Close()
-			}
+			l.send(b)
 		}
 	})
 	e.do(func() { l.conn = e.World.Dial(n.index, server, l) })
@@ -110,6 +108,24 @@
 	l.conn.Close()
 }
 
+// writeTime is for how long a router may read nothing of what is written to it.
+const writeTime = 5 * time.Second
+
+// endOfAnswers in the place of an answer ends them.
+var endOfAnswers = []byte{}
+
+// send writes an answer, or ends the stand-in's side of the connection.
+func (l *link) send(answer []byte) {
+	if tcp, ok := l.c.(*net.TCPConn); ok && len(answer) == 0 {
+		tcp.CloseWrite()
+		return
+	}
+	l.c.SetWriteDeadline(time.Now().Add(writeTime))
+	if _, err := l.c.Write(answer); err != nil {
+		l.c.Close()
+	}
+}
+
 // read takes calls until the connection ends.
 func (l *link) read() {
 	a := l.arrived
@@ -355,11 +371,15 @@
 		text = "r" + r.id
 	}
 	var cache, origin string
+	unsized := false
 	switch a {
 	case model.Served:
 		r.answer = l
 		cache = fmt.Sprintf("VA %d O%s h1\r\n%s\r\n", len(text), r.id, text)
 		origin = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		if unsized = l.unsized(call); unsized {
+			origin = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + text
+		}
 	case model.Missed:
 		cache = fmt.Sprintf("EN O%s h0\r\n", r.id)
 	case model.Failed:
@@ -370,12 +390,25 @@
 		origin = "HTTP/1.1 504 too late\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
 	}
 	l.write([]byte(cache), []byte(origin))
+	if unsized {
+		l.write(nil, endOfAnswers)
+	}
 	for range l.gone[call] {
 		l.turnAway()
 	}
 	delete(l.gone, call)
 }
 
+// unsized draws whether the origin gives a value without its length. It ends with its connection, whose only call it is.
+func (l *link) unsized(call *model.Call) bool {
+	e, r := l.n.e, call.Try.Op
+	if l.server != 0 || r.Write || len(l.gone) > 0 {
+		return false
+	}
+	draw := rand.New(rand.NewPCG(e.day.Seed, r.ID))
+	return draw.Float64() < e.day.Origin.Unsized
+}
+
 // turnAway answers a call whose request is over.
 func (l *link) turnAway() {
 	l.write([]byte("SERVER_ERROR busy\r\n"), []byte("HTTP/1.1 503 gone\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"))
