Prepare a call before the last look, so that next to nothing lies between it and the first byte

Cause: the process is held up between the look at the client's socket and the write. After the look it waited for the pool's lock, asked the connection, made the bytes and set a deadline.

Change: the bytes are made first, and the look at the client is the last of the checks, under the lock. The time that is told is made anew where it has become less by a millisecond meanwhile. A hold-up in what remains can't be seen by any look.

--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -16,21 +16,25 @@
 // send writes a call, unless the connection has ended or is to end since it was chosen; then another may be. If it fails,
 // it tells how: until the last byte is written the server can't have begun the call. The client may have left since the call
 // was picked, its time be over, or the directory have spoken, and a drain binds when a call is sent; so the last look at all of
-// these is here, behind everything that waits, and it says how much time the server is told.
+// these is here, behind everything that waits, and it says how much time the server is told. What is written is made before it: a
+// process that is held up between the look and the write sends what may not be wanted any more.
 func (c *conn) send(begin, ctx context.Context, out *call) (sent bool, status hoptiller.Status) {
 	c.write.Lock() // calls are queued in the order in which they are written
 	defer c.write.Unlock()
 	p := c.pool
-	left, again, status := c.enter(begin, ctx, out)
-	if again || status != hoptiller.OK {
-		return false, status
-	}
 	by, _ := begin.Deadline()
 	buf := buffer.Get()
 	defer buffer.Put(buf)
-	attempt, free := newAttempt(buf[:], out.req, c.host, left)
-	head, tail := p.proto.Append(free, attempt)
 	c.SetWriteDeadline(by)
+	told := timeLeft(ctx)
+	head, tail := c.prepare(buf, out.req, told)
+	left, again, status := c.enter(begin, ctx, out)
+	if again || status != hoptiller.OK {
+		return false, status
+	}
+	if left/time.Millisecond < told/time.Millisecond { // it has waited for its turn
+		head, tail = c.prepare(buf, out.req, left)
+	}
 	stop := context.AfterFunc(ctx, func() { c.SetWriteDeadline(time.Unix(1, 0)) })
 	written, err := c.put(head, out.req, tail)
 	c.stopped(stop())
@@ -61,33 +65,38 @@
 // connection can still carry it; else another may. Of one that is queued it says how much time is left.
 func (c *conn) enter(begin, ctx context.Context, out *call) (left time.Duration, again bool, status hoptiller.Status) {
 	p := c.pool
-	gone := out.req.ClientGone()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	left = timeLeft(ctx)
 	switch {
 	case c.dead || c.ending || c.body != nil:
 		c.leave()
 		return 0, true, hoptiller.OK
+	case len(c.calls) == 0 && c.useful && !c.reader.Resting(): // it has ended while it rested, or says what nobody asked for
+		c.leave()
+		p.drop(c, CloseNotAtRest)
+		return 0, true, hoptiller.OK
 	case begin.Err() != nil:
 		c.leave()
 		return 0, false, notBegun(begin)
-	case gone || over(begin):
+	case c.server.Phase != hoptiller.Ready:
 		c.leave()
 		return 0, false, hoptiller.Moot
-	case c.server.Phase != hoptiller.Ready || left < leastLeft:
+	}
+	if left = timeLeft(ctx); left < leastLeft || over(begin) || out.req.ClientGone() {
 		c.leave()
 		return 0, false, hoptiller.Moot
-	case len(c.calls) == 0 && c.useful && !c.reader.Resting(): // it has ended while it rested, or says what nobody asked for
-		c.leave()
-		p.drop(c, CloseNotAtRest)
-		return 0, true, hoptiller.OK
 	}
 	out.sent = time.Now()
 	c.calls = append(c.calls, out)
 	return left, false, hoptiller.OK
 }
 
+// prepare makes what is written of a call but for its value, in buf.
+func (c *conn) prepare(buf *buffer.Buffer, req *relay.Request, left time.Duration) (head []byte, tail string) {
+	attempt, free := newAttempt(buf[:], req, c.host, left)
+	return c.pool.proto.Append(free, attempt)
+}
+
 // over tells whether a context's time is up by the clock. Its timer may not have run yet, where the process stood still.
 func over(ctx context.Context) bool {
 	end, known := ctx.Deadline()
