Accept who waits already before a listener closes, so that a hold-up at a shutdown resets nobody

Cause: 0.7 s after SIGTERM the listener closes, and the system resets whoever waits to be accepted.

Change: a listener that is to close accepts until it has found nobody for 5 ms in which the process was not held up.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,7 +89,7 @@
 	}
 	f.wait(ctx, stopped.Add(f.Linger), false) // clients still come until the front layer has noticed
 	for _, l := range listeners {
-		l.Close()
+		stopAccepting(l)
 	}
 	accepting.Wait()
 	// Clients use the connections that they have for as long as they can; another router may be down just now.
@@ -136,11 +137,17 @@
 
 // accept takes the clients of one listener until it is closed.
 func (f *Front) accept(ctx context.Context, g *errgroup.Group, l net.Listener, places chan struct{}) {
+	var last lastAccepts
 	for {
 		f.evict(places)
 		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, os.ErrDeadlineExceeded) && last.goOn(l) {
 			<-places
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+			<-places
+			l.Close()
 			return
 		}
 		if err != nil { // out of descriptors, or the client has left again: not the end of the listener
