--- a/internal/lab/faultproxy/stream.go
+++ b/internal/lab/faultproxy/stream.go
@@ -27,6 +27,9 @@
 	return f.Stall || f.Delay > 0 || f.BytesPerSecond > 0
 }
 
+// Any tells whether there are faults.
+func (f StreamFaults) Any() bool { return f != StreamFaults{} }
+
 // chunkSize is the largest number of bytes that are forwarded at once.
 const chunkSize = 4 << 10
 
--- a/internal/lab/standin/cause.go
+++ b/internal/lab/standin/cause.go
@@ -91,6 +91,8 @@
 		return true
 	case e.Check.Delayed(now, n.index, r.number) > 0: // stood still, or was held back by a relay
 		return true
+	case n.disturbances > 0: // what is refused at once has met nothing of it, but the requests before it have
+		return true
 	case r.calling.slow || r.calling.failed:
 		return true
 	case r.try.Remaining < time.Duration(leastWorks*float64(class.Work)):
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -41,9 +41,10 @@
 	last  *tail
 	ended chan struct{}
 
-	life   int      // counts processes that were started, and those that were killed; guarded by e.mu
-	killed int      // the latest life that was killed without notice; the same
-	lag    lagMeter // the same
+	life         int      // counts processes that were started, and those that were killed; guarded by e.mu
+	disturbances int      // by relays, of its ways to servers, that run now; the same
+	killed       int      // the latest life that was killed without notice; the same
+	lag          lagMeter // the same
 
 	idle []*client // connections of clients without a request, guarded by e.mu
 }
--- a/internal/lab/standin/watch.go
+++ b/internal/lab/standin/watch.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// Disturbed implements Control.
+func (s *steward) Disturbed(i int, on bool) {
+	if on {
+		s.nodes[i].disturbances++
+	} else {
+		s.nodes[i].disturbances--
+	}
+}
+
 // HeldBack implements Control.
 func (s *steward) HeldBack(i int, on bool) { s.Check.HeldBack(s.World.Now(), i, on) }
 
