--- a/router.go
+++ b/router.go
@@ -238,7 +238,9 @@
 		r.known[e.ID] = s
 	}
 	if s.Started != e.Started || s.window == 0 {
-		*s = server{out: s.out, window: math.Inf(1), heard: r.now, sent: s.sent, toldAt: r.now, coldSince: r.startOf(s, &e, kind)}
+		coldSince := r.startOf(s, &e, kind)
+		*s = server{out: s.out, window: math.Inf(1), heard: r.now, sent: s.sent,
+			toldAt: r.now, coldSince: coldSince}
 	}
 	if !(e.Weight > 0) || math.IsInf(e.Weight, 1) {
 		e.Weight = 1
--- a/slow_start.go
+++ b/slow_start.go
@@ -25,22 +25,25 @@
 	return max(0.01, float64(age)/float64(r.set.Cold))
 }
 
-// latestNews is how long after a process has started its list entry may come at the latest, while others come.
-const latestNews = 6 * time.Second
+// mostDiscoveryLag is how long after a process has started its list entry may come at the latest, while
+// others come.
+const mostDiscoveryLag = 6 * time.Second
 
-// StartInterval bounds when a process has started whose start is listed now and was not in the list before. A listed
-// start is the wall-clock time of another machine, which may be hours off or be stepped. It counts only where it lies
-// between the two lists, by this instance's own clock: else all that is known is that the process started between them.
+// StartInterval bounds when a process has started whose start is listed now and was not in the list
+// before. A listed start is the wall-clock time of another machine, which may be hours off or be stepped.
+// It counts only where it lies between the two lists, by this instance's own clock: else all that is
+// known is that the process started between them.
 func StartInterval(listBefore, now, listed time.Duration) (from, to time.Duration) {
-	from = listBefore - latestNews
+	from = listBefore - mostDiscoveryLag
 	if listed >= from && listed <= now {
 		return listed, listed
 	}
 	return from, now
 }
 
-// startOf is when a server's process started, at the latest, as its start is listed now. One that a whole list names for
-// the first time may have run for long, as after a move to another discovery: its start counts, but never as one to come.
+// startOf is when a server's process started, at the latest, as its start is listed now. One that a whole
+// list names for the first time may have run for long, as after a move to another discovery: its start
+// counts, but never as one to come.
 func (r *Router) startOf(s *server, e *Server, kind ListKind) time.Duration {
 	listedBefore := s.window != 0
 	if !listedBefore && (kind != ListDelta || r.former.had(e)) {
@@ -50,8 +53,8 @@
 	return to
 }
 
-// formerStarts are the listed starts of servers that have left the list, by id: one that comes back with the start that
-// it had has not started anew.
+// formerStarts are the listed starts of servers that have left the list, by id: one that comes back with
+// the start that it had has not started anew.
 type formerStarts map[uint32]time.Duration
 
 // mostFormer bounds them.
