--- a/internal/lab/drill/known_red_test.go
+++ b/internal/lab/drill/known_red_test.go
@@ -12,6 +12,12 @@
 // begun themselves.
 func TestColdServerStandsBeforeItsNews(t *testing.T) { playKnownRed(t, "cold-server-stands") }
 
+// A router whose ways to all caches stood still turns away all reads for seconds after they are free again.
+func TestServesAgainAfterStalledWays(t *testing.T) { playKnownRed(t, "stalled-ways") }
+
+// On a day that leaves the caches no room, routers leave more of what is asked unserved than a soak may.
+func TestUnservedOnAFullDay(t *testing.T) { playKnownRed(t, "full-day") }
+
 func playKnownRed(t *testing.T, name string) {
 	f, err := Load("../../../lab/drills/known-red/" + name + ".toml")
 	if err != nil {
