Close a listener at its time though the client table is full, and refuse who has no place

Callers saw a router that ends go on accepting until the last moment of its shutdown, when all that was open was answered as failed.

A closing listener took a round of last accepts that lasted over 10 ms for a hold-up and began another; where the client table is full each place is waited for, so that every round lasts longer while clients go on coming. Ruled out: the hold-up itself (the test has none).

Change: the loop that waits for a place ends with the listener. What the system has queued at that moment is accepted without waiting, the listener closes, and then each is served or, without a place, gets 'SERVER_ERROR busy' to whatever it asks. No moment in it depends on who comes or on a clock. A socket that another process accepts from as well is left to it, as its clients are not reset.

--- a/cmd/hoptiller/listen.go
+++ b/cmd/hoptiller/listen.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hoptiller/internal/config"
+	"hoptiller/internal/front"
 	"hoptiller/internal/plan"
 )
 
@@ -100,11 +101,12 @@
 	if err != nil {
 		return nil, bad("can't be listened on: " + err.Error())
 	}
-	if _, ok := l.(*net.TCPListener); !ok {
+	shared, ok := l.(*net.TCPListener)
+	if !ok {
 		l.Close()
 		return nil, bad("is no TCP socket")
 	}
-	return l, nil
+	return front.SharedListener{TCPListener: shared}, nil
 }
 
 // listenAdmin opens the listener for operators, where there is an address for it.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -34,6 +34,7 @@
 	freed   chan struct{}      // told when one has been written
 	faults  int                // commands that made no sense
 	client  netip.Addr
+	refused bool // it has no place: whatever it asks is refused
 
 	long    *relay.Request // a write of which the value is still to come
 	longLen int
--- a/internal/front/conntable.go
+++ b/internal/front/conntable.go
@@ -120,13 +120,13 @@
 	return nil
 }
 
-// evict waits for a place. Clients that connect and say nothing, or half a command, must not keep the
-// others out, so where there is no place another connection goes.
-func (f *Front) evict(places chan struct{}) {
+// evict takes a place, and waits for one until stop is closed. Clients that connect and say nothing, or half a command, must not
+// keep the others out, so where there is no place another connection goes.
+func (f *Front) evict(places chan struct{}, stop <-chan struct{}) (taken bool) {
 	for {
 		select {
 		case places <- struct{}{}:
-			return
+			return true
 		default:
 		}
 		if c := f.conns.last(time.Now()); c != nil {
@@ -134,7 +134,9 @@
 		}
 		select {
 		case places <- struct{}{}:
-			return
+			return true
+		case <-stop:
+			return false
 		case <-time.After(settled / 10):
 		}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,7 +13,6 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
 
-	"hoptiller/internal/buffer"
 	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/metrics"
 	"hoptiller/internal/relay"
@@ -77,9 +74,10 @@
 	f.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, max(1, f.MostConns))
+	stop := make(chan struct{})
 	var accepting sync.WaitGroup
 	for _, l := range listeners {
-		accepting.Go(func() { f.accept(ctx, g, l, places) })
+		accepting.Go(func() { f.accept(ctx, g, l, places, stop) })
 	}
 	f.accepting.Store(true)
 	f.follow(ctx)
@@ -88,6 +86,7 @@
 		defer time.AfterFunc(f.Last, f.answerAll).Stop()
 	}
 	f.wait(ctx, stopped.Add(f.Linger), false) // clients still come until the front layer has noticed
+	close(stop)
 	for _, l := range listeners {
 		stopAccepting(l)
 	}
@@ -135,53 +134,6 @@
 	}
 }
 
-// accept takes the clients of one listener until it is closed.
-func (f *Front) accept(ctx context.Context, g *errgroup.Group, l net.Listener, places chan struct{}) {
-	var last lastAccepts
-	for {
-		f.evict(places)
-		nc, err := l.Accept()
-		if errors.Is(err, os.ErrDeadlineExceeded) && last.goOn(l) {
-			<-places
-			continue
-		}
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-			<-places
-			l.Close()
-			return
-		}
-		if err != nil { // out of descriptors, or the client has left again: not the end of the listener
-			<-places
-			slog.Warn("accept failed", "err", err)
-			time.Sleep(5 * time.Millisecond)
-			continue
-		}
-		reader, err := buffer.NewReader(nc)
-		if err != nil {
-			<-places
-			nc.Close()
-			continue
-		}
-		c := &conn{Conn: nc, front: f, reader: reader, pending: make(chan pendingAnswer, readAhead), freed: make(chan struct{}, 1),
-			since: time.Now()}
-		if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
-			c.client = a.AddrPort().Addr().Unmap()
-		}
-		f.conns.move(c, silent)
-		f.thin()
-		g.Go(func() error {
-			defer func() { <-places }()
-			c.serve(ctx)
-			f.conns.leave(c)
-			select {
-			case f.left <- struct{}{}:
-			default:
-			}
-			return nil
-		})
-	}
-}
-
 // wait waits until a time, or if it may until no client is left.
 func (f *Front) wait(ctx context.Context, until time.Time, orNone bool) {
 	timer := time.NewTimer(time.Until(until))
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -61,9 +61,14 @@
 
 // startOn does so on what is made of the listener.
 func startOn(t *testing.T, f *Front, on func(net.Listener) net.Listener) (connect func() net.Conn) {
+	return startServing(t, f, func(ctx context.Context, l net.Listener) error { return f.Serve(ctx, on(l)) })
+}
+
+// startServing is start for a front that serves in a way of its own.
+func startServing(t *testing.T, f *Front, serve func(context.Context, net.Listener) error) (connect func() net.Conn) {
 	f.Classes, f.Deadlines = []string{"read"}, []time.Duration{time.Second}
 	f.Life, f.Counts = lifecycle.New(), metrics.New(f.Classes)
-	return testprog.Serve(t, func(ctx context.Context, l net.Listener) error { return f.Serve(ctx, on(l)) })
+	return testprog.Serve(t, serve)
 }
 
 // A crowd that says nothing, many times the places, cuts off none who is long in asking, and holds off none who asks.
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -140,11 +140,10 @@
 // invoke starts a request; free is called once nothing is out for it.
 func (c *conn) invoke(ctx context.Context, req *relay.Request, free func()) {
 	c.front.Counts.Accepted()
-	if c.front.over() {
+	if c.front.over() || c.refused {
 		free()
 		c.front.ended(string(req.ID))
-		c.front.Counts.Finished(req.Class, metrics.Failed)
-		c.put(pendingAnswer{line: string(meta.AppendFailed(nil))})
+		c.answerUnserved(req)
 		return
 	}
 	ctx, over := context.WithCancel(ctx)
@@ -164,6 +163,17 @@
 	c.put(s)
 }
 
+// answerUnserved answers a request of which nothing was sent on: as refused where its client has no place, else as failed.
+func (c *conn) answerUnserved(req *relay.Request) {
+	if c.refused {
+		c.front.Counts.Finished(req.Class, metrics.Rejected)
+		c.put(pendingAnswer{line: string(meta.AppendBusy(nil, 0))})
+		return
+	}
+	c.front.Counts.Finished(req.Class, metrics.Failed)
+	c.put(pendingAnswer{line: string(meta.AppendFailed(nil))})
+}
+
 // facts reads the names and values that come with a request and tells what is wrong with them.
 func (f *Front) facts(req *relay.Request, facts []byte) (fault string) {
 	class, _ := meta.Fact(facts, "c")
