Look at a call again where its first byte follows the last look by over 50 us

Cause: between the last look and the first byte stood an unlock, at times a second preparing of the bytes, context.AfterFunc and the locks of net.Conn's Write. A process that is held up there, or a thread that loses its core, writes what nobody wants any more.

Change: the look is made inside one raw write, with nothing but a clock read between it and the system call. Where the look is older than 50 us by then it is made again, as a sequence lock reads again, 20 times at the most. It takes no lock: the pool's may be held by whoever closes the connection, and that waits for the write.

--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -159,11 +159,13 @@
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
 		Kept: connlimit.Kept(c.Settings.Balancers, p.Limits.Places), Places: p.Limits.Places, Called: counts.AttemptSent, Reports: reports,
 		Seen: func(id uint32, up bool) { fleet.saw(id, up) }, Closed: reasons.serverClosed,
+		LookedAgain: counts.LookedAgain,
 	}, upstream.Meta{})
 	origins := upstream.New(upstream.Settings{
 		Share: 1, MostConns: shares.origins, MostCalls: 1, Kept: shares.origins,
 		IdleLimit: c.ConnIdle * 3 / 4, ConnectTimeout: c.Settings.ConnTimeout,
 		Room: room, Called: counts.AttemptSent, Rest: originRest, Closed: reasons.serverClosed,
+		LookedAgain: counts.LookedAgain,
 	}, origin.Protocol{})
 	r := relay.New(c.Settings, c.Seed, providers, origins)
 	r.AttemptEnded = reasons.attemptEnded
--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -43,6 +43,9 @@
 	return &Reader{raw: raw, since: time.Now()}, err
 }
 
+// Raw is the connection without the runtime's reads and writes, for whoever has to look at something right before a system call.
+func (r *Reader) Raw() syscall.RawConn { return r.raw }
+
 // Arrived is when the byte in front of an offset in what is handed over had come at the earliest: what came while nobody read
 // may have waited since the read before. It is for take, which gets those bytes from Next or Again.
 func (r *Reader) Arrived(offset int) time.Time {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -27,6 +27,7 @@
 	late     []atomic.Int64              // of those completed, by class
 	pending  atomic.Int64
 	upstream atomic.Int64
+	looks    atomic.Int64 // made again
 }
 
 // New returns Counters for the classes with these names.
@@ -53,6 +54,9 @@
 // AttemptSent counts an attempt that was written whole to a cache server or the origin.
 func (c *Counters) AttemptSent() { c.upstream.Add(1) }
 
+// LookedAgain counts a last look at an attempt that had to be made again, since the process stood still after it.
+func (c *Counters) LookedAgain() { c.looks.Add(1) }
+
 // AcceptedTotal returns the number of requests accepted since the start, pending ones included.
 func (c *Counters) AcceptedTotal() int64 {
 	total := int64(0)
@@ -76,6 +80,7 @@
 	Downstream  map[string]Downstream `json:"downstream_requests"`     // by class
 	Late        map[string]int64      `json:"late_requests,omitempty"` // by class: completed after the target latency
 	Upstream    int64                 `json:"upstream_requests"`       // attempts sent
+	LooksAgain  int64                 `json:"looks_again,omitempty"`   // last looks at attempts that were made again
 	Pending     int64                 `json:"pending"`
 	Members     int                   `json:"members"`
 	Unavailable int                   `json:"members_unavailable"`
@@ -88,6 +93,7 @@
 	s := Snapshot{
 		Downstream: make(map[string]Downstream, len(c.classes)),
 		Upstream:   c.upstream.Load(),
+		LooksAgain: c.looks.Load(),
 		Pending:    c.pending.Load(),
 	}
 	for class, name := range c.classes {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -32,6 +33,7 @@
 	Reports        *loadreport.Table        // keeps what servers tell of their load; nil: nothing does
 	Seen           func(id uint32, up bool) // told of a server that has no process, and that answers again; nil: nobody is
 	Called         func()                   // told of each call that was written whole; nil: nobody is
+	LookedAgain    func()                   // told of each last look at a call that had to be made again; nil: nobody is
 	Closed         func(CloseReason)        // told of each connection that was closed; nil: nobody is
 }
 
@@ -59,6 +61,7 @@
 	next        *dial         // how the next of those ends; nil: nobody waits for that
 	typical     time.Duration // smoothed time from a call to its answer
 	passed      time.Time     // when the latest call that has an answer was sent
+	ready       atomic.Bool   // it may get calls, as the list has it: for those who must not wait for the pool's mu
 }
 
 // New returns a Pool without servers.
@@ -78,6 +81,7 @@
 		p.servers[entry.ID] = s
 	}
 	s.Server = entry
+	s.ready.Store(entry.Phase == hoptiller.Ready)
 	if moved {
 		p.leaveFormer(s)
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -3,98 +3,79 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"os"
 	"slices"
 	"time"
 
 	"hoptiller"
 	"hoptiller/internal/buffer"
-	"hoptiller/internal/relay"
 )
 
-// send writes a call, unless the connection has ended or is to end since it was chosen; then another may be. If it fails,
-// it tells how: until the last byte is written the server can't have begun the call. The client may have left since the call
-// was picked, its time be over, or the directory have spoken, and a drain binds when a call is sent; so the last look at all of
-// these is here, behind everything that waits, and it says how much time the server is told. What is written is made before it: a
-// process that is held up between the look and the write sends what may not be wanted any more.
+// send writes a call, unless the connection has ended or is to end since it was chosen; then another may be. If it fails, it tells how:
+// until the last byte is written the server can't have begun the call.
 func (c *conn) send(begin, ctx context.Context, out *call) (sent bool, status hoptiller.Status) {
 	c.write.Lock() // calls are queued in the order in which they are written
 	defer c.write.Unlock()
-	p := c.pool
 	by, _ := begin.Deadline()
+	c.SetWriteDeadline(by)
 	buf := buffer.Get()
 	defer buffer.Put(buf)
-	c.SetWriteDeadline(by)
-	told := timeLeft(ctx)
-	head, tail := c.prepare(buf, out.req, told)
-	left, again, status := c.enter(begin, ctx, out)
-	if again || status != hoptiller.OK {
-		return false, status
-	}
-	if left/time.Millisecond < told/time.Millisecond { // it has waited for its turn
-		head, tail = c.prepare(buf, out.req, left)
+	o := outgoing{conn: c, begin: begin, ctx: ctx, call: out, buf: buf}
+	o.prepare(timeLeft(ctx))
+	if !c.enter(out) {
+		return false, hoptiller.OK
 	}
-	stop := context.AfterFunc(ctx, func() { c.SetWriteDeadline(time.Unix(1, 0)) })
-	written, err := c.put(head, out.req, tail)
-	c.stopped(stop())
-	if err == nil {
-		if p.set.Called != nil {
-			p.set.Called()
+	written, err := o.write()
+	if err == nil && o.status == hoptiller.OK {
+		if c.pool.set.Called != nil {
+			c.pool.set.Called()
 		}
 		return true, hoptiller.OK
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c.calls = slices.DeleteFunc(c.calls, func(o *call) bool { return o == out })
-	if written == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		c.leave() // what others have out on it goes on
-	} else {
-		p.drop(c, CloseWriteFailed) // half a call is on it
-	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	c.takeBack(out, written, err)
+	switch {
+	case o.status != hoptiller.OK:
+		return false, o.status
+	case errors.Is(ctx.Err(), context.Canceled):
 		return false, hoptiller.Moot
-	}
-	if begin.Err() != nil {
+	case begin.Err() != nil, over(begin):
 		return false, notBegun(begin)
 	}
 	return false, hoptiller.ConnectFailed
 }
 
-// enter is the last look before a call's first byte: it queues the call if it is still wanted, listed and in time, and if the
-// connection can still carry it; else another may. Of one that is queued it says how much time is left.
-func (c *conn) enter(begin, ctx context.Context, out *call) (left time.Duration, again bool, status hoptiller.Status) {
+// enter queues a call that is about to be written, if the connection can still carry it. It is queued first, so that an answer finds it.
+func (c *conn) enter(out *call) (entered bool) {
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case c.dead || c.ending || c.body != nil:
 		c.leave()
-		return 0, true, hoptiller.OK
+		return false
 	case len(c.calls) == 0 && c.useful && !c.reader.Resting(): // it has ended while it rested, or says what nobody asked for
 		c.leave()
 		p.drop(c, CloseNotAtRest)
-		return 0, true, hoptiller.OK
-	case begin.Err() != nil:
-		c.leave()
-		return 0, false, notBegun(begin)
-	case c.server.Phase != hoptiller.Ready:
-		c.leave()
-		return 0, false, hoptiller.Moot
-	}
-	if left = timeLeft(ctx); left < leastLeft || over(begin) || out.req.ClientGone() {
-		c.leave()
-		return 0, false, hoptiller.Moot
+		return false
 	}
 	out.sent = time.Now()
 	c.calls = append(c.calls, out)
-	return left, false, hoptiller.OK
+	return true
 }
 
-// prepare makes what is written of a call but for its value, in buf.
-func (c *conn) prepare(buf *buffer.Buffer, req *relay.Request, left time.Duration) (head []byte, tail string) {
-	attempt, free := newAttempt(buf[:], req, c.host, left)
-	return c.pool.proto.Append(free, attempt)
+// takeBack takes a call off the connection that was not written whole. err is what the write failed with; nil: the last look ended it.
+func (c *conn) takeBack(out *call, written int64, err error) {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	queued := slices.Contains(c.calls, out)
+	c.calls = slices.DeleteFunc(c.calls, func(o *call) bool { return o == out })
+	switch {
+	case written > 0 || err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		p.drop(c, CloseWriteFailed) // half a call is on it, or it is broken
+	case queued || err != nil:
+		c.leave() // what others have out on it goes on
+	}
 }
 
 // over tells whether a context's time is up by the clock. Its timer may not have run yet, where the process stood still.
@@ -115,22 +96,6 @@
 	}
 }
 
-// put writes a call with its value, and tells how many bytes of it were written.
-func (c *conn) put(head []byte, req *relay.Request, tail string) (written int64, err error) {
-	if !req.Write {
-		n, err := c.Write(head)
-		return int64(n), err
-	}
-	parts := net.Buffers{head, req.Value}
-	if req.Long != nil {
-		parts = req.Long.Parts(parts)
-	}
-	if tail != "" {
-		parts = append(parts, []byte(tail))
-	}
-	return parts.WriteTo(c.Conn)
-}
-
 // leave takes a call off the connection's count. p.mu is held.
 func (c *conn) leave() {
 	c.load--
