--- a/defence_test.go
+++ b/defence_test.go
@@ -138,83 +138,9 @@
 	}
 }
 
-// An overload of the whole fleet shows in bad outcomes: a part of the traffic is turned away on
-// arrival, that beyond the shares first, and writes not at all.
-func TestPressureShedsLowWorthFirst(t *testing.T) {
-	set := testSettings()
-	set.Tenants = []Tenant{{0}} // no allowance: all of tenant 0 is beyond its share
-	r, p := newRouter(set, fleet(1, 1))
-	r.buckets[0].level = 0
-	for _, c := range []struct {
-		bad       float64
-		low, high int // at least so many refused of 100
-	}{{0.05, 0, 0}, {0.2, 90, 0}, {0.9, 90, 90}} {
-		for i := 0; i < 60; i++ {
-			r.now += 100 * time.Millisecond
-			r.bad = c.bad
-			r.sweep()
-		}
-		p.refused = map[uint32]bool{}
-		low, high, writes := 0, 0, 0
-		for id := uint32(1); id <= 300; id++ {
-			q := Request{ID: r.now2() + id, Key: uint64(id), Tenant: int(id%3) * 9, Remaining: time.Second}
-			if q.Tenant == 18 {
-				q.Class, q.Write = 1, true
-			}
-			r.Request(r.now, q)
-			r.ClientGone(r.now, q.ID)
-			if p.refused[q.ID] && q.Tenant == 0 {
-				low++
-			} else if p.refused[q.ID] && q.Write {
-				writes++
-			} else if p.refused[q.ID] {
-				high++
-			}
-		}
-		if low < c.low || high < c.high || c.low == 0 && low > 0 || c.high == 0 && high > 0 || writes > 0 {
-			t.Errorf("%.2f bad: refused %d beyond the share, %d within, %d writes", c.bad, low, high, writes)
-		}
-	}
-}
-
 // now2 makes request ids that differ from one moment to the next.
 func (r *Router) now2() uint32 { return uint32(r.now/time.Millisecond) * 1000 }
 
-// Under no pressure nobody is refused, whatever the shares.
-func TestNobodyRefusedAtEase(t *testing.T) {
-	set := testSettings()
-	set.Tenants = []Tenant{{1}}
-	r, p := newRouter(set, fleet(1, 1))
-	for id := uint32(1); id <= 200; id++ {
-		r.Request(r.now, Request{ID: id, Key: uint64(id), Remaining: time.Second})
-		answer(r, p, id, OK, 20*time.Millisecond)
-	}
-	if len(p.refused)+len(p.failed) != 0 {
-		t.Errorf("%d refused, %d failed", len(p.refused), len(p.failed))
-	}
-}
-
-func TestWindowShrinksAndGrows(t *testing.T) {
-	r, _ := newRouter(testSettings(), fleet(1))
-	s := r.caches[0]
-	q := &request{class: &r.set.Classes[0]}
-	for i := 0; i < 10; i++ {
-		s.out = 6
-		r.now += time.Millisecond
-		r.learnWindow(q, &attempt{to: s, at: r.now}, &Outcome{Status: Full})
-	}
-	cut := s.window
-	if cut > 3 {
-		t.Fatalf("window %.1f after ten refusals", cut)
-	}
-	for i := 0; i < 50; i++ {
-		r.learnWindow(q, &attempt{to: s, at: r.now}, &Outcome{Status: OK, Latency: 10 * time.Millisecond})
-	}
-	if s.window < 2*cut {
-		t.Errorf("window grew from %.1f to %.1f only", cut, s.window)
-	}
-}
-
 // A key that makes up much of the reads gets more homes, the same few at all instances, each
 // with its part; other keys keep theirs.
 func TestHotKeyGetsMoreHomes(t *testing.T) {
@@ -597,36 +523,6 @@
 	}
 }
 
-// Where servers fetch, a key not answered here lately may need the origin. While such reads fail
-// and kept keys do not, most are turned away; connections that break, and failures that kept keys
-// share, say nothing of the origin.
-func TestGateTellsTheOriginFromServers(t *testing.T) {
-	for _, c := range []struct {
-		fresh, kept Status
-		shut        bool
-	}{{ServerError, OK, true}, {Reset, OK, false}, {ServerError, ServerError, false}} {
-		r, p := newRouter(testSettings(), fleet(1, 1, 1))
-		id := uint32(0)
-		read := func(key uint64, st Status) {
-			id++
-			r.pressure = 0
-			r.Request(r.now, Request{ID: id, Key: key, Remaining: time.Second})
-			for n := 0; n < 3 && r.reqs[id] != nil; n++ {
-				answer(r, p, id, st, 10*time.Millisecond)
-			}
-		}
-		read(1, OK)
-		for i := uint64(0); i < 100; i++ {
-			r.held[1] = r.now
-			read(1, c.kept)
-			read(1000+i, c.fresh)
-		}
-		if shut := r.gate < 0.3; shut != c.shut {
-			t.Errorf("fresh %v, kept %v: gate at %.2f", c.fresh, c.kept, r.gate)
-		}
-	}
-}
-
 // The watch is asked for from the start and again after each failure, later each time.
 func TestWatchIsAskedAgain(t *testing.T) {
 	set := testSettings()
@@ -709,23 +605,6 @@
 	}
 }
 
-// Under pressure that turns reads away, a failed read is not tried again: it would feed the
-// overload. A miss still goes on to the origin.
-func TestNoFurtherAttemptUnderPressure(t *testing.T) {
-	for _, c := range []struct {
-		pressure float64
-		sends    int
-	}{{1.5, 1}, {0.5, 2}} {
-		r, p := newRouter(testSettings(), fleet(1, 1, 1))
-		r.Request(r.now, Request{ID: 1, Key: 5, Remaining: time.Second})
-		r.pressure = c.pressure
-		answer(r, p, 1, Full, time.Millisecond)
-		if len(p.sends) != c.sends || p.refused[1] != (c.sends == 1) {
-			t.Errorf("pressure %.1f: %d sends, refused %v", c.pressure, len(p.sends), p.refused[1])
-		}
-	}
-}
-
 // A try without the client's mark is a first one, however much time another came with: a retry
 // refused at once may have more left than any first try.
 func TestMarkTellsFirstTries(t *testing.T) {
--- /dev/null
+++ b/gate_test.go
@@ -0,0 +1,36 @@
+package hoptiller
+
+import (
+	"testing"
+	"time"
+)
+
+// Where servers fetch, a key not answered here lately may need the origin. While such reads fail
+// and kept keys do not, most are turned away; connections that break, and failures that kept keys
+// share, say nothing of the origin.
+func TestGateTellsTheOriginFromServers(t *testing.T) {
+	for _, c := range []struct {
+		fresh, kept Status
+		shut        bool
+	}{{ServerError, OK, true}, {Reset, OK, false}, {ServerError, ServerError, false}} {
+		r, p := newRouter(testSettings(), fleet(1, 1, 1))
+		id := uint32(0)
+		read := func(key uint64, st Status) {
+			id++
+			r.pressure = 0
+			r.Request(r.now, Request{ID: id, Key: key, Remaining: time.Second})
+			for n := 0; n < 3 && r.reqs[id] != nil; n++ {
+				answer(r, p, id, st, 10*time.Millisecond)
+			}
+		}
+		read(1, OK)
+		for i := uint64(0); i < 100; i++ {
+			r.held[1] = r.now
+			read(1, c.kept)
+			read(1000+i, c.fresh)
+		}
+		if shut := r.gate < 0.3; shut != c.shut {
+			t.Errorf("fresh %v, kept %v: gate at %.2f", c.fresh, c.kept, r.gate)
+		}
+	}
+}
--- a/router.go
+++ b/router.go
@@ -1,6 +1,7 @@
 package hoptiller
 
-// All decisions of the library are in this file and slow_start.go; api.go has the interface.
+// All decisions of the library are in this file, slow_start.go, pressure.go, window.go and gate.go; api.go
+// has the interface.
 //
 // A read goes to the ready server with the lowest -ln(1-r)/w, r = h(server, h(key)) in [0,1),
 // w = rating x fade(age) x health x path x speed, the last three 1 on the ordinary path. choose walks
@@ -9,7 +10,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"iter"
 	"math"
 	"slices"
@@ -26,14 +26,7 @@
 
 	tokSweep, tokWatch = 1, 2 // timers
 
-	windowFirst = 12.0 // what a first cut leaves of a window at all balancers together
-	windowCut   = 0.8  // what a late or refused answer leaves of a window
-	windowGain  = 3.0  // requests that a window's worth of good answers adds at all of them,
-	windowOwn   = 0.3  // and at each, which is cut by itself: a part of hundreds would never be regained
-	lateAt      = 0.4  // answers after this part of the aim are signs of a queue
 	badAt       = 0.5  // an answer after this part of the aim, a time-out or a refusal is bad
-	badMost     = 0.06 // part of bad outcomes over all servers that is borne
-	pressGain   = 2.5  // how fast pressure follows the part beyond, a second
 	idleExcess  = 0.3  // idle connections lost this much more often than others are closed before use
 	idleFade    = 20.0 // seconds over which that is forgotten, to try again
 	keyMemory   = 96   // reads over which the parts of keys are judged
@@ -60,9 +53,6 @@
 	lateOver    = 8.0  // fetches over which late ones are counted:
 	lateBorne   = 0.15 // one of them is its own work, a second is a queue
 	comeBack    = 0.25 // part of the aim after which the refused are told to come: two waits and answers fit
-	gateCut     = 0.2  // part of the gate that a bad fetch takes
-	gateGain    = 0.06 // and what a good one adds to it, of what it is
-	gateMend    = 0.01 // what the gate opens by itself, a second
 )
 
 // server is what this instance knows of one server process.
@@ -399,108 +389,6 @@
 	return slices.ContainsFunc(q.tries, func(t attempt) bool { return t.open })
 }
 
-// hasRoom tells whether a server's window has room: the guard against queues that make answers late.
-func (r *Router) hasRoom(s *server) bool { return float64(s.out) < s.window }
-
-// learnPressure guards against overload of the whole fleet, which no instance of hundreds sees
-// at any one server: bad outcomes of all servers are pooled, and a part of the traffic is turned
-// away on arrival, that beyond the shares first. The server's own count is for its health.
-func (r *Router) learnPressure(q *request, t *attempt, o *Outcome) {
-	s, failed := t.to, o.Status == ServerError || o.Status == Reset || o.Status == ConnectFailed
-	bad := one(t.withdrawn || failed || o.Status == Full || o.Latency.Seconds() > badAt*q.class.Aim.Seconds())
-	if t.failed {
-		bad = r.help // as far as the server was at fault
-	}
-	if s.unlisted && (t.withdrawn || failed || o.Status == Timeout) {
-		s.Phase = Gone
-		r.rebuild()
-	}
-	if q.Write || bad == 0 && o.Status != OK && o.Status != Miss {
-		return // a write is the origin's work
-	}
-	if !r.set.Aside && o.Status != Reset && o.Status != ConnectFailed {
-		lost := o.Status != OK && o.Status != Miss || o.Latency > q.class.Aim
-		r.learnGate(q.fresh, one(lost))
-	}
-	if !s.origin {
-		r.paths[s.Zone] += (bad - r.paths[s.Zone]) / pathOver
-	}
-	clear := r.path(s.Zone) >= 1
-	if !q.fresh && !s.origin && !failed && clear {
-		r.bad += (bad - r.bad) / min(64, max(8, r.rate))
-	}
-	if s.origin || !clear {
-		return
-	}
-	old := math.Exp(-(r.now - s.seenAt).Seconds() / healthFade)
-	old *= min(1, healthMost/(1+s.seen))
-	s.seen, s.sick, s.seenAt = 1+old*s.seen, bad+old*s.sick, r.now
-	if h := r.health(s); bad > 0 && h < 0.3 {
-		r.log("sick", fmt.Sprintf("server %08x: %.0f of %.0f outcomes bad, keeps %.0f%% of its weight",
-			s.ID, s.sick, s.seen, 100*h))
-	}
-	r.ill += (bad - r.ill) / min(64, max(8, r.rate))
-}
-
-// learnGate guards an origin behind the servers, which is slow for all once it is sent more than it can do,
-// and then works on what nobody waits for any more: of what it has to fetch less is let through while fetches
-// end badly, until they end well. What ends badly without it is no fault of its own.
-func (r *Router) learnGate(fetch bool, x float64) {
-	if !fetch {
-		r.badKept += (x - r.badKept) / 16
-		return
-	}
-	r.badFetch += (x - r.badFetch) / 8
-	cut, gain := gateCut*(1-min(1, r.badKept/max(r.badFetch, 0.01))), gateGain
-	gain = min(gain, 0.3*(r.now-r.fetchAt).Seconds())
-	r.fetchAt = r.now
-	r.gate = max(0.02, min(1, r.gate*(1-x*cut+(1-x)*gain)))
-}
-
-// learnWindow finds how much own work a server bears before answers come late: cut on
-// signs of a queue, once for each window sent, and grown slowly while it is in use.
-func (r *Router) learnWindow(q *request, t *attempt, o *Outcome) {
-	s, used := t.to, float64(t.to.out+1)
-	late, at := false, lateAt*q.class.Aim.Seconds()
-	if s.origin {
-		at *= originLate
-	}
-	switch o.Status {
-	case Full, ConnectFailed:
-		late = true
-	case Timeout, OK:
-		late = o.Latency.Seconds() > at
-	default:
-		return
-	}
-	if s.origin && q.Write {
-		return // other work than a fetch, of which no window bounds any
-	}
-	if s.origin {
-		s.late += (one(late) - s.late) / lateOver
-		late = late && s.late > lateBorne
-	}
-	if !late {
-		if used >= s.window/2 {
-			s.window += max(windowOwn, windowGain/r.balancers()) / max(s.window, 1)
-		}
-		return
-	}
-	// What is late at a cache that has little of this instance's is for others to mend; an origin is shared.
-	// Only an answer shows that: what is lost on the way may be the connection's fault.
-	shared := s.origin && o.Status == OK
-	if t.at < s.cutAt || used < s.window/2 && !shared && !math.IsInf(s.window, 1) {
-		return
-	}
-	s.cutAt = r.now
-	if math.IsInf(s.window, 1) {
-		s.window = max(windowFirst/r.balancers(), used)
-	}
-	s.window = min(s.window, 2*max(used, float64(s.most)))
-	s.most = s.out
-	s.window = max(1, windowCut*s.window)
-}
-
 // ---- requests ----
 
 func (r *Router) classOf(i int) *Class {
@@ -533,7 +421,7 @@
 	r.reqs[in.ID] = q
 	r.order = append(r.order, q)
 	r.armSweep()
-	away := r.chance() < r.pressure-1 && !q.Write || q.low && r.chance() < r.pressure
+	away := r.turnsAway(q)
 	if q.fresh = r.mayMiss(q); away || q.fresh && r.chance() > r.gate {
 		r.finish(q, true)
 		return
@@ -933,16 +821,7 @@
 		r.carried += (float64(r.served)/span - r.carried) * long
 		r.arrivals += (float64(r.arrived)/span - r.arrivals) * part
 		r.answers, r.served, r.arrived, r.rateAt = 0, 0, 0, r.now
-		borne := badMost
-		if r.pressure > 1 {
-			borne *= 8
-		}
-		r.pressure = max(0, min(2, r.pressure+pressGain*min(span, 1)*(r.bad-borne)))
-		if r.pressure > 0.5 {
-			r.log("pressure", fmt.Sprintf("%.0f%% outcomes bad: %.0f%% over shares and %.0f%% of reads away",
-				100*r.bad, 100*min(1, r.pressure), 100*max(0, r.pressure-1)))
-		}
-		r.bad *= math.Exp(-span / 5)
+		r.followPressure(span)
 		r.gate = min(1, r.gate+gateMend*min(span, 1))
 		r.help += (1 - r.help) * min(1, span/healthFade)
 		for z := range r.paths {
