Let some reads through under any pressure, and believe them by count

Callers saw a router refuse all reads for 4.5 s after its ways to the cache servers were free again.

Cause: pressure went up to 2, where every read is refused on arrival. Nothing was tried then, so nothing was learned; the part of bad outcomes only faded with time (e-fold 5 s) and pressure began to fall 3.7 s later. The log shows it: '100% of reads away' and no attempt. Class of fault: a controller that cuts off its own measurement. Ruled out: servers (others served meanwhile), the relay's end (attempts by hand came through).

--- a/router.go
+++ b/router.go
@@ -154,6 +154,7 @@
 	held  map[uint64]time.Duration // when keys were last answered here
 
 	pressure           float64 // 0 at ease; traffic beyond shares is turned away up to 1, then reads
+	trials             trials  // of reads, while nearly all are turned away
 	sweeping, watching bool
 	watchFail          int
 	logged             map[string]time.Duration
