Open the module's gate by count once fetches end well again

Cause: after a run of bad fetches the gate is at its least and grows from there by a part of itself, at the pace of the few fetches that it lets through. It does hear, but too little to be back in time.

Change: a run of bad fetches notes what the gate was before; good ones then double it up to that but for one cut, as a connection's slow start does, and what was sent before a good fetch counts no more. In a steady overload a run begins at a low gate, so nothing is doubled beyond that.

--- a/pressure.go
+++ b/pressure.go
@@ -98,7 +98,7 @@
 	}
 	if !r.set.Aside && o.Status != Reset && o.Status != ConnectFailed {
 		lost := o.Status != OK && o.Status != Miss || o.Latency > q.class.Aim
-		r.learnGate(q.fresh, one(lost))
+		r.learnGate(q.fresh, t.at, one(lost))
 	}
 	if !s.origin {
 		r.paths[s.Zone] += (bad - r.paths[s.Zone]) / pathOver
--- a/router.go
+++ b/router.go
@@ -147,6 +147,9 @@
 	badFetch, badKept float64       // parts that end badly of what needs the origin, and of the rest
 	fetchAt           time.Duration // last outcome of such
 	gate              float64       // part of the reads that need the origin that is let through
+	gateFalling       bool          // the latest fetch that counts ended badly
+	gateBefore        float64       // the gate when such a run began
+	fetchedWell       time.Duration // when the latest fetch was sent that ended well
 
 	help  float64                  // part of requests that another server answers after an error
 	times map[int]float64          // latencies over the usual, by kind of machine
--- a/stall_test.go
+++ b/stall_test.go
@@ -127,6 +127,7 @@
 		"origin's window: the origin stalls":     {200, 0, origin, OK, true},
 		"origin's window: the origin refuses":    {200, 0, origin, Full, true},
 		"origin's window: all stalls with it":    {200, 0, all, OK, true},
+		"gate: reads that need what is kept not": {200, 0, all, OK, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			set := testSettings()
