--- a/gate.go
+++ b/gate.go
@@ -29,8 +29,8 @@
 }
 
 // reopenGate opens the gate by count where fetches end well again after a run of bad ones, as a connection's
-// slow start does: it is doubled up to what it was before but for one cut. It tells whether it did, or whether
-// a fetch says nothing more, as it was sent before one that has ended well.
+// slow start does: it is doubled up to what it was before but for one cut. It tells whether it did, or
+// whether a fetch says nothing more, as it was sent before one that has ended well.
 func (r *Router) reopenGate(sent time.Duration, x float64) (done bool) {
 	most := r.gateBefore * (1 - gateCut)
 	switch {
--- a/pressure.go
+++ b/pressure.go
@@ -1,9 +1,9 @@
 package hoptiller
 
 // Pressure: load that the whole fleet can't carry. It follows the part of bad outcomes over all servers, from
-// 0 at ease to 1, where all traffic beyond the shares is turned away, and on to pressMost, where nearly all reads
-// are. A router that lets nothing through learns nothing: some reads always go on, as trials, and where pressure
-// has been at its most it comes down by their count, as a circuit breaker closes, and not by time.
+// 0 at ease to 1, where all traffic beyond the shares is turned away, and on to pressMost, where nearly all
+// reads are. A router that lets nothing through learns nothing: some reads always go on, as trials, and where
+// pressure has been at its most it comes down by their count, as a circuit breaker closes, and not by time.
 
 import (
 	"fmt"
