--- a/cmd/hoptiller/lost_requests_test.go
+++ b/cmd/hoptiller/lost_requests_test.go
@@ -135,3 +135,34 @@
 	}
 	return lines
 }
+
+// Long answers have begun when a shutdown answers all that is open. One whose server goes on ends whole, and one that SIGKILL cuts off
+// has no end that a client could take for its own.
+func TestLongAnswersAtTheKill(t *testing.T) {
+	t.Parallel()
+	w := startHasty(t)
+	readers := make([]*bufio.Reader, 2)
+	calls := make([]attempt, 2)
+	for i := range readers {
+		client := dial(t, w.actors["program"].addr)
+		fmt.Fprintf(client, "mg k%d v O0%d Pc=read,d=9000\r\n", i, i)
+		calls[i] = w.attemptAt(t, "p1", fmt.Sprintf("mg k%d *", i))
+		fmt.Fprintf(calls[i].conn, "VA %d O0%d\r\n%s", len(longValue), i, longValue[:1000])
+		readers[i] = bufio.NewReader(client)
+		if head, err := readers[i].ReadString('\n'); head != fmt.Sprintf("VA %d O0%d\r\n", len(longValue), i) || err != nil {
+			t.Fatalf("got %q, %v", head, err)
+		}
+	}
+	w.play(t, t.Name(), []string{"program close", `program wait * msg="answering what is open as failed" *`})
+	fmt.Fprintf(calls[0].conn, "%s\r\n", longValue[1000:])
+	value := make([]byte, len(longValue)+2)
+	if n, err := io.ReadFull(readers[0], value); string(value) != longValue+"\r\n" {
+		t.Errorf("%d of %d bytes of the first value came, then %v", n, len(value), err)
+	}
+	if err := w.program.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := io.ReadAll(readers[1]); string(rest) != longValue[:len(rest)] || len(rest) >= len(longValue) {
+		t.Errorf("%d bytes of the second value came, %q at their end, then %v", len(rest), rest[max(0, len(rest)-9):], err)
+	}
+}
