--- a/internal/lab/standin/cause.go
+++ b/internal/lab/standin/cause.go
@@ -5,6 +5,7 @@
 
 	"hoptiller"
 	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/tally"
 )
 
 // Not every request that is refused, failed, lost or late is its router's doing. Here is what else explains one: what was done to its
@@ -51,13 +52,7 @@
 
 // cachesFull tells whether what clients ask for leaves the caches no room. e.mu is held.
 func (e *Engine) cachesFull() bool {
-	now, can := e.World.Now(), 0.0
-	for _, c := range e.World.Caches {
-		if c.Serves() {
-			can += c.Capacity(now)
-		}
-	}
-	return e.asked.rate(now) > fullLoad*can
+	return e.asked.rate(e.World.Now()) > fullLoad*tally.Serving(e.World)
 }
 
 // callTimes sums up the calls of a request.
@@ -76,9 +71,17 @@
 	t.missed = t.missed || status == hoptiller.Miss
 }
 
-// explained tells whether anything but its router explains that a request is refused, failed or lost, or takes as long as it did. It is
-// asked before the request is over for the rules. e.mu is held.
-func (e *Engine) explained(r *request) bool {
+// cause is what explains that a request is refused, failed or lost, or takes as long as it did.
+type cause uint8
+
+const (
+	routerAlone cause = iota // nothing but its router
+	momentAlone              // trouble at the time, of which nothing shows that it met the request
+	ownTrouble               // what was done to the request, its calls or its router
+)
+
+// causeOf tells what explains a request's end. It is asked before the request is over for the rules. e.mu is held.
+func (e *Engine) causeOf(r *request) cause {
 	now, n := e.World.Now(), e.nodes[r.try.Router]
 	class := &e.day.Classes[r.try.Op.Class]
 	for call, came := range r.sent { // those that are still out
@@ -88,19 +91,21 @@
 	}
 	switch {
 	case r.life != n.life || n.lost(r): // its process has ended
-		return true
+		return ownTrouble
 	case e.Check.Delayed(now, n.index, r.number) > 0: // stood still, or was held back by a relay
-		return true
-	case n.disturbances > 0: // what is refused at once has met nothing of it, but the requests before it have
-		return true
+		return ownTrouble
 	case r.calling.slow || r.calling.failed:
-		return true
+		return ownTrouble
 	case r.try.Remaining < time.Duration(leastWorks*float64(class.Work)):
-		return true
+		return ownTrouble
 	case r.calling.missed && e.World.Origin.Load() > fullLoad:
-		return true
+		return ownTrouble
+	case n.disturbances > 0: // what is refused at once has met nothing of it, but the requests before it have
+		return momentAlone
+	case e.cachesFull():
+		return momentAlone
 	}
-	return e.cachesFull()
+	return routerAlone
 }
 
 // blame counts a request that is over against its router, unless it was answered as fast as its calls allowed or something else explains
@@ -114,7 +119,10 @@
 	if end == model.Value && (!late || took-r.calling.spent <= ownTime) {
 		return
 	}
-	if !e.explained(r) {
+	switch e.causeOf(r) {
+	case routerAlone:
 		e.Tally.Unexplained(e.World.Now())
+	case momentAlone:
+		e.Tally.ByTheMoment(e.World.Now())
 	}
 }
--- a/internal/lab/tally/tally_test.go
+++ b/internal/lab/tally/tally_test.go
@@ -57,10 +57,15 @@
 	w.Caches[3].Sent += 7
 	c.Sample(w)
 	c.Unexplained(2 * time.Second)
+	c.ByTheMoment(500 * time.Millisecond) // in the warm-up
+	c.ByTheMoment(2 * time.Second)
 	r := c.Result(w, rules.New(&day))
 	if r.Unexplained != 1 {
 		t.Errorf("%v are unexplained, of the one that was taken", r.Unexplained)
 	}
+	if r.ByTheMoment != 1 {
+		t.Errorf("%v are explained by the moment, of the one that was taken", r.ByTheMoment)
+	}
 	asked, served := 20+3*1.5, 15.0+3
 	worst, class := (5.0+3)/(10+4.5), 3/4.5
 	if !near(r.Service, served/asked) || !near(r.Worst, worst) || !near(r.Score, 0.45*served/asked+0.35*worst+0.2*class) {
@@ -77,3 +82,29 @@
 		t.Errorf("%+v, %v", s, ok)
 	}
 }
+
+// A second allows what is asked of routers as far as the caches that serve have room for the reads' work.
+func TestAllowed(t *testing.T) {
+	read := func(how model.Ending, left bool) *model.Op { return &model.Op{Work: 0.5, Last: how, Left: left} }
+	for name, c := range map[string]struct {
+		ops      []*model.Op
+		capacity float64
+		want     float64
+	}{
+		"room for all":               {[]*model.Op{read(model.WasRefused, false), read(model.WasFailed, false)}, 1, 2},
+		"room for half":              {[]*model.Op{read(model.WasRefused, false), read(model.WasFailed, false)}, 0.5, 1},
+		"none for what found no way": {[]*model.Op{read(model.FoundNoRoute, false), read(model.WasRefused, false)}, 1, 1},
+		"a client that left":         {[]*model.Op{read(model.WasLost, true), read(model.WasRefused, false)}, 1, 1},
+		"a write is no cache's work": {[]*model.Op{{Work: 9, Write: true}, read(model.WasRefused, false)}, 0.5, 2},
+		"no cache":                   {[]*model.Op{read(model.WasRefused, false)}, 0, 0},
+	} {
+		var s second
+		for _, op := range c.ops {
+			s.addOpen(op, 1)
+		}
+		s.capacity = c.capacity
+		if got := s.allowed(); !near(got, c.want) {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
