--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -194,29 +194,42 @@
 // Crossing: a client leaves while its long value, which has come whole, waits for room. It is not sent on.
 func TestLeavingWhileWaitingForRoom(t *testing.T) {
 	t.Parallel()
-	room := semaphore.NewWeighted(meta.MaxLong)
-	if !room.TryAcquire(meta.MaxLong) {
+	served := until{make(chan string, 9), make(chan string, 9)}
+	f := &Front{MostConns: 4, MostOpen: 4, Server: served}
+	conn, sentNothing := startWaitingForRoom(t, f, served)
+	fmt.Fprintf(conn, "%s\r\n", strings.Repeat("x", waitingLength))
+	sentNothing()
+}
+
+// waitingLength is that of the value which waits in startWaitingForRoom, in bytes.
+const waitingLength = 100 << 10
+
+// startWaitingForRoom starts a front whose room for long values is taken, with a client that waits for some. sentNothing has the client
+// leave, gives the room back, and checks that nothing was sent on and no room kept.
+func startWaitingForRoom(t *testing.T, f *Front, served until) (conn net.Conn, sentNothing func()) {
+	t.Helper()
+	f.Room = semaphore.NewWeighted(meta.MaxLong)
+	if !f.Room.TryAcquire(meta.MaxLong) {
 		t.Fatal("no room")
 	}
-	served := until{make(chan string, 9), make(chan string, 9)}
-	f := &Front{MostConns: 4, MostOpen: 4, Room: room, Server: served}
-	conn := start(t, f)()
-	const length = 100 << 10
-	fmt.Fprintf(conn, "ms k %d O1 Pc=read,d=900\r\n", length)
+	conn = start(t, f)()
+	fmt.Fprintf(conn, "ms k %d O1 Pc=read,d=900\r\n", waitingLength)
 	testprog.Until(t, "the value waits for room", func() bool {
 		f.conns.mu.Lock()
 		defer f.conns.mu.Unlock()
 		return f.conns.lists[busy].Len() == 1
 	})
-	fmt.Fprintf(conn, "%s\r\n", strings.Repeat("x", length))
-	conn.Close()
-	room.Release(meta.MaxLong)
-	testprog.Until(t, "the connection is done with", func() bool { return len(f.conns.all()) == 0 })
-	if n := len(served.came); n > 0 {
-		t.Error("the request was sent on")
-	}
-	if !room.TryAcquire(meta.MaxLong) {
-		t.Error("its room was not given back")
+	return conn, func() {
+		t.Helper()
+		conn.Close()
+		f.Room.Release(meta.MaxLong)
+		testprog.Until(t, "the connection is done with", func() bool { return len(f.conns.all()) == 0 })
+		if n := len(served.came); n > 0 {
+			t.Error("the request was sent on")
+		}
+		if !f.Room.TryAcquire(meta.MaxLong) {
+			t.Error("its room was not given back")
+		}
 	}
 }
 
--- a/internal/front/gather_test.go
+++ b/internal/front/gather_test.go
@@ -112,31 +112,12 @@
 // Crossing: a client's long value waits for room when the time after a stop is over. It is answered as failed, and never sent on.
 func TestWaitingForRoomWhenTheTimeIsOver(t *testing.T) {
 	t.Parallel()
-	room := semaphore.NewWeighted(meta.MaxLong)
-	if !room.TryAcquire(meta.MaxLong) {
-		t.Fatal("no room")
-	}
 	served := until{make(chan string, 9), make(chan string, 9)}
-	f := &Front{MostConns: 4, MostOpen: 4, Keep: time.Hour, Last: 50 * time.Millisecond, Room: room, Server: served}
-	conn := start(t, f)()
-	const length = 100 << 10
-	fmt.Fprintf(conn, "ms k %d O1 Pc=read,d=900\r\n", length)
-	testprog.Until(t, "the value waits for room", func() bool {
-		f.conns.mu.Lock()
-		defer f.conns.mu.Unlock()
-		return f.conns.lists[busy].Len() == 1
-	})
+	f := &Front{MostConns: 4, MostOpen: 4, Keep: time.Hour, Last: 50 * time.Millisecond, Server: served}
+	conn, sentNothing := startWaitingForRoom(t, f, served)
 	f.Life.Tell(lifecycle.Stop)
 	if line, err := bufio.NewReader(conn).ReadString('\n'); line != "SERVER_ERROR failed\r\n" {
 		t.Errorf("got %q, %v", line, err)
 	}
-	conn.Close()
-	testprog.Until(t, "the connection is done with", func() bool { return len(f.conns.all()) == 0 })
-	room.Release(meta.MaxLong)
-	if n := len(served.came); n > 0 {
-		t.Error("the request was sent on")
-	}
-	if !room.TryAcquire(meta.MaxLong) {
-		t.Error("its room was not given back")
-	}
+	sentNothing()
 }
