--- a/cmd/hoplab/soak.go
+++ b/cmd/hoplab/soak.go
@@ -35,8 +35,8 @@
 	if err := os.MkdirAll(c.Out, 0o755); err != nil {
 		return err
 	}
-	fmt.Println("| seed | routers | requests | served | allowed | not served | unexplained | by the moment | ring, module | held up | troubles | broken |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Println("| seed | routers | requests | served | not served | unexplained | by the moment | ring, module | held up | troubles | broken |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	var mu sync.Mutex // of what is counted and written
 	played, broken, unclear := 0, 0, 0
 	var g errgroup.Group
@@ -129,8 +129,8 @@
 		}
 		verdict = strings.Join(texts, "; ")
 	}
-	return fmt.Sprintf("| %d | %d | %d | %.3f | %.3f | %v | %.4f | %.4f | %.3f, %.3f | %v | %s | %s |", f.Day.Seed, f.Day.Routers, r.Result.Asked, r.Result.Service,
-		r.Result.Allowed, &r.Result.Unserved, r.Result.Unexplained, r.Result.ByTheMoment, b.ring, b.module, r.Lag.Round(time.Millisecond), strings.Join(kinds, ", "), verdict)
+	return fmt.Sprintf("| %d | %d | %d | %.3f | %v | %.4f | %.4f | %.3f, %.3f | %v | %s | %s |", f.Day.Seed, f.Day.Routers, r.Result.Asked, r.Result.Service,
+		&r.Result.Unserved, r.Result.Unexplained, r.Result.ByTheMoment, b.ring, b.module, r.Lag.Round(time.Millisecond), strings.Join(kinds, ", "), verdict)
 }
 
 // keep writes a day as a drill that can be played again, with what happened.
--- a/internal/lab/standin/cause.go
+++ b/internal/lab/standin/cause.go
@@ -5,7 +5,6 @@
 
 	"hoptiller"
 	"hoptiller/internal/lab/model"
-	"hoptiller/internal/lab/tally"
 )
 
 // Not every request that is refused, failed, lost or late is its router's doing. Here is what else explains one: what was done to its
@@ -52,7 +51,13 @@
 
 // cachesFull tells whether what clients ask for leaves the caches no room. e.mu is held.
 func (e *Engine) cachesFull() bool {
-	return e.asked.rate(e.World.Now()) > fullLoad*tally.Serving(e.World)
+	now, can := e.World.Now(), 0.0
+	for _, c := range e.World.Caches {
+		if c.Serves() {
+			can += c.Capacity(now)
+		}
+	}
+	return e.asked.rate(now) > fullLoad*can
 }
 
 // callTimes sums up the calls of a request.
--- a/internal/lab/tally/tally.go
+++ b/internal/lab/tally/tally.go
@@ -21,9 +21,6 @@
 	Worst   float64 `json:"worst"`   // the same in the worst 10 s
 	Score   float64 `json:"score"`   // 0.45 of the whole, 0.35 of the worst 10 s, 0.2 of the worst class
 
-	// Allowed is what the day allows to serve, as Service is counted: all that is asked by clients who don't leave early and find a
-	// router, as far as the work of its second is within what the caches that serve can do.
-	Allowed  float64  `json:"allowed"`
 	Unserved Unserved `json:"unserved"`
 	// Unexplained is the part of the requests taken that were refused, failed, lost or late with no cause but their router.
 	Unexplained float64 `json:"unexplained"`
@@ -119,9 +116,6 @@
 
 type second struct {
 	asked, served float64
-	open          float64 // of what was asked, by clients who didn't leave early and found a router
-	work          float64 // of the reads among that, in standard-core seconds
-	capacity      float64 // of the caches that serve, at its end
 	ops, refused  int
 	fetches       int
 	answers       int           // of calls
@@ -171,7 +165,6 @@
 	c.ops++
 	s.asked += worth
 	c.asked += worth
-	s.addOpen(op, worth)
 	took := op.Served - op.At
 	if op.Served == 0 || took > set.Aim.D() {
 		t.unserved.add(op, worth)
@@ -188,25 +181,6 @@
 	c.served += worth
 }
 
-// addOpen counts what was asked by a client who didn't leave early and found a router.
-func (s *second) addOpen(op *model.Op, worth float64) {
-	if op.Served == 0 && (op.Left || op.Last == model.FoundNoRoute) {
-		return
-	}
-	s.open += worth
-	if !op.Write { // a write is the origin's work
-		s.work += op.Work
-	}
-}
-
-// allowed is how much of what was asked the caches had room for.
-func (s *second) allowed() float64 {
-	if s.work <= s.capacity {
-		return s.open
-	}
-	return s.open * s.capacity / s.work
-}
-
 // Answered takes a router's final answer.
 func (t *Tally) Answered(now time.Duration, f model.Final) {
 	t.finals[f]++
@@ -299,9 +273,6 @@
 	}
 	span := (now - t.sampled).Seconds()
 	t.sampled = now
-	if s := t.at(now - 1); s != nil {
-		s.capacity = Serving(w)
-	}
 	for len(t.sent) < len(w.Caches) {
 		t.sent = append(t.sent, 0)
 	}
@@ -325,16 +296,6 @@
 	}
 }
 
-// Serving is what the caches that serve can do, in standard-core seconds a second.
-func Serving(w *model.World) (capacity float64) {
-	for _, c := range w.Caches {
-		if c.Serves() {
-			capacity += c.Capacity(w.Now())
-		}
-	}
-	return capacity
-}
-
 // Second is what happened in one second of the day proper.
 type Second struct {
 	Asked, Refused, Fetches int
@@ -374,13 +335,13 @@
 	for s, n := range t.ends {
 		r.Outcomes[StatusNames[s]] = n
 	}
-	var asked, served, allowed float64
+	var asked, served float64
 	fetches, peak := 0, 0
 	for _, s := range t.seconds {
-		asked, served, allowed = asked+s.asked, served+s.served, allowed+s.allowed()
+		asked, served = asked+s.asked, served+s.served
 		fetches, peak = fetches+s.fetches, max(peak, s.fetches)
 	}
-	r.Service, r.Allowed, r.Worst = part(served, asked), part(allowed, asked), 1
+	r.Service, r.Worst = part(served, asked), 1
 	r.Unserved = t.unserved.over(asked)
 	const window = 10
 	for i := 0; i+window <= len(t.seconds)-1; i++ {
--- a/internal/lab/tally/tally_test.go
+++ b/internal/lab/tally/tally_test.go
@@ -82,29 +82,3 @@
 		t.Errorf("%+v, %v", s, ok)
 	}
 }
-
-// A second allows what is asked of routers as far as the caches that serve have room for the reads' work.
-func TestAllowed(t *testing.T) {
-	read := func(how model.Ending, left bool) *model.Op { return &model.Op{Work: 0.5, Last: how, Left: left} }
-	for name, c := range map[string]struct {
-		ops      []*model.Op
-		capacity float64
-		want     float64
-	}{
-		"room for all":               {[]*model.Op{read(model.WasRefused, false), read(model.WasFailed, false)}, 1, 2},
-		"room for half":              {[]*model.Op{read(model.WasRefused, false), read(model.WasFailed, false)}, 0.5, 1},
-		"none for what found no way": {[]*model.Op{read(model.FoundNoRoute, false), read(model.WasRefused, false)}, 1, 1},
-		"a client that left":         {[]*model.Op{read(model.WasLost, true), read(model.WasRefused, false)}, 1, 1},
-		"a write is no cache's work": {[]*model.Op{{Work: 9, Write: true}, read(model.WasRefused, false)}, 0.5, 2},
-		"no cache":                   {[]*model.Op{read(model.WasRefused, false)}, 0, 0},
-	} {
-		var s second
-		for _, op := range c.ops {
-			s.addOpen(op, 1)
-		}
-		s.capacity = c.capacity
-		if got := s.allowed(); !near(got, c.want) {
-			t.Errorf("%s: %v, want %v", name, got, c.want)
-		}
-	}
-}
