--- a/internal/lab/drill/known_red_test.go
+++ b/internal/lab/drill/known_red_test.go
@@ -18,6 +18,9 @@
 // On a day that leaves the caches no room, routers leave more of what is asked unserved than a soak may.
 func TestUnservedOnAFullDay(t *testing.T) { playKnownRed(t, "full-day") }
 
+// A few requests with far more work than the mean push a cold cache server over, though all routers were told of its start long before.
+func TestColdServerUnderHeavyRequests(t *testing.T) { playKnownRed(t, "cold-heavy-requests") }
+
 func playKnownRed(t *testing.T, name string) {
 	f, err := Load("../../../lab/drills/known-red/" + name + ".toml")
 	if err != nil {
