Take the time of what comes at a server from its segment, not from the kernel's tick

No caller saw anything.

Cause, by these lines: the routers did not begin a call before the last had ended; the lab took the beginning for earlier than it was. Call 0 had its answer (a miss) at the end told, and a router knows nothing of an answer before it is given. The lab reckoned when call 1 came from tcp_info's last_data_recv, which counts ticks (4 ms, HZ=250), and from read to "came" lie 24.02, 24.02 and 16.65 ms: six ticks, six and four. On a virtual machine whose clock core is held up the tick stands; other cores set it right after five more (MAX_STALLED_JIFFIES of the kernel's tick-sched.c). What comes meanwhile is stamped with the old tick, so it looks up to 24 ms older than it is; the check allows 10 ms for a clock in ticks. Ruled out: a wait for the reader. It would show as the lab's own lag (8.9 and 6.9 ms), and "came" would not lie whole ticks before the reading. Not reproduced: in 260 s of measuring on this machine, quiet and busy, no tick was held up.

Change: the time of bytes is that of their segment (SO_TIMESTAMPING, by the nanosecond clock, in the control message of recvmsg); tcp_info stands in only where the kernel gives none. The end of a connection has no such time and stays in ticks, but is no longer told to be before the bytes in front of it.

--- a/internal/lab/arrival/arrival.go
+++ b/internal/lab/arrival/arrival.go
@@ -1,6 +1,9 @@
 // Package arrival records when the bytes of a TCP connection reached its socket and when the peer ended the
 // connection. The times are the kernel's: how long bytes or an end waited for a reader that had no core does
 // not count. What two processes did can so be put in order, however late the observer is.
+//
+// The time of bytes is that of their segment (SO_TIMESTAMPING), exact to microseconds. The time of an end is kept in
+// ticks of the kernel's clock, which a busy virtual machine may hold back for some ticks.
 package arrival
 
 import (
@@ -12,7 +15,7 @@
 )
 
 // Uncertainty is by how much two times of this package may be apart though both events came at once: the
-// kernel keeps them in whole ticks of its clock.
+// kernel keeps the end of a connection in whole ticks of its clock.
 const Uncertainty = 10 * time.Millisecond
 
 // mostParts bounds the arrivals that are kept until somebody asks for them.
@@ -37,15 +40,20 @@
 }
 
 // NewLog returns a Log of a connection of which nothing has been read.
-func NewLog(c net.Conn) *Log { return &Log{Conn: c} }
+func NewLog(c net.Conn) *Log {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		keepTimes(tcp)
+	}
+	return &Log{Conn: c}
+}
 
 // Read implements io.Reader.
 func (l *Log) Read(b []byte) (int, error) {
-	n, err := l.Conn.Read(b)
+	n, at, err := l.receive(b)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if n > 0 {
-		l.last = receivedAt(l.Conn)
+		l.last = at
 		l.received += int64(n)
 		l.parts = append(l.parts, part{l.received, l.last})
 		l.parts = l.parts[max(0, len(l.parts)-mostParts):]
@@ -56,6 +64,20 @@
 	return n, err
 }
 
+// receive reads and tells when the latest of the bytes came.
+func (l *Log) receive(b []byte) (n int, at time.Time, err error) {
+	tcp, ok := l.Conn.(*net.TCPConn)
+	if !ok {
+		n, err = l.Conn.Read(b)
+		return n, time.Now(), err
+	}
+	n, at, err = receive(tcp, b)
+	if n > 0 && at.IsZero() {
+		at = receivedAt(tcp)
+	}
+	return n, at, err
+}
+
 // Last is when the bytes of the latest Read came.
 func (l *Log) Last() time.Time {
 	l.mu.Lock()
@@ -107,8 +129,12 @@
 		return
 	}
 	info, now, known := infoOf(l.Conn)
-	if known && info.peerEnded() {
-		l.ended = now.Add(-milliseconds(info.lastAckReceived))
+	if !known || !info.peerEnded() {
+		return
+	}
+	l.ended = now.Add(-milliseconds(info.lastAckReceived))
+	if l.ended.Before(l.last) { // a peer ends a connection behind its bytes
+		l.ended = l.last
 	}
 }
 
@@ -173,7 +199,7 @@
 	return failed == 0 && uintptr(size) >= unsafe.Sizeof(*i)
 }
 
-// receivedAt is when the kernel got the latest bytes of a connection, to the millisecond; now where it does not tell.
+// receivedAt is when the kernel got the latest bytes of a connection, to its tick; now where it does not tell.
 func receivedAt(c net.Conn) time.Time {
 	info, at, known := infoOf(c)
 	if !known {
--- a/internal/lab/arrival/arrival_test.go
+++ b/internal/lab/arrival/arrival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 // pair opens a TCP connection: what is written far is read near.
 func pair(t *testing.T) (near *Log, far net.Conn) {
 	l := testprog.Listen(t)
+	KeepTimes(l)
 	far, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -61,6 +63,45 @@
 	}
 }
 
+// No byte is noted as having come before it was written, whenever it is read: not by a tick of the kernel's clock either, which may stand
+// for some 20 ms while a virtual machine is held up.
+func TestNotBeforeWritten(t *testing.T) {
+	const (
+		bytes     = 50
+		tick      = 4 * time.Millisecond
+		tolerance = 500 * time.Microsecond // between the wall clock and the monotonic one
+	)
+	near, far := pair(t)
+	b := make([]byte, 1)
+	awaitTimes(t, near, far)
+	first := near.received
+	draw := rand.New(rand.NewPCG(1, 2))
+	for offset := first; offset < first+bytes; offset++ {
+		phase := time.Now().Add(time.Duration(draw.Int64N(int64(tick))))
+		testprog.Until(t, "a drawn part of a tick", func() bool { return time.Now().After(phase) })
+		before := time.Now()
+		far.Write(b)
+		after := time.Now()
+		testprog.Until(t, "what came is two ticks old", func() bool { return time.Since(after) >= 2*tick })
+		if _, err := io.ReadFull(near, b); err != nil {
+			t.Fatal(err)
+		}
+		at := near.At(offset)
+		if at.Before(before.Add(-tolerance)) || at.After(after.Add(Uncertainty)) {
+			t.Errorf("byte %d came at %v after its write began, which took %v", offset, at.Sub(before), after.Sub(before))
+		}
+	}
+}
+
+// awaitTimes waits until the kernel notes when bytes come: it begins to a moment after it is asked to.
+func awaitTimes(t *testing.T, near *Log, far net.Conn) {
+	testprog.Until(t, "a byte that has a time", func() bool {
+		far.Write([]byte{0})
+		_, at, err := receive(near.Conn.(*net.TCPConn), make([]byte, 1))
+		return err == nil && !at.IsZero()
+	})
+}
+
 // The end of a connection is seen before anybody reads it, with the time at which it came.
 func TestEnd(t *testing.T) {
 	near, far := pair(t)
--- a/internal/lab/faultproxy/stream.go
+++ b/internal/lab/faultproxy/stream.go
@@ -68,6 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
+	arrival.KeepTimes(listener)
 	p := &StreamProxy{listener: listener, target: target, changed: make(chan struct{}), open: map[*connection]bool{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.connections.Go(p.accept)
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		return err
 	}
+	arrival.KeepTimes(l)
 	party := Cache
 	if server == 0 {
 		party = Origin
