Play long answers through the load generator, and tell what pushed a cold server over

The course of a fall tells of each router how many keys its calls had, and the heaviest call's work: "seven calls carry 16.65 s" could not be followed before.

--- a/cmd/hoplab/sockets.go
+++ b/cmd/hoplab/sockets.go
@@ -96,12 +96,17 @@
 
 type fleetCmd struct {
 	fleetFlags `embed:""`
-	Dir        string `help:"Folder for the routers' configurations." default:"fleet" type:"path"`
+	Dir        string  `help:"Folder for the routers' configurations." default:"fleet" type:"path"`
+	Bytes      int     `help:"Length of a value in bytes; 0: that of the day." default:"0"`
+	Unsized    float64 `help:"Part of the origin's values that it gives without their length." default:"0"`
 }
 
 func (c *fleetCmd) Run(ctx context.Context) error {
 	day := c.day()
-	day.Load.Level, day.Warm = 0, 0
+	day.Load.Level, day.Warm, day.Origin.Unsized = 0, 0, c.Unsized
+	if c.Bytes != 0 {
+		day.Load.Bytes = c.Bytes
+	}
 	if err := day.Check(); err != nil {
 		return err
 	}
--- a/internal/lab/model/cache.go
+++ b/internal/lab/model/cache.go
@@ -35,7 +35,8 @@
 	At        time.Duration
 	Work      float64 // in standard-core seconds
 	Router    int
-	Handshake bool // of a new connection; else a call's
+	Handshake bool   // of a new connection; else a call's
+	Key       uint64 // of a call
 }
 
 // Fall tells how a cold cache was pushed over.
@@ -111,7 +112,7 @@
 
 // take takes a call that has come.
 func (c *Cache) take(call *Call) {
-	c.arrived(Push{Work: call.Try.Op.Work, Router: call.Conn.Router})
+	c.arrived(Push{Work: call.Try.Op.Work, Router: call.Conn.Router, Key: call.Try.Op.Key})
 	if !c.up {
 		return // it has just been pushed over
 	}
--- a/internal/lab/rules/cold.go
+++ b/internal/lab/rules/cold.go
@@ -35,6 +35,8 @@
 type pushed struct {
 	calls, handshakes int
 	work, workTold    float64 // in standard-core seconds: all, and what came once the router had been told of the start
+	heaviest          float64 // call's work
+	keys              map[uint64]bool
 }
 
 // FellOver tells that a cold cache was pushed over. A piece of work counts against its router if that had been told of the start when
@@ -45,7 +47,7 @@
 	for _, push := range f.Pushes {
 		p := by[push.Router]
 		if p == nil {
-			p = &pushed{}
+			p = &pushed{keys: map[uint64]bool{}}
 			by[push.Router] = p
 		}
 		at, known := c.toldOf(push.Router, f)
@@ -69,6 +71,8 @@
 		p.handshakes++
 	} else {
 		p.calls++
+		p.keys[push.Key] = true
+		p.heaviest = max(p.heaviest, push.Work)
 	}
 	p.work += push.Work
 	if told {
@@ -81,7 +85,8 @@
 	var course []string
 	for _, router := range slices.Sorted(maps.Keys(by)) {
 		p := by[router]
-		text := fmt.Sprintf("router %d: %d calls and %d connections", router, p.calls, p.handshakes)
+		text := fmt.Sprintf("router %d: %d calls of %d keys, the heaviest of %.2f s, and %d connections",
+			router, p.calls, len(p.keys), p.heaviest, p.handshakes)
 		if at, told := c.toldOf(router, f); told {
 			text += fmt.Sprintf(", told %v before, %.2f of %.2f s of work since", (now - at).Round(time.Millisecond), p.workTold, p.work)
 		} else {
--- /dev/null
+++ b/internal/lab/standin/long_answers_test.go
@@ -0,0 +1,80 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	generator "hoptiller/internal/lab/load"
+	"hoptiller/internal/lab/model"
+	"hoptiller/internal/lab/tally"
+	"hoptiller/internal/testprog"
+)
+
+// A load generator that sends through a router gets every long answer whole, whether its server tells the length or ends it with the
+// connection.
+func TestLongAnswersUnderLoad(t *testing.T) {
+	for name, unsized := range map[string]float64{"all with a length": 0, "half without": 0.5, "all without": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			day := model.Prairie()
+			day.Warm, day.Length, day.Fleet.Caches, day.Routers, day.Load.Level = 0, span(6), 4, 1, 0
+			day.Load.Bytes, day.Origin.Unsized = mostValue, unsized
+			for i := range day.Classes {
+				day.Classes[i].Deadline = span(2)
+			}
+			dir := t.TempDir()
+			begun, ended := make(chan time.Time, 1), make(chan *tally.Result, 1)
+			go func() {
+				result, err := Run(context.Background(), &day, Options{Dir: dir, Begun: func(_ Control, at time.Time) { begun <- at }})
+				if err != nil {
+					t.Error(err)
+				}
+				ended <- result
+			}()
+			testprog.Await(t, begun, "the day's beginning")
+			reads := loadThrough(t, filepath.Join(dir, "router0", "config.json")).Classes[0]
+			if reads.Served == 0 || reads.Lost > 0 || reads.Failed > 0 {
+				t.Errorf("%+v", reads)
+			}
+			if result := testprog.Await(t, ended, "the day's end"); result != nil && result.Broken > 0 {
+				t.Errorf("%d rules broken, first %v", result.Broken, result.Violations[0])
+			}
+		})
+	}
+}
+
+// loadThrough starts a router and sends load through it.
+func loadThrough(t *testing.T, config string) *generator.Report {
+	text, err := os.ReadFile(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	process := exec.Command(router)
+	process.Env = append(os.Environ(), "RELAY_CONFIG="+config)
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer process.Wait()
+	defer process.Process.Kill()
+	addr := gjson.GetBytes(text, "listen").String()
+	testprog.Until(t, "the router listens", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+	report, err := generator.Run(t.Context(), generator.Plan{Addrs: []string{addr}, Rate: 30, For: 3 * time.Second, Conns: 30, Keys: 60, Zipf: 1, Seed: 1,
+		Classes: []generator.Class{{Name: "slot-view", Share: 1, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,7 +16,6 @@
 	"hoptiller/internal/lab/arrival"
 	"hoptiller/internal/lab/loopback"
 	"hoptiller/internal/lab/model"
-	"hoptiller/internal/lab/rules"
 	"hoptiller/internal/meta"
 )
 
@@ -260,50 +257,6 @@
 	e.Check.TimeTold(a.at.Sub(e.begun), l.n.index, r.number, told, err)
 }
 
-// outCall is the latest call of a request.
-type outCall struct {
-	call *model.Call
-	link *link
-	at   time.Time // when its first byte came
-	came *rules.Came
-}
-
-// alone sees to it that no other call of the request was out together with this one. All times are those of the sockets: on a busy
-// machine the end of a call may be read here long after the beginning of the next, and one that came while its connection's handshake
-// went on is read after a later one.
-func (l *link) alone(r *request, call *model.Call, at time.Time) {
-	e, before := l.n.e, r.out
-	latest := &outCall{call, l, at, &rules.Came{Attempt: call.Attempt, Server: l.server, Connected: l.accepted, Written: at.Sub(e.begun), Read: e.World.Now()}}
-	if r.out = latest; before == nil || e.day.Rules.Copies {
-		return
-	}
-	e.World.After(slack, func() {
-		if !r.overlaps(before, latest) || !r.overlaps(latest, before) {
-			return
-		}
-		now := time.Since(e.begun)
-		e.Check.Together(e.World.Now(), l.n.index, r.number, before.came, latest.came, l.n.lag.most(now), e.lag.most(now))
-	})
-}
-
-// overlaps tells whether a call had not ended when another one came.
-func (r *request) overlaps(first, second *outCall) bool {
-	end, ended := r.endOf(first)
-	if first.came.Open = !ended; ended {
-		first.came.Ended = end.Sub(first.link.n.e.begun)
-	}
-	return !ended || end.Sub(second.at) > arrival.Uncertainty
-}
-
-// endOf is when a call ended: it was answered or lost here, or its router ended its connection; false: it is still out.
-func (r *request) endOf(out *outCall) (at time.Time, ended bool) {
-	at, ended = r.ended[out.call]
-	if closed, is := out.link.source.End(); is && (!ended || closed.Before(at)) {
-		return closed, true
-	}
-	return at, ended
-}
-
 func (l *link) write(cache, origin []byte) {
 	if l.ended {
 		return
@@ -359,59 +312,3 @@
 	l.c.Close()
 	l.once.Do(func() { close(l.opened) })
 }
-
-// Answered implements model.Holder.
-func (l *link) Answered(call *model.Call, a model.Answer) {
-	status := [...]hoptiller.Status{model.Served: hoptiller.OK, model.Missed: hoptiller.Miss, model.Failed: hoptiller.ServerError,
-		model.Busy: hoptiller.Full, model.Stale: hoptiller.Full}[a]
-	r := l.finish(call, status)
-	if r == nil {
-		return
-	}
-	text := value(r.id, l.n.e.day.Load.Bytes, call.Try.Op.Size)
-	if call.Try.Op.Write {
-		text = "r" + r.id
-	}
-	var cache, origin string
-	unsized := false
-	switch a {
-	case model.Served:
-		r.answer = l
-		cache = fmt.Sprintf("VA %d O%s h1\r\n%s\r\n", len(text), r.id, text)
-		origin = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
-		if unsized = l.unsized(call); unsized {
-			origin = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + text
-		}
-	case model.Missed:
-		cache = fmt.Sprintf("EN O%s h0\r\n", r.id)
-	case model.Failed:
-		cache, origin = "SERVER_ERROR failed\r\n", "HTTP/1.1 500 failed\r\nContent-Length: 0\r\n\r\n"
-	case model.Busy:
-		cache, origin = "SERVER_ERROR busy\r\n", "HTTP/1.1 503 busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
-	case model.Stale:
-		origin = "HTTP/1.1 504 too late\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
-	}
-	l.write([]byte(cache), []byte(origin))
-	if unsized {
-		l.write(nil, endOfAnswers)
-	}
-	for range l.gone[call] {
-		l.turnAway()
-	}
-	delete(l.gone, call)
-}
-
-// unsized draws whether the origin gives a value without its length. It ends with its connection, whose only call it is.
-func (l *link) unsized(call *model.Call) bool {
-	e, r := l.n.e, call.Try.Op
-	if l.server != 0 || r.Write || len(l.gone) > 0 {
-		return false
-	}
-	draw := rand.New(rand.NewPCG(e.day.Seed, r.ID))
-	return draw.Float64() < e.day.Origin.Unsized
-}
-
-// turnAway answers a call whose request is over.
-func (l *link) turnAway() {
-	l.write([]byte("SERVER_ERROR busy\r\n"), []byte("HTTP/1.1 503 gone\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"))
-}
