Take a server that routers saw go down and come back for a cold one before its news

Each fall leaves its keys without a server.

Cause, by the courses and the routers' logs: until the list tells a new start, a router takes a server that takes connections again for the one it was, warm. One or two routers send nearly all of what it gets, since most clients are with them; some had seen the server refuse connections themselves, others had just begun and had seen nothing.

Change: routers tell each other already which servers refuse connections and take them again; nothing acted on it. Now the module takes such sightings (Sighted). A server that was down for half a second or more and is back has a new process; its start is presumed, and what is sent to it is bounded as to any cold server (coldRoom), at once and by all who hear it. It ends with the listed start, after 6 s without one (longer than a list takes), or where the first 16 answers have hits nearly as usual. An answer meanwhile, a time under half a second, or more than half of the servers down at once speak against a restart: there it is the way's fault. Keys don't move for it. Routers without peers do as before.

TestSightings and peers.TestSighted are new; without learning from sightings its three cold cases get what a warm server gets.

--- a/cmd/hoptiller/together.go
+++ b/cmd/hoptiller/together.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hoptiller"
 	"hoptiller/internal/config"
 	"hoptiller/internal/fleet/drains"
 	"hoptiller/internal/fleet/peers"
@@ -28,6 +29,7 @@
 	phase  func() view.Phase
 	counts *metrics.Counters
 	config *config.Config
+	relay  *relay.Relay
 
 	at   time.Time // when requests were last counted
 	seen int64
@@ -40,7 +42,7 @@
 // newFleet opens the view where the settings and the operator's file, which goes before, have it on. What
 // the platform forbids no file allows.
 func newFleet(c *config.Config, stated plan.Fleet, counts *metrics.Counters, life *lifecycle.State, r *relay.Relay, caches *drains.Caches) *fleet {
-	f := &fleet{counts: counts, config: c, at: time.Now()}
+	f := &fleet{counts: counts, config: c, relay: r, at: time.Now()}
 	why := ""
 	switch {
 	case !c.MayTell:
@@ -63,7 +65,10 @@
 					life.Tell(lifecycle.Activate)
 				}
 			},
-			Caches: r.Caches, Aside: caches})
+			Caches: r.Caches, Aside: caches,
+			Sighted: func(s view.Sight) {
+				r.Sighted(hoptiller.Sighting{Server: s.Cache, Up: s.State == view.SeenBack, Age: s.Age})
+			}})
 		if err == nil {
 			f.peers = p
 			f.adopt(stated)
@@ -106,6 +111,7 @@
 	if f.peers == nil {
 		return
 	}
+	f.relay.Sighted(hoptiller.Sighting{Server: cache, Up: up})
 	if up {
 		f.peers.Saw(cache, view.SeenBack)
 	} else {
--- a/facade.go
+++ b/facade.go
@@ -165,6 +165,13 @@
 	f.count()
 }
 
+// Sighted tells what some router saw of a server.
+func (f *Facade) Sighted(now time.Duration, seen Sighting) {
+	now = f.enter(now)
+	defer f.mu.Unlock()
+	f.router.Sighted(now, seen)
+}
+
 // Members tells how many cache servers are listed, and how many of them the Router avoids. It takes no lock.
 func (f *Facade) Members() (listed, avoided int) { return int(f.listed.Load()), int(f.avoided.Load()) }
 
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -36,6 +36,8 @@
 	Caches func() []hoptiller.CacheState // the slot caches as they are seen here; with Agent
 	Aside  *drains.Caches                // has slot caches get nothing new; with Agent
 
+	Sighted func(view.Sight) // told again and again what any router saw of a slot cache, this one included; nil: nobody is
+
 	Wrap func(*net.UDPConn) Conn // puts a Conn of the caller's round each socket; nil: the socket itself is used
 }
 
@@ -227,6 +229,7 @@
 		for cache, state := range saw {
 			p.view.Saw(view.Sight{Cache: cache, State: state})
 		}
+		sights := p.sights()
 		change := p.turn()
 		drains := p.drains()
 		p.flush()
@@ -238,11 +241,22 @@
 			p.set.Aside.Set(p.now(), drains)
 		}
 		p.acting.Unlock()
+		for _, sight := range sights {
+			p.set.Sighted(sight)
+		}
 		tell(events)
 		timer.Reset(max(time.Millisecond, due-p.now()))
 	}
 }
 
+// sights are what is to be told Sighted; p.mu is held.
+func (p *Peers) sights() []view.Sight {
+	if p.set.Sighted == nil {
+		return nil
+	}
+	return p.view.Sights(p.now())
+}
+
 // flush sends what the view wants sent; p.mu is held. No datagram is waited for: one that can't be sent is lost.
 func (p *Peers) flush() {
 	for _, d := range p.view.Out() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -167,6 +167,9 @@
 // Caches are the cache servers that are listed, as they are seen here.
 func (r *Relay) Caches() []hoptiller.CacheState { return r.core.Caches() }
 
+// Sighted tells what some router saw of a cache server before the list told it.
+func (r *Relay) Sighted(seen hoptiller.Sighting) { r.core.Sighted(r.now(), seen) }
+
 // Run carries out the orders that belong to no request, until ctx ends.
 func (r *Relay) Run(ctx context.Context, dir Directory) error {
 	timer := time.NewTimer(0)
--- a/router.go
+++ b/router.go
@@ -77,6 +77,7 @@
 	sent       []time.Duration // own attempts of the latest fall window
 	toldAt     time.Duration   // when this start was listed
 	coldSince  time.Duration   // when the process started, at the latest
+	presumed   presumption     // of a start that is not listed yet
 }
 
 // attempt is one send of a request.
@@ -131,6 +132,7 @@
 
 	former   formerStarts
 	listedAt time.Duration // when the list was told or changed last; 0: not yet
+	firstAt  time.Duration // when the first one was told
 
 	rate              float64 // answers a second from warm caches, smoothed
 	served            int     // of them that were no misses
@@ -138,6 +140,8 @@
 	rateAt            time.Duration
 	answers, arrived  int
 	arrivals          float64       // requests a second, smoothed
+	hits              float64       // part of the answers of caches, smoothed
+	presumed          int           // caches whose start is presumed
 	upWeight          float64       // weight of all servers that are up
 	unit              float64       // answers a second that a unit of warm weight is seen to carry
 	lostIdle, lostNew float64       // parts of attempts lost on idle connections, and on others
@@ -174,7 +178,7 @@
 		known: map[uint32]*server{}, reqs: map[uint32]*request{}, keys: map[uint64]int{},
 		logged: map[string]time.Duration{}, former: formerStarts{},
 		buckets: make([]bucket, len(set.Tenants)), usual: make([]float64, len(set.Classes)),
-		rateAt: now, gate: 1, help: 1, held: map[uint64]time.Duration{},
+		rateAt: now, gate: 1, help: 1, hits: 1, held: map[uint64]time.Duration{},
 		paths: map[int]float64{}, times: map[int]float64{}}
 	for i := range r.buckets {
 		r.buckets[i] = bucket{r.tenantRate(i) + 10, now}
@@ -201,6 +205,7 @@
 	if kind != ListCached && r.set.ListOnRequest {
 		r.watchFail = 0 // it may be the last word of a watch whose successor is still to be opened
 	}
+	r.firstAt = cmp.Or(r.firstAt, now)
 	listed := make(map[uint32]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
@@ -278,9 +283,11 @@
 // ---- the ranking ----
 
 func (r *Router) weigh() {
+	r.followPresumed()
 	r.upWeight = 0
 	for _, s := range r.caches {
-		s.weight = s.Weight * r.fade(s) * r.health(s) * r.path(s.Zone) * r.speed(s.Kind) * r.near(s.Zone)
+		rating := s.Weight * r.listedFade(s)
+		s.weight = rating * r.health(s) * r.path(s.Zone) * r.speed(s.Kind) * r.near(s.Zone)
 		r.upWeight += s.weight
 	}
 }
@@ -743,6 +750,7 @@
 	if s.origin || o.Status != OK && o.Status != Miss {
 		return
 	}
+	r.learnPresumed(s, q.tries[o.Attempt].at, o.Status == OK)
 	if r.fade(s) >= 1 {
 		r.served += int(one(o.Status == OK)) // a miss costs little, and tells nothing of what is carried
 		r.answers++
@@ -856,7 +864,7 @@
 	if !t.open || t.to.origin || t.withdrawn || q.class.Effect == AtMostOnce {
 		return
 	}
-	patience, sick := silentAfter*r.usualOf(q), t.to.weight <= t.to.Weight*r.fade(t.to)/2
+	patience, sick := silentAfter*r.usualOf(q), t.to.weight <= t.to.Weight*r.listedFade(t.to)/2
 	if !sick {
 		patience = max(patience, silentAim*q.class.Aim.Seconds())
 	}
--- a/slow_start.go
+++ b/slow_start.go
@@ -15,11 +15,19 @@
 // warmth is the part of its capacity that a server has at the least: the stated warm-up.
 func (r *Router) warmth(s *server) float64 { return r.set.ColdFrom + (1-r.set.ColdFrom)*r.fade(s) }
 
-// fade is the part of its weight that a server counts with: near zero at its listed start, full when the
-// stated warm-up is over, and under the warm-up in between.
+// fade tells how far a server is in its stated warm-up: near zero at its start, 1 when that is over.
 func (r *Router) fade(s *server) float64 {
-	age := r.now - s.coldSince
-	if s.Started == 0 || r.set.Cold <= 0 || age >= r.set.Cold {
+	started, _, known := r.startKnown(s)
+	return r.fadeSince(started, known)
+}
+
+// listedFade is the part of its weight that a server counts with, by its listed start: keys don't move for
+// one that is only presumed.
+func (r *Router) listedFade(s *server) float64 { return r.fadeSince(s.coldSince, s.Started != 0) }
+
+func (r *Router) fadeSince(started time.Duration, known bool) float64 {
+	age := r.now - started
+	if !known || r.set.Cold <= 0 || age >= r.set.Cold {
 		return 1
 	}
 	return max(0.01, float64(age)/float64(r.set.Cold))
@@ -102,9 +110,10 @@
 // sentBeforeNews counts own attempts since a server's start, within the fall window, that were sent before
 // the start was listed: as to a warm server, but the cold one has got them.
 func (r *Router) sentBeforeNews(s *server) (n int) {
-	from := max(s.coldSince, r.now-r.fallWindow())
+	started, told, _ := r.startKnown(s)
+	from := max(started, r.now-r.fallWindow())
 	for _, at := range s.sent {
-		if at >= from && at < s.toldAt {
+		if at >= from && at < told {
 			n++
 		}
 	}
