--- a/sightings.go
+++ b/sightings.go
@@ -16,7 +16,7 @@
 
 const (
 	leastDown   = 500 * time.Millisecond // for which a server whose process is replaced is down
-	judgesAfter = 2 * time.Second        // of its first list, an instance has seen for itself
+	judgesAfter = 2 * time.Second        // after its first list an instance judges by itself
 	mostPart    = 0.5                    // of the servers; more that are down at once are the fault of ways
 	warmAnswers = 16                     // the first ones after a presumed start, which show if it is warm
 	warmPart    = 0.7                    // of the usual part of hits, from which it is
