Tell a router that joins the fleet what the others saw of cache servers

Callers lost a cold server's keys: a router that had just begun sent it its whole part and pushed it over, though the others had told each other that it was back. And what a datagram told came to the module with the next tick only, up to 0.3 s later.

Change: a router answers the probe of one that it has known for less than two seconds with the sightings of the last ten. A router that knows of nobody asks three others at a time, for one may be down. The module is told with the datagram. The wire form is as it was.

TestSightedAtOnce is new with the function that it calls.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -36,7 +36,7 @@
 	Caches func() []hoptiller.CacheState // the slot caches as they are seen here; with Agent
 	Aside  *drains.Caches                // has slot caches get nothing new; with Agent
 
-	Sighted func(view.Sight) // told again and again what any router saw of a slot cache, this one included; nil: nobody is
+	Sighted func(view.Sight) // told at once, and again and again, what any router saw of a slot cache, this one included; nil: nobody is
 
 	Wrap func(*net.UDPConn) Conn // puts a Conn of the caller's round each socket; nil: the socket itself is used
 }
@@ -191,19 +191,26 @@
 		if !known {
 			who = -1
 		}
-		p.mu.Lock()
-		switch {
-		case n > 0 && b[0] == permit.Version && p.set.Agent != nil:
-			p.set.Agent.Receive(p.now(), who, b[:n])
-		case n > 0 && b[0] == notes.Version && p.set.Agent != nil:
-			p.keeper.Receive(p.now(), who, b[:n])
-			p.keeper.Store.Tick(p.now()) // what is new is passed on at once
-		default:
-			p.view.Receive(p.now(), who, b[:n])
-		}
-		p.flush()
-		p.mu.Unlock()
+		p.take(who, b[:n])
+	}
+}
+
+// take takes a datagram from the address of a router; negative: from another one.
+func (p *Peers) take(from int, b []byte) {
+	p.mu.Lock()
+	switch {
+	case len(b) > 0 && b[0] == permit.Version && p.set.Agent != nil:
+		p.set.Agent.Receive(p.now(), from, b)
+	case len(b) > 0 && b[0] == notes.Version && p.set.Agent != nil:
+		p.keeper.Receive(p.now(), from, b)
+		p.keeper.Store.Tick(p.now()) // what is new is passed on at once
+	default:
+		p.view.Receive(p.now(), from, b)
 	}
+	p.flush()
+	sights := p.view.NewSights()
+	p.mu.Unlock()
+	p.tellSights(sights)
 }
 
 // tick lets the view do what is due, until ctx ends.
@@ -229,7 +236,8 @@
 		for cache, state := range saw {
 			p.view.Saw(view.Sight{Cache: cache, State: state})
 		}
-		sights := p.sights()
+		p.view.NewSights()
+		sights := p.view.Sights(p.now())
 		change := p.turn()
 		drains := p.drains()
 		p.flush()
@@ -241,20 +249,20 @@
 			p.set.Aside.Set(p.now(), drains)
 		}
 		p.acting.Unlock()
-		for _, sight := range sights {
-			p.set.Sighted(sight)
-		}
+		p.tellSights(sights)
 		tell(events)
 		timer.Reset(max(time.Millisecond, due-p.now()))
 	}
 }
 
-// sights are what is to be told Sighted; p.mu is held.
-func (p *Peers) sights() []view.Sight {
+// tellSights tells this router's module of sightings.
+func (p *Peers) tellSights(sights []view.Sight) {
 	if p.set.Sighted == nil {
-		return nil
+		return
+	}
+	for _, s := range sights {
+		p.set.Sighted(s)
 	}
-	return p.view.Sights(p.now())
 }
 
 // flush sends what the view wants sent; p.mu is held. No datagram is waited for: one that can't be sent is lost.
--- a/internal/fleet/peers/sighted_test.go
+++ b/internal/fleet/peers/sighted_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"hoptiller/internal/fleet/view"
 	"hoptiller/internal/testprog"
@@ -41,3 +42,23 @@
 		}
 	}
 }
+
+// What another router saw is told with the datagram that brings it, and not only in time: a server that is back gets a router's whole part
+// until it is known.
+func TestSightedAtOnce(t *testing.T) {
+	other := view.New(view.Config{Self: 1, Of: 2, Start: time.Now()})
+	other.Saw(view.Sight{Cache: 7, State: view.SeenBack})
+	other.Tick(0)
+	var told []view.Sight
+	p, err := New(Settings{Self: 0, Listen: "127.0.0.1:0", Addrs: []string{"127.0.0.1:1", "127.0.0.1:2"},
+		Sighted: func(s view.Sight) { told = append(told, s) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, datagram := range other.Out() {
+		p.take(1, datagram.Body)
+	}
+	if len(told) != 1 || told[0].Cache != 7 || told[0].State != view.SeenBack {
+		t.Errorf("told %+v", told)
+	}
+}
--- a/internal/fleet/view/gossip.go
+++ b/internal/fleet/view/gossip.go
@@ -127,10 +127,7 @@
 }
 
 func (v *View) write(k kind, to int, seq uint32, about int, compare bool, needs []int) {
-	b := make([]byte, 0, MostBytes)
-	h := head{kind: k, from: uint16(v.self), to: uint16(to), of: uint16(v.of), seq: seq, about: uint16(about), inc: v.own.Inc,
-		state: v.own.State, phase: v.own.Phase, sum: v.sum}
-	b = appendHead(b, &h)
+	b := v.begin(k, to, seq, about)
 	const end = MostBytes - checkBytes
 	if compare {
 		b = v.appendBits(b, seq)
@@ -164,6 +161,18 @@
 		b = v.appendSights(b, end)
 		b = v.appendDetails(b, quietBytes-checkBytes)
 	}
+	v.post(to, b)
+}
+
+// begin makes a datagram's head.
+func (v *View) begin(k kind, to int, seq uint32, about int) []byte {
+	h := head{kind: k, from: uint16(v.self), to: uint16(to), of: uint16(v.of), seq: seq, about: uint16(about), inc: v.own.Inc,
+		state: v.own.State, phase: v.own.Phase, sum: v.sum}
+	return appendHead(make([]byte, 0, MostBytes), &h)
+}
+
+// post has a whole datagram sent.
+func (v *View) post(to int, b []byte) {
 	b = seal(b)
 	v.out = append(v.out, Datagram{to, b})
 	v.counts.Sent++
--- a/internal/fleet/view/probe.go
+++ b/internal/fleet/view/probe.go
@@ -17,6 +17,8 @@
 	lookupTime = 400 * time.Millisecond // for one that is not taken to live, and for others' sake
 	lookupTurn = 4                      // one probe in so many goes to a router that is not taken to live
 
+	joinContacts = 3 // routers that one that knows of nobody asks at a time: some of them may be down
+
 	// A suspect has so long to contradict, the less the more have found it silent (Lifeguard, section IV.B). It is not
 	// shorter than what the word takes to come to it and its answer to come to all.
 	suspectLeast = 4 * time.Second
@@ -86,7 +88,11 @@
 	if v.suspects > 0 {
 		v.judge()
 	}
-	if to, mine, ok := v.target(); ok {
+	if v.isAlone() {
+		for _, to := range v.some(joinContacts, func(int) bool { return true }) {
+			v.ask(to, false)
+		}
+	} else if to, mine, ok := v.target(); ok {
 		v.ask(to, mine)
 	}
 	if v.news.hasEager() > fullNews { // more than the probes carry: a third of the fleet comes, half of it goes
@@ -96,6 +102,16 @@
 	}
 }
 
+// isAlone tells whether this router takes no other one to live, as at its start.
+func (v *View) isAlone() bool {
+	for i := range v.members {
+		if i != v.self && v.members[i].Here() {
+			return false
+		}
+	}
+	return true
+}
+
 // judge takes those for dead that have not contradicted in time.
 func (v *View) judge() {
 	here := 0
@@ -256,6 +272,7 @@
 			needs = []int{from}
 		}
 		v.write(ack, from, m.seq, v.self, v.differs(m), needs)
+		v.tellJoining(from)
 	case ask:
 		if about := int(m.about); about < v.of && about != v.self && about != from {
 			v.seq++
--- a/internal/fleet/view/sights.go
+++ b/internal/fleet/view/sights.go
@@ -11,6 +11,15 @@
 	MostSights = 2048
 
 	perMessage = 2 // sightings in a datagram, beside claims and details
+
+	// joinTime is for how long a router that has joined is told of what was seen before, and recentSight how old that may be: what
+	// is older was told by the list.
+	joinTime    = 2 * time.Second
+	recentSight = 10 * time.Second
+
+	// sightsPerDatagram fit into a datagram that has nothing else, and joinDatagrams of these answer one probe.
+	sightsPerDatagram = (MostBytes - headBytes - sectionBytes - checkBytes) / sightBytes
+	joinDatagrams     = 2
 )
 
 type sighting struct {
@@ -24,12 +33,14 @@
 
 // Sights are what any router saw of slot caches, at most a minute old, the latest of each.
 func (v *View) Sights(now time.Duration) (all []Sight) {
-	for _, s := range v.sights {
-		if s.Age = now - s.at; s.Age < sightLife {
-			all = append(all, s.Sight)
-		}
-	}
-	return all
+	return v.sightsSince(now, now-sightLife+1)
+}
+
+// NewSights gives the sightings that have become known since it was last asked.
+func (v *View) NewSights() []Sight {
+	s := v.newSights
+	v.newSights = nil
+	return s
 }
 
 func (v *View) hearSight(s *Sight) {
@@ -43,6 +54,7 @@
 		if k.Cache == s.Cache {
 			if at > k.at+2*sightUnit || s.State != k.State && at > k.at {
 				*k = sighting{*s, at, 0}
+				v.newSights = append(v.newSights, *s)
 			}
 			return
 		}
@@ -56,7 +68,10 @@
 		v.sights[oldest] = sighting{*s, at, 0}
 	case !full:
 		v.sights = append(v.sights, sighting{*s, at, 0})
+	default:
+		return
 	}
+	v.newSights = append(v.newSights, *s)
 }
 
 // forgetSights frees the room of sightings once all of them are old.
@@ -98,3 +113,42 @@
 	}
 	return b
 }
+
+// tellJoining tells a router that has just joined of recent sightings. The others are told of each only a few times after it was made,
+// which may be before the new one was there.
+func (v *View) tellJoining(joined int) {
+	if v.now-v.members[joined].Since >= joinTime {
+		return
+	}
+	recent := v.sightsSince(v.now, v.now-recentSight)
+	for range joinDatagrams {
+		if len(recent) == 0 || v.repairs == 0 {
+			return
+		}
+		n := min(len(recent), sightsPerDatagram)
+		v.repairs--
+		v.tellSights(joined, recent[:n])
+		recent = recent[n:]
+	}
+}
+
+// sightsSince are the sightings that were made from a moment on, with their age now.
+func (v *View) sightsSince(now, moment time.Duration) (recent []Sight) {
+	for _, s := range v.sights {
+		if s.at >= moment {
+			s.Age = now - s.at
+			recent = append(recent, s.Sight)
+		}
+	}
+	return recent
+}
+
+// tellSights sends a datagram of nothing but up to sightsPerDatagram sightings.
+func (v *View) tellSights(to int, sights []Sight) {
+	b := v.begin(news, to, 0, 0)
+	b = append(b, byte(tagSights), byte(len(sights)))
+	for i := range sights {
+		b = appendSight(b, &sights[i])
+	}
+	v.post(to, b)
+}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -50,6 +50,8 @@
 	details []uint16 // of whom they are told next, in order
 	sights  []sighting
 
+	newSights []Sight // since they were last asked for
+
 	probes    []probe
 	order     []uint16 // of the members that are probed next
 	next      time.Duration
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -148,6 +148,32 @@
 	}
 }
 
+// A router that comes once sightings have been told as often as they are told among the others knows them with its first probes, though
+// one of the others is gone: before a second is over, in which it would send a server that is back as much as any.
+func TestJoiningRouterIsToldOfSights(t *testing.T) {
+	const soon = Period + 50*time.Millisecond
+	for seed := range 20 {
+		others := fleet(6, 0, 1, 2, 3, 4)
+		now := time.Duration(0)
+		live(others, &now, 5*time.Second)
+		for i := range uint32(3) {
+			others[i].Saw(Sight{Cache: i, State: SeenDown})
+		}
+		live(others, &now, 4*time.Second)
+		others[1].Saw(Sight{Cache: 1, State: SeenBack})
+		live(others, &now, 4*time.Second)
+		joining := New(Config{Self: 5, Of: 6, Start: start.Add(time.Hour), Seed: uint64(seed), Now: now})
+		live(append(others[:4:4], joining), &now, soon)
+		states := map[uint32]SightState{}
+		for _, s := range joining.Sights(now) {
+			states[s.Cache] = s.State
+		}
+		if want := map[uint32]SightState{0: SeenDown, 1: SeenBack, 2: SeenDown}; !reflect.DeepEqual(states, want) {
+			t.Errorf("seed %d: %v after its start it knows of %v", seed, soon, states)
+		}
+	}
+}
+
 // A sighting that is told of more slot caches than are kept takes the oldest one's place.
 func TestMostSights(t *testing.T) {
 	v := fleet(2, 0)[0]
