Keep a presumed start over a moment in which the server is down again

Callers lost a cold server's keys: a router that knew that the server had come back cold took one call that was cut off, and the answer 0.17 s later, for "no restart", and forgot the restart before it.

Change: since when a server is down is kept beside its presumed start, and not in its place. A down time under 0.5 s ends without a trace, as it was meant to. A start ends six seconds after itself, by when the list tells it, not after the time when it was told.

--- a/sightings.go
+++ b/sightings.go
@@ -5,7 +5,9 @@
 // not listed yet. Its start is presumed until the list tells it or something speaks against it, and what is
 // sent to it is bounded as to any cold server (coldRoom). Keys don't move for it: weights go by the list.
 
-import "time"
+import (
+	"time"
+)
 
 // Sighting is what some router saw of a server.
 type Sighting struct {
@@ -25,11 +27,12 @@
 
 // presumption is what sightings say of a server's process. The zero value is: nothing.
 type presumption struct {
-	down    time.Duration // since when it refuses connections; 0: it does not
-	started time.Duration // when it started at the latest; 0: no start is presumed
-	told    time.Duration // when this instance knew of that
-	answers int           // since then
-	hits    int           // among them
+	down     time.Duration // since when it refuses connections; 0: it does not
+	downTold time.Duration // when this instance knew of that
+	started  time.Duration // when it started at the latest; 0: no start is presumed
+	told     time.Duration // when this instance knew of that
+	answers  int           // since then
+	hits     int           // among them
 }
 
 // Sighted takes what some router saw of a server. The same may be told again and again.
@@ -42,8 +45,7 @@
 	at, p := now-seen.Age, &s.presumed
 	switch {
 	case !seen.Up && p.down == 0 && at > max(s.passed, s.coldSince, p.started):
-		p.down = at
-		p.begin(at, now)
+		p.down, p.downTold = at, now
 	case seen.Up && p.down != 0 && at > p.down:
 		p.back(at, now)
 	case seen.Up && p.started == 0 && seen.Age < mostDiscoveryLag && r.isNew(s, at):
@@ -66,24 +68,34 @@
 
 // back takes the end of a time in which a server refused connections. One that was short is no restart.
 func (p *presumption) back(at, now time.Duration) {
-	if at-p.down < leastDown {
-		*p = presumption{}
-		return
-	}
+	long := at-p.down >= leastDown
 	p.down = 0
-	p.begin(at, now)
+	if long {
+		p.begin(at, now)
+	}
+}
+
+// start tells when the process started, and when that was told; false: nothing says that there is a new
+// one. That of a server which is still down will be later.
+func (p *presumption) start(now time.Duration) (started, told time.Duration, known bool) {
+	if p.down != 0 && now-p.down >= leastDown {
+		return p.down, p.downTold, true
+	}
+	return p.started, p.told, p.started != 0
 }
 
 // learnPresumed takes an answer of a server. The first ones of a new process are misses nearly all.
 func (r *Router) learnPresumed(s *server, sent time.Duration, hit bool) {
 	p := &s.presumed
-	if p.started == 0 {
-		r.hits += (one(hit) - r.hits) / hitsOver
-		return
-	}
 	if p.down != 0 && sent > p.down {
 		p.back(r.now, r.now)
 	}
+	if p.started == 0 {
+		if p.down == 0 {
+			r.hits += (one(hit) - r.hits) / hitsOver
+		}
+		return
+	}
 	p.answers++
 	p.hits += int(one(hit))
 	if p.answers == warmAnswers && float64(p.hits) >= warmPart*r.hits*warmAnswers {
@@ -102,14 +114,14 @@
 	r.presumed = 0
 	for _, s := range r.caches {
 		p := &s.presumed
-		switch {
-		case p.down != 0 && many:
-			p.down = r.now
-			p.begin(r.now, r.now)
-		case p.started != 0 && p.down == 0 && r.now-p.told > mostDiscoveryLag:
-			*p = presumption{}
+		if p.down != 0 && many {
+			p.down, p.downTold = r.now, r.now
 		}
-		r.presumed += int(one(p.started != 0))
+		if r.now-p.started > mostDiscoveryLag {
+			p.started = 0
+		}
+		_, _, known := p.start(r.now)
+		r.presumed += int(one(known))
 	}
 }
 
@@ -118,10 +130,9 @@
 // startKnown tells when a server's process started, and when that was told, by the list or by sightings;
 // false: it has run for long.
 func (r *Router) startKnown(s *server) (started, told time.Duration, known bool) {
-	p := &s.presumed
-	short := p.down != 0 && r.now-p.down < leastDown // it may well be the same process
-	if p.started > s.coldSince && !short && !r.tooMany(r.presumed) {
-		return p.started, p.told, true
+	started, told, known = s.presumed.start(r.now)
+	if known && started > s.coldSince && !r.tooMany(r.presumed) {
+		return started, told, true
 	}
 	return s.coldSince, s.toldAt, s.Started != 0
 }
--- a/sightings_test.go
+++ b/sightings_test.go
@@ -131,6 +131,17 @@
 			}
 			return p.serve(window)
 		}, false},
+		{"restarted, and down for a moment after that", func(p *sightedPlay) int {
+			p.misses = true
+			p.sighted(sightedServer, false, 0)
+			p.now += away
+			p.sighted(sightedServer, true, 0)
+			p.serve(100 * time.Millisecond)
+			p.sighted(sightedServer, false, 0)
+			p.now += 100 * time.Millisecond
+			p.sighted(sightedServer, true, 0)
+			return p.serve(window)
+		}, true},
 		{"and no start is listed", func(p *sightedPlay) int {
 			p.misses = true
 			p.sighted(sightedServer, false, 0)
