Doubt only presumed starts that most servers have at one moment

Callers lost a cold server's keys: a router that had just begun was told that the server had been back for 0.25 s, and sent it a warm server's part all the same, until it fell.

Cause, from a trace of each decision: "presumed=9" of 9 servers. They had come back together four to five seconds before, were told as back to the new router too, and counted together with the one that had really started: more than half, so the fault of ways, and nothing was presumed for any.

Change: what speaks for ways is that most servers start at about one moment. A start is doubted where more than half of the servers have theirs within a second of it, and no longer by how many are presumed at all.

Measured: TestSightings, "told to a router that has just begun, after most were away together": 42 reads of a warm server's 45 before, a cold one's 26 at the most now.

--- a/router.go
+++ b/router.go
@@ -141,7 +141,6 @@
 	answers, arrived  int
 	arrivals          float64       // requests a second, smoothed
 	hits              float64       // part of the answers of caches, smoothed
-	presumed          int           // caches whose start is presumed
 	upWeight          float64       // weight of all servers that are up
 	unit              float64       // answers a second that a unit of warm weight is seen to carry
 	lostIdle, lostNew float64       // parts of attempts lost on idle connections, and on others
--- a/sightings.go
+++ b/sightings.go
@@ -6,6 +6,7 @@
 // sent to it is bounded as to any cold server (coldRoom). Keys don't move for it: weights go by the list.
 
 import (
+	"slices"
 	"time"
 )
 
@@ -20,6 +21,7 @@
 	leastDown   = 500 * time.Millisecond // for which a server whose process is replaced is down
 	judgesAfter = 2 * time.Second        // after its first list an instance judges by itself
 	mostPart    = 0.5                    // of the servers; more that are down at once are the fault of ways
+	atOnce      = time.Second            // between starts that may have one cause
 	warmAnswers = 16                     // the first ones after a presumed start, which show if it is warm
 	warmPart    = 0.7                    // of the usual part of hits, from which it is
 	hitsOver    = 64.0                   // answers over which the usual part of hits is kept
@@ -33,6 +35,7 @@
 	told     time.Duration // when this instance knew of that
 	answers  int           // since then
 	hits     int           // among them
+	common   bool          // most other servers started at about the same time: it is the fault of ways
 }
 
 // Sighted takes what some router saw of a server. The same may be told again and again.
@@ -103,15 +106,14 @@
 	}
 }
 
-// followPresumed ends presumptions that the list would have borne out by now, and counts the others. While
-// too many servers are down at once, the time that tells a restart begins for none of them.
+// followPresumed ends presumptions that the list would have borne out by now. While too many servers are
+// down at once, the time that tells a restart begins for none of them.
 func (r *Router) followPresumed() {
 	down := 0
 	for _, s := range r.caches {
 		down += int(one(s.presumed.down != 0))
 	}
 	many := r.tooMany(down)
-	r.presumed = 0
 	for _, s := range r.caches {
 		p := &s.presumed
 		if p.down != 0 && many {
@@ -120,8 +122,27 @@
 		if r.now-p.started > mostDiscoveryLag {
 			p.started = 0
 		}
-		_, _, known := p.start(r.now)
-		r.presumed += int(one(known))
+	}
+	r.markCommon()
+}
+
+// markCommon finds the presumed starts that came with most others' at once.
+func (r *Router) markCommon() {
+	var starts []time.Duration
+	for _, s := range r.caches {
+		if started, _, known := s.presumed.start(r.now); known {
+			starts = append(starts, started)
+		}
+	}
+	if len(starts) == 0 {
+		return
+	}
+	slices.Sort(starts)
+	for _, s := range r.caches {
+		started, _, _ := s.presumed.start(r.now)
+		from, _ := slices.BinarySearch(starts, started-atOnce)
+		to, _ := slices.BinarySearch(starts, started+atOnce)
+		s.presumed.common = r.tooMany(to - from)
 	}
 }
 
@@ -131,7 +152,7 @@
 // false: it has run for long.
 func (r *Router) startKnown(s *server) (started, told time.Duration, known bool) {
 	started, told, known = s.presumed.start(r.now)
-	if known && started > s.coldSince && !r.tooMany(r.presumed) {
+	if known && started > s.coldSince && !s.presumed.common {
 		return started, told, true
 	}
 	return s.coldSince, s.toldAt, s.Started != 0
--- a/sightings_test.go
+++ b/sightings_test.go
@@ -13,6 +13,7 @@
 	id       uint32
 	misses   bool // server 2 has nothing
 	allMiss  bool // and no other has
+	halfMiss bool // and the others have half of what they are asked for
 	sentTo   int  // reads sent to server 2
 }
 
@@ -56,7 +57,7 @@
 func (p *sightedPlay) answer(n int) Outcome {
 	server := p.recorder.sends[n].server
 	o := Outcome{Request: p.id, Attempt: n, Server: server, Status: OK, Latency: 5 * time.Millisecond, Closed: true}
-	if p.allMiss {
+	if p.allMiss || p.halfMiss && p.id%2 == 0 {
 		o.Status = Miss
 	}
 	if server != sightedServer {
@@ -131,6 +132,15 @@
 			}
 			return p.serve(window)
 		}, false},
+		{"restarted, told to a router that has just begun, after most were away together", func(p *sightedPlay) int {
+			*p = *newSightedPlay()
+			p.misses, p.halfMiss = true, true
+			p.sighted(sightedServer, true, 250*time.Millisecond)
+			for server := uint32(sightedServer + 1); server <= sightedServers; server++ {
+				p.sighted(server, true, 4*time.Second)
+			}
+			return p.serve(window)
+		}, true},
 		{"restarted, and down for a moment after that", func(p *sightedPlay) int {
 			p.misses = true
 			p.sighted(sightedServer, false, 0)
