--- a/internal/lab/drill/known_red_test.go
+++ b/internal/lab/drill/known_red_test.go
@@ -21,6 +21,9 @@
 // A few requests with far more work than the mean push a cold cache server over, though all routers were told of its start long before.
 func TestColdServerUnderHeavyRequests(t *testing.T) { playKnownRed(t, "cold-heavy-requests") }
 
+// While caches hang and ways are reset two routers refuse, fail or answer late more than 2% of what they take, with no trouble that explains it.
+func TestUnexplainedRefusals(t *testing.T) { playKnownRed(t, "unexplained-refusals") }
+
 func playKnownRed(t *testing.T, name string) {
 	f, err := Load("../../../lab/drills/known-red/" + name + ".toml")
 	if err != nil {
