Log retried requests, and what came on a server connection that had to be closed

'request retried' lists the attempts of a served request of which an earlier one ended in neither a value nor a miss. 'server connection closed' also tells the router's address of the connection, the request, status and age of the latest answer on it, and the first 64 bytes that could not be used. Bytes that answer no call are a reason of their own, 'unsolicited', in log and /v1/metrics; they were counted as 'server_ended' and not logged. No decision changes. go test ./internal/upstream ./internal/relay ./internal/origin passes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -262,6 +262,7 @@
 		step = r.facade.Report(now, attempt, step.Server, result.Status, now-sent)
 		if step.Kind == hoptiller.StepServed {
 			r.closeIdle(step.CloseIdle)
+			trace.logRetried(req)
 			return Answer{Kind: step.Kind, Data: result.Data, Body: result.Body}
 		}
 		if result.Body != nil {
--- a/internal/relay/trace.go
+++ b/internal/relay/trace.go
@@ -42,6 +42,16 @@
 	return strings.Join(texts, ",")
 }
 
+// logRetried logs a served request that took another attempt after one that did not end in a miss.
+func (t *requestTrace) logRetried(req *Request) {
+	for _, a := range t.attempts[:len(t.attempts)-1] {
+		if a.status != hoptiller.Miss {
+			slog.Info("request retried", "request", string(req.ID), "class", req.Class, "attempts", t)
+			return
+		}
+	}
+}
+
 // logUnserved logs the end of a request that was not served.
 func (t *requestTrace) logUnserved(req *Request, kind hoptiller.StepKind) {
 	message := "request failed"
--- a/internal/upstream/closing.go
+++ b/internal/upstream/closing.go
@@ -23,6 +23,7 @@
 	CloseIdleSuspect                       // it was idle, and other idle connections were found dead
 	CloseEvicted                           // it was idle, and was closed to allow a new connection
 	CloseNotQuiet                          // it ended, or unsolicited bytes arrived on it, before a call was written
+	CloseUnsolicited                       // bytes arrived on it that answer none of its calls
 	CloseUnreadable                        // unreadable bytes arrived on it, or an answer stopped before its end
 	CloseLastAnswer                        // the server announced that this was its last answer on the connection
 	CloseCancelled                         // the last call on it was cancelled
@@ -36,7 +37,7 @@
 
 var closeReasonNames = [closeReasonCount]string{
 	"server_ended", "server_moved", "server_leaving", "idle_limit", "idle_surplus", "idle_suspect", "made_room", "not_at_rest",
-	"unreadable", "last_answer", "withdrawn", "overdue", "write_failed", "value_failed", "value_abandoned", "shutdown",
+	"unsolicited", "unreadable", "last_answer", "withdrawn", "overdue", "write_failed", "value_failed", "value_abandoned", "shutdown",
 }
 
 // String returns the reason as the log and the metrics show it.
@@ -72,10 +73,14 @@
 	}
 	streamedID := c.streamedRequestID()
 	waitingIDs := c.waitingRequestIDs()
-	if streamedID == "" && len(waitingIDs) == 0 {
+	if streamedID == "" && len(waitingIDs) == 0 && reason != CloseUnsolicited {
 		return
 	}
-	args := []any{"server", c.host, "reason", reason.String(), "waiting", strings.Join(waitingIDs, ",")}
+	args := []any{"server", c.host, "local", c.LocalAddr(), "reason", reason.String(), "waiting", strings.Join(waitingIDs, ",")}
+	args = append(args, c.lastAnswer.logArgs()...)
+	if c.rejected != "" {
+		args = append(args, "got", c.rejected)
+	}
 	if streamedID != "" {
 		args = append(args, "value_of", streamedID, "value_for", time.Since(c.stream.call.sentAt).Round(time.Millisecond))
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -30,7 +30,9 @@
 	stream          *streamBody    // the long value that is arriving; the answers behind it can be read only after its end
 	closeWhenUnused bool           // a call was cancelled: the connection is closed when the other calls have their answers
 	closed          bool
-	answered        bool // the server has answered a call on the connection
+	answered        bool         // the server has answered a call on the connection
+	lastAnswer      answerRecord // the latest answer
+	rejected        string       // the beginning of the bytes because of which the connection is closed
 }
 
 // pendingCall is one call that waits for its answer.
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -78,11 +78,14 @@
 		// Neither an unsolicited answer nor an answer that was read before the next call was sent may reach that
 		// call.
 		if len(c.pending) == 0 || c.pending[0].sentAt.After(c.reader.LastRead) {
+			c.reject(b[used:])
+			p.closeReset(c, CloseUnsolicited)
 			return used, nil, false
 		}
 		call := c.pending[0]
 		reply, err := p.protocol.ParseReply(b[used:], call.req)
 		if err != nil {
+			c.reject(b[used:])
 			p.failUnreadable(c)
 			return used, nil, false
 		}
@@ -94,6 +97,7 @@
 			p.settings.LoadReports.Record(c.server.ID, reply.LoadReport)
 		}
 		c.pending, c.answered = c.pending[1:], true
+		c.lastAnswer.set(call.req.ID, reply.Status)
 		p.observe(c.server, true)
 		if s := c.server; call.sentAt.After(s.newestAnswered) {
 			s.newestAnswered = call.sentAt
