Take no answer without an ID for that of a call that crossed an earlier answer

Cause: SERVER_ERROR lines name no request. A server may send a surplus answer some milliseconds after an answer, while no other call waits for it. The router reuses a connection as soon as it has an answer, so such a line met the next call, still on its way, and ended it as turned away ('proves that it never ran') or as failed, on a connection that stayed open.

The time is that of the segment where the system tells it, since a paused process reads late. Otherwise the connection is closed, which ends the attempt, and the call ends as 'unconfirmed' (may have run; counts as turned away for windows and pressure) or as failed. Nothing that comes before a call's first byte is its answer.

The test gained cases with a paused process, sends the copy within 8 ms, and plays again where the two requests did not share a connection.

--- a/api.go
+++ b/api.go
@@ -160,6 +160,7 @@
 	Cancelled            // this router or the client ended it; may have run
 	NotSent              // was never sent
 	Miss                 // the server does not hold the key
+	Unconfirmed          // a refusal that may have been for an earlier call; may have run
 )
 
 // Outcome reports the end of one attempt.
--- a/cmd/hoptiller/surplus_answer_test.go
+++ b/cmd/hoptiller/surplus_answer_test.go
@@ -10,8 +10,12 @@
 	"hoptiller/internal/testprog"
 )
 
-// overlapSlack is how much later than the next attempt of a request the end of the previous one may be noticed.
-const overlapSlack = 50 * time.Millisecond
+const (
+	overlapSlack   = 50 * time.Millisecond  // how much later than the next attempt the end of the previous one may be noticed
+	maxCopyDelay   = 8 * time.Millisecond   // how long after an answer its second copy comes at most
+	programPause   = 150 * time.Millisecond // how long a router may be paused between reading its clock and writing
+	maxCopyRetries = 50                     // while a copy comes later than maxCopyDelay, or the requests take two connections
+)
 
 // A second copy of an answer that names no request does not end the attempt that was written meanwhile.
 func TestSurplusAnswerEndsNoOtherAttempt(t *testing.T) {
@@ -20,30 +24,70 @@
 		for _, class := range []string{"read", "book"} {
 			t.Run(fmt.Sprintf("%s/%s/on an idle connection", line, class), func(t *testing.T) {
 				t.Parallel()
-				w := startProgram(t, []string{"p1", "p2"}, "")
-				w.sendRead(t, "01", "read")
-				server, first := w.awaitAnyAttempt(t, "01")
-				fmt.Fprintf(first, "%s\r\n", line)
-				w.answerUntilServed(t, "01")
-				w.sendRead(t, "02", class)
-				call := w.awaitAttempt(t, server, "mg * O02 *")
-				fmt.Fprintf(first, "%s\r\n", line)
-				w.checkAttempts(t, server, call.conn, class)
+				copyOnIdleConn(t, line, class, func(_ *environment, sendCopy func()) { sendCopy() })
+			})
+			t.Run(fmt.Sprintf("%s/%s/while the program is paused", line, class), func(t *testing.T) {
+				t.Parallel()
+				copyOnIdleConn(t, line, class, func(w *environment, sendCopy func()) {
+					w.whilePaused(t, func() {
+						sendCopy()
+						<-time.After(programPause)
+					})
+				})
 			})
 			t.Run(fmt.Sprintf("%s/%s/behind a call", line, class), func(t *testing.T) {
 				t.Parallel()
-				w := startProgram(t, []string{"p1", "p2"}, "")
-				w.sendRead(t, "01", "read")
-				server, first := w.awaitAnyAttempt(t, "01")
-				w.sendRead(t, "02", class)
-				call := w.awaitAttempt(t, server, "mg * O02 *")
-				fmt.Fprintf(first, "%s\r\n%s\r\n", line, line)
-				w.checkAttempts(t, server, call.conn, class)
+				copyBehindCall(t, line, class)
 			})
 		}
 	}
 }
 
+// copyOnIdleConn has a server answer request 01 with a line, and once more when it has got request 02 on the same connection.
+// The second copy is sent by disturb.
+func copyOnIdleConn(t *testing.T, line, class string, disturb func(w *environment, sendCopy func())) {
+	other := map[string]string{"p1": "p2", "p2": "p1"}
+	for range maxCopyRetries {
+		w := startProgram(t, []string{"p1", "p2"}, "")
+		w.sendRead(t, "01", "read")
+		server, conn := w.awaitAnyAttempt(t, "01", "p1", "p2")
+		answered := time.Now()
+		fmt.Fprintf(conn, "%s\r\n", line)
+		_, retry := w.awaitAnyAttempt(t, "01", other[server]) // the program has read the answer
+		w.sendRead(t, "02", class)
+		name, second := w.awaitAnyAttempt(t, "02", "p1", "p2")
+		var delay time.Duration
+		disturb(w, func() {
+			fmt.Fprintf(conn, "%s\r\n", line)
+			delay = time.Since(answered)
+		})
+		if name != server || second != conn || delay > maxCopyDelay {
+			continue
+		}
+		fmt.Fprint(retry, "VA 1 O01\r\nx\r\n")
+		w.checkAttempts(t, server, conn, class)
+		return
+	}
+	t.Fatalf("no second copy crossed a request within %v in %d tries", maxCopyDelay, maxCopyRetries)
+}
+
+// copyBehindCall has a server that has got two requests on one connection send two lines, of which the second may be a copy of
+// the first.
+func copyBehindCall(t *testing.T, line, class string) {
+	for range maxCopyRetries {
+		w := startProgram(t, []string{"p1", "p2"}, "")
+		w.sendRead(t, "01", "read")
+		server, conn := w.awaitAnyAttempt(t, "01", "p1", "p2")
+		w.sendRead(t, "02", class)
+		if name, second := w.awaitAnyAttempt(t, "02", "p1", "p2"); name == server && second == conn {
+			fmt.Fprintf(conn, "%s\r\n%s\r\n", line, line)
+			w.checkAttempts(t, server, conn, class)
+			return
+		}
+	}
+	t.Fatalf("no two requests were sent on one connection in %d tries", maxCopyRetries)
+}
+
 // sendRead sends a read of one key. The client is the actor "c" with the request's ID.
 func (w *environment) sendRead(t *testing.T, id, class string) {
 	t.Helper()
@@ -52,29 +96,17 @@
 	}
 }
 
-// awaitAnyAttempt returns the cache server that gets an attempt of a request, and the connection of the attempt.
-func (w *environment) awaitAnyAttempt(t *testing.T, id string) (server string, conn net.Conn) {
+// awaitAnyAttempt returns which of the servers gets an attempt of a request, and the connection of the attempt.
+func (w *environment) awaitAnyAttempt(t *testing.T, id string, servers ...string) (server string, conn net.Conn) {
 	t.Helper()
 	for {
-		name, l := w.awaitLine(t, "p1", "p2")
+		name, l := w.awaitLine(t, servers...)
 		if strings.Contains(l.text, " O"+id+" ") {
 			return name, l.conn
 		}
 	}
 }
 
-// answerUntilServed answers the attempts of a request with a value until its client has it.
-func (w *environment) answerUntilServed(t *testing.T, id string) {
-	t.Helper()
-	for {
-		name, l := w.awaitLine(t, "p1", "p2", "c"+id)
-		if name == "c"+id {
-			return
-		}
-		answerRead(l, id)
-	}
-}
-
 // answerRead answers a line with a value if it is an attempt of a request.
 func answerRead(l receivedLine, id string) {
 	if strings.Contains(l.text, " O"+id+" ") {
--- a/internal/admission/constraints.go
+++ b/internal/admission/constraints.go
@@ -102,8 +102,11 @@
 // which the last one ended with the given status.
 func (c *Constraints) AllowsRetry(attempts int, last hoptiller.Status) bool {
 	policy := &c.entry.Policy
-	if last == hoptiller.Cancelled || last == hoptiller.NotSent { // the router cancelled an attempt that got no answer in time
+	switch last {
+	case hoptiller.Cancelled, hoptiller.NotSent: // the router cancelled an attempt that got no answer in time
 		last = hoptiller.Timeout
+	case hoptiller.Unconfirmed:
+		last = hoptiller.ServerError
 	}
 	return (policy.Attempts == 0 || attempts < policy.Attempts) && policy.RetryOn.Contains(last)
 }
--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // minReadSize is the size in bytes of the first read of a message, whose length is unknown. Later reads of a message
@@ -132,6 +134,22 @@
 	})
 }
 
+// NewestArrival returns when the newest bytes arrived, to the nearest few milliseconds. It is before the latest read if
+// the bytes waited to be read, as they do while the process is paused. If the operating system does not tell the time,
+// NewestArrival returns that of the latest read.
+func (r *Reader) NewestArrival() time.Time {
+	arrivedAt := r.LastRead
+	r.raw.Control(func(fd uintptr) {
+		now := time.Now()
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			if t := now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond); t.Before(arrivedAt) {
+				arrivedAt = t
+			}
+		}
+	})
+	return arrivedAt
+}
+
 // The TCP states, by Linux's numbers, in which the peer has not closed a connection.
 const (
 	tcpEstablished = 1
--- a/internal/upstream/answer_rest_test.go
+++ b/internal/upstream/answer_rest_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"hoptiller"
-	"hoptiller/internal/relay"
 	"hoptiller/internal/testprog"
 )
 
@@ -17,7 +16,7 @@
 	p, c, server := idleConn(t)
 	pending := make([]*pendingCall, 2)
 	for i := range pending {
-		pending[i] = &pendingCall{req: readRequest(fmt.Sprintf("0%d", i+1)), result: make(chan relay.Result, 1), sentAt: time.Now()}
+		pending[i] = sentCall(fmt.Sprintf("0%d", i+1))
 	}
 	p.mu.Lock()
 	c.pending, c.load = append(c.pending, pending...), len(pending)
--- a/internal/upstream/closing.go
+++ b/internal/upstream/closing.go
@@ -25,6 +25,7 @@
 	CloseNotQuiet                          // it ended, or unsolicited bytes arrived on it, before a call was written
 	CloseUnsolicited                       // bytes arrived on it that answer none of its calls
 	CloseUnreadable                        // unreadable bytes arrived on it, or an answer stopped before its end
+	CloseUnconfirmed                       // an answer that names no request arrived on it, and may be surplus
 	CloseLastAnswer                        // the server announced that this was its last answer on the connection
 	CloseCancelled                         // the last call on it was cancelled
 	CloseOverdue                           // a call on it was cancelled in favour of another attempt
@@ -37,7 +38,7 @@
 
 var closeReasonNames = [closeReasonCount]string{
 	"server_ended", "server_moved", "server_leaving", "idle_limit", "idle_surplus", "idle_suspect", "made_room", "not_at_rest",
-	"unsolicited", "unreadable", "last_answer", "withdrawn", "overdue", "write_failed", "value_failed", "value_abandoned", "shutdown",
+	"unsolicited", "unreadable", "unconfirmed", "last_answer", "withdrawn", "overdue", "write_failed", "value_failed", "value_abandoned", "shutdown",
 }
 
 // String returns the reason as the log and the metrics show it.
@@ -51,6 +52,12 @@
 
 // closeConn closes a connection and ends the calls in flight on it with the given status. The caller holds p.mu.
 func (p *Pool) closeConn(c *conn, status hoptiller.Status, reason CloseReason) {
+	p.closeConnEnding(c, status, status, reason)
+}
+
+// closeConnEnding closes a connection and ends the first call in flight on it with one status and the others with
+// another. The connection is closed first because its calls count as in flight while it is open. The caller holds p.mu.
+func (p *Pool) closeConnEnding(c *conn, first, others hoptiller.Status, reason CloseReason) {
 	if c.closed {
 		return
 	}
@@ -60,7 +67,11 @@
 	p.connCount--
 	s := c.server
 	s.conns = slices.DeleteFunc(s.conns, func(other *conn) bool { return other == c })
-	for _, call := range c.pending {
+	for i, call := range c.pending {
+		status := others
+		if i == 0 {
+			status = first
+		}
 		call.result <- relay.Result{Status: status}
 	}
 	c.pending = nil
@@ -77,6 +88,9 @@
 		return
 	}
 	args := []any{"server", c.host, "local", c.LocalAddr(), "reason", reason.String(), "waiting", strings.Join(waitingIDs, ",")}
+	if len(c.pending) > 0 {
+		args = append(args, "first_sent_age", time.Since(c.pending[0].sentAt).Round(10*time.Microsecond))
+	}
 	args = append(args, c.lastAnswer.logArgs()...)
 	if c.rejected != "" {
 		args = append(args, "got", c.rejected)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hoptiller"
@@ -39,6 +40,7 @@
 type pendingCall struct {
 	req       *relay.Request
 	sentAt    time.Time         // when the call was queued to be written
+	begun     atomic.Bool       // its first byte may have been written
 	result    chan relay.Result // buffered for the one result
 	abandoned bool              // the caller no longer waits
 }
@@ -48,18 +50,13 @@
 func (p *Pool) closeReset(c *conn, reason CloseReason) { p.closeConn(c, hoptiller.Reset, reason) }
 
 // failUnreadable closes a connection on which unreadable bytes arrived. The server did answer the first call, which
-// may have run and ends as ServerError. The calls behind it end as Cancelled: this router closes their connection,
-// which is not their fault. The caller holds p.mu.
-func (p *Pool) failUnreadable(c *conn) {
-	pending := c.pending
-	if len(pending) > 0 {
-		c.pending = pending[1:]
-	}
-	// The connection is closed first because its calls count as in flight while it is open.
-	p.closeConn(c, hoptiller.Cancelled, CloseUnreadable)
-	if len(pending) > 0 {
-		pending[0].result <- relay.Result{Status: hoptiller.ServerError}
-	}
+// may have run and ends as ServerError. The caller holds p.mu.
+func (p *Pool) failUnreadable(c *conn) { p.failFirst(c, hoptiller.ServerError, CloseUnreadable) }
+
+// failFirst closes a connection and ends the first call on it with the given status. The calls behind it end as
+// Cancelled: this router closes their connection, which is not their fault. The caller holds p.mu.
+func (p *Pool) failFirst(c *conn, status hoptiller.Status, reason CloseReason) {
+	p.closeConnEnding(c, status, hoptiller.Cancelled, reason)
 }
 
 // abandon cancels a call, unless its answer has arrived meanwhile. Only the end of the connection notifies the
--- a/internal/upstream/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// sentCall returns a call that has just been sent.
+func sentCall(id string) *pendingCall {
+	call := &pendingCall{req: readRequest(id), result: make(chan relay.Result, 1), sentAt: time.Now()}
+	call.begun.Store(true)
+	return call
+}
+
 // idleConn returns a pool with one connection on which a call has been answered and that no goroutine reads, and the
 // server's side of that connection.
 func idleConn(t *testing.T) (p *Pool, c *conn, server net.Conn) {
@@ -151,7 +158,7 @@
 	testprog.Eventually(t, "the answer has been read", func() bool {
 		return !c.reader.Quiet() && !c.reader.MoreArrived()
 	})
-	call := &pendingCall{req: readRequest("01"), result: make(chan relay.Result, 1), sentAt: time.Now()}
+	call := sentCall("01")
 	c.pending = append(c.pending, call)
 	p.mu.Unlock()
 	if r := testprog.Await(t, call.result, "end of the call"); r.Status != hoptiller.Reset {
@@ -218,7 +225,7 @@
 	t.Parallel()
 	p, c, _ := idleConn(t)
 	c.load = 2
-	waiting := &pendingCall{req: readRequest("01"), result: make(chan relay.Result, 1), sentAt: time.Now()}
+	waiting := sentCall("01")
 	c.pending = []*pendingCall{waiting}
 	c.afterWrite(true)
 	if c.closeWhenUnused {
@@ -256,7 +263,7 @@
 func TestDeadlineBeforeFirstByte(t *testing.T) {
 	t.Parallel()
 	p, c, _ := idleConn(t)
-	waiting := &pendingCall{req: readRequest("01"), result: make(chan relay.Result, 1), sentAt: time.Now()}
+	waiting := sentCall("01")
 	p.mu.Lock()
 	c.load, c.pending = 2, []*pendingCall{waiting}
 	p.mu.Unlock()
@@ -277,7 +284,7 @@
 func TestLongValueOnEndedConnection(t *testing.T) {
 	t.Parallel()
 	p, c, _ := idleConn(t)
-	call := &pendingCall{req: readRequest("01"), result: make(chan relay.Result, 1), sentAt: time.Now()}
+	call := sentCall("01")
 	body := &streamBody{conn: c, call: call, ended: make(chan struct{})}
 	p.mu.Lock()
 	c.stream = body
--- a/internal/upstream/outgoing.go
+++ b/internal/upstream/outgoing.go
@@ -122,6 +122,7 @@
 		if !o.finalCheck() {
 			return true
 		}
+		o.call.begun.Store(true)
 		for n, err = syscall.Write(int(fd), o.firstWrite); err == syscall.EINTR; {
 			n, err = syscall.Write(int(fd), o.firstWrite)
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -61,6 +61,7 @@
 	nextDial       *dial         // gets the result of the next dial that ends; nil: no call waits for it
 	typicalLatency time.Duration // smoothed time from sending a call to its answer
 	newestAnswered time.Time     // when the newest call that has been answered was sent
+	fastestAnswer  time.Duration // shortest time from sending a call to its answer; 0: no call has been answered
 	ready          atomic.Bool   // the server is listed as Ready; can be read without the pool's mu
 }
 
@@ -80,6 +81,9 @@
 		s = &server{}
 		p.servers[entry.ID] = s
 	}
+	if moved {
+		s.fastestAnswer = 0
+	}
 	s.Server = entry
 	s.ready.Store(entry.Phase == hoptiller.Ready)
 	if moved {
--- a/internal/upstream/protocol.go
+++ b/internal/upstream/protocol.go
@@ -26,6 +26,7 @@
 	ValueDecoder Decoder // if set, a long value follows, which this decoder reads
 	ValueLen     int     // length of the long value in bytes; -1: known only at its end
 	KeepConn     bool    // the connection is usable after the reply
+	Unnamed      bool    // the reply does not name its request, although the protocol's other replies do
 }
 
 // Decoder extracts a long value from the bytes that arrive.
@@ -92,9 +93,9 @@
 	r := Reply{Size: n, KeepConn: true, LoadReport: a.Report}
 	switch a.Kind {
 	case meta.Failed:
-		r.Status = hoptiller.ServerError
+		r.Status, r.Unnamed = hoptiller.ServerError, true
 	case meta.Busy:
-		r.Status = hoptiller.TurnedAway
+		r.Status, r.Unnamed = hoptiller.TurnedAway, true
 	case meta.Miss:
 		r.Status = hoptiller.Miss
 	default:
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -63,6 +63,16 @@
 	return !c.closed && c.reader.MoreArrived()
 }
 
+// awaitsAnswer reports whether a call was sent before the latest read, so that the bytes of that read can be its answer.
+// The caller holds p.mu.
+func (c *conn) awaitsAnswer() bool {
+	if len(c.pending) == 0 {
+		return false
+	}
+	first := c.pending[0]
+	return first.begun.Load() && !first.sentAt.After(c.reader.LastRead)
+}
+
 // handleAnswers passes the complete answers in b to their callers. It returns how many bytes they took up, the long
 // value that follows them, if any, and whether the connection can still be read.
 func (c *conn) handleAnswers(b []byte) (used int, stream *streamBody, readable bool) {
@@ -75,9 +85,7 @@
 		}
 	}()
 	for used < len(b) && !c.closed {
-		// Neither an unsolicited answer nor an answer that was read before the next call was sent may reach that
-		// call.
-		if len(c.pending) == 0 || c.pending[0].sentAt.After(c.reader.LastRead) {
+		if !c.awaitsAnswer() {
 			c.reject(b[used:])
 			p.closeReset(c, CloseUnsolicited)
 			return used, nil, false
@@ -92,6 +100,11 @@
 		if reply.Size == 0 {
 			return used, nil, true
 		}
+		if reply.Unnamed && c.mayBeSurplus(b[used+reply.Size:]) {
+			c.reject(b[used:])
+			p.failUnconfirmed(c, reply.Status)
+			return used, nil, false
+		}
 		used += reply.Size
 		if reply.LoadReport != nil && p.settings.LoadReports != nil {
 			p.settings.LoadReports.Record(c.server.ID, reply.LoadReport)
@@ -104,6 +117,9 @@
 		}
 		took := time.Since(call.sentAt)
 		c.server.typicalLatency += (took - c.server.typicalLatency) / 16
+		if fastest := &c.server.fastestAnswer; *fastest == 0 || took < *fastest {
+			*fastest = took
+		}
 		p.callTimes.Add(took)
 		if reply.ValueDecoder != nil {
 			p.lastLongValue = time.Now()
--- a/internal/upstream/stream_body.go
+++ b/internal/upstream/stream_body.go
@@ -91,6 +91,7 @@
 	if b.reader.Unconsumed() == 0 {
 		b.reader.MarkHandled()
 	}
+	b.conn.lastAnswer.at = time.Now()
 	b.conn.release()
 	if !b.keepConn {
 		b.conn.pool.closeReset(b.conn, CloseLastAnswer)
--- /dev/null
+++ b/internal/upstream/surplus.go
@@ -0,0 +1,47 @@
+package upstream
+
+import (
+	"time"
+
+	"hoptiller"
+)
+
+// A server may send more than belongs to an answer: a second copy, or other bytes, at once or some milliseconds later,
+// if no other call waits for it then. Such a surplus answer cannot be taken for that of another call if it names its
+// own request. If it names none, it can, as long as the other call is on its way to the server.
+
+const (
+	// surplusTime is how long after an answer a surplus one may arrive.
+	surplusTime = 20 * time.Millisecond
+
+	// A server has read a call at the latest after maxRoundTrips of the fastest answer seen and readMargin.
+	maxRoundTrips = 2
+	readMargin    = 10 * time.Millisecond
+)
+
+// mayBeSurplus reports whether an answer that names no request, and that was just read, may be surplus to the answer
+// before it. Otherwise it answers the first call in flight. rest is what was read behind the answer. The caller holds
+// p.mu.
+func (c *conn) mayBeSurplus(rest []byte) bool {
+	if c.lastAnswer.at.IsZero() {
+		return false
+	}
+	if len(c.pending) == 1 && len(rest) > 0 { // more has come than the call's answer
+		return true
+	}
+	arrivedAt := c.reader.NewestArrival()
+	if arrivedAt.Sub(c.lastAnswer.at) >= surplusTime {
+		return false
+	}
+	fastest, call := c.server.fastestAnswer, c.pending[0]
+	return fastest == 0 || arrivedAt.Sub(call.sentAt) < maxRoundTrips*fastest+readMargin
+}
+
+// failUnconfirmed closes a connection on which an answer arrived that may be surplus: the first call may still be in
+// flight, and only the end of the connection ends it. The caller holds p.mu.
+func (p *Pool) failUnconfirmed(c *conn, status hoptiller.Status) {
+	if status == hoptiller.TurnedAway {
+		status = hoptiller.Unconfirmed
+	}
+	p.failFirst(c, status, CloseUnconfirmed)
+}
--- a/pressure.go
+++ b/pressure.go
@@ -93,7 +93,7 @@
 // tenants' shares. It also counts the outcomes of each server, for its health.
 func (r *Router) learnPressure(q *request, t *attempt, o *Outcome) {
 	s, failed := t.target, o.Status == ServerError || o.Status == Reset || o.Status == ConnectFailed
-	bad := boolToFloat(t.cancelled || failed || o.Status == TurnedAway ||
+	bad := boolToFloat(t.cancelled || failed || o.Status == TurnedAway || o.Status == Unconfirmed ||
 		o.Latency.Seconds() > badLatencyFraction*q.class.Aim.Seconds())
 	if t.failed {
 		bad = r.retryHelpFraction // the server is likely to blame for this fraction of errors
--- a/router.go
+++ b/router.go
@@ -810,7 +810,7 @@
 // client or this router cancelled says nothing about the server.
 func (r *Router) learnOutcome(q *request, s *server, o *Outcome) {
 	switch o.Status {
-	case OK, Miss, TurnedAway, ServerError:
+	case OK, Miss, TurnedAway, Unconfirmed, ServerError:
 		s.silentSince, s.lastAnsweredSentAt = r.now, max(s.lastAnsweredSentAt, q.attempts[o.Attempt].sentAt)
 	}
 	if !s.origin && !q.Write && (o.Status == OK || o.Status == Timeout) {
--- a/status.go
+++ b/status.go
@@ -1,11 +1,12 @@
 package hoptiller
 
 // statusCount is the number of Status values.
-const statusCount = int(Miss) + 1
+const statusCount = int(Unconfirmed) + 1
 
 var statusNames = [statusCount]string{
 	OK: "ok", ServerError: "server_error", TurnedAway: "turned_away", Timeout: "timeout", ConnectFailed: "connect_failed",
 	Reset: "reset", Cancelled: "cancelled", NotSent: "not_sent", Miss: "miss",
+	Unconfirmed: "unconfirmed",
 }
 
 // String returns the name of the status in logs and metrics.
--- a/window.go
+++ b/window.go
@@ -29,7 +29,7 @@
 		lateAfter *= originLateFactor
 	}
 	switch o.Status {
-	case TurnedAway, ConnectFailed:
+	case TurnedAway, Unconfirmed, ConnectFailed:
 		late = true
 	case Timeout, OK:
 		late = o.Latency.Seconds() > lateAfter
