Doubt answers without an ID to calls that were sent before the connection's first answer

Cause: the fix takes a call that was out for two round trips and 10 ms for one that its server had read. Calls that are written while a server still accepts the connection (a TLS handshake takes it two round trips) reach it together, however long they were out.

The time a call was out now counts from the connection's first answer at the earliest. The case 'right after the first answer' of TestUnnamedAnswers fails without it.

--- a/internal/upstream/answer_record.go
+++ b/internal/upstream/answer_record.go
@@ -6,8 +6,10 @@
 	"hoptiller"
 )
 
-// answerRecord records the latest answer on a connection, so that the log can show what an unexpected answer followed.
+// answerRecord records the answers on a connection: when the first one came, and the latest one, so that the log can show
+// what an unexpected answer followed.
 type answerRecord struct {
+	firstAt   time.Time // when the first call was answered
 	requestID []byte // of the request that was answered
 	status    hoptiller.Status
 	at        time.Time // zero: no call has been answered
@@ -17,6 +19,9 @@
 func (a *answerRecord) set(requestID []byte, status hoptiller.Status) {
 	a.requestID = append(a.requestID[:0], requestID...)
 	a.status, a.at = status, time.Now()
+	if a.firstAt.IsZero() {
+		a.firstAt = a.at
+	}
 }
 
 // logArgs returns the record as log attributes.
--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -33,8 +33,13 @@
 	if arrivedAt.Sub(c.lastAnswer.at) >= surplusTime {
 		return false
 	}
-	fastest, call := c.server.fastestAnswer, c.pending[0]
-	return fastest == 0 || arrivedAt.Sub(call.sentAt) < maxRoundTrips*fastest+readMargin
+	// Calls that are sent before the server has accepted the connection reach it together, right before its first answer.
+	sentAt := c.pending[0].sentAt
+	if c.lastAnswer.firstAt.After(sentAt) {
+		sentAt = c.lastAnswer.firstAt
+	}
+	fastest := c.server.fastestAnswer
+	return fastest == 0 || arrivedAt.Sub(sentAt) < maxRoundTrips*fastest+readMargin
 }
 
 // failUnconfirmed closes a connection on which an answer arrived that may be surplus: the first call may still be in
--- a/internal/upstream/surplus_test.go
+++ b/internal/upstream/surplus_test.go
@@ -12,34 +12,33 @@
 // An answer that names no request counts only where it cannot be a surplus one of the answer before it.
 func TestUnnamedAnswers(t *testing.T) {
 	t.Parallel()
-	const roundTrip = 2 * time.Millisecond
+	const roundTrip, now = 2 * time.Millisecond, time.Nanosecond
 	for name, c := range map[string]struct {
-		line       string
-		lastAnswer time.Duration // how long ago the last answer came; 0: there is none
-		sent       time.Duration // how long ago the call was sent
-		want       hoptiller.Status
-		closed     bool
+		line        string
+		firstAnswer time.Duration // how long ago the first answer on the connection came
+		lastAnswer  time.Duration // how long ago the last one came; 0: there is none
+		sent        time.Duration // how long ago the call was sent
+		want        hoptiller.Status
+		closed      bool
 	}{
-		"the first answer":                  {"SERVER_ERROR busy", 0, 0, hoptiller.TurnedAway, false},
-		"long after another answer":         {"SERVER_ERROR busy", time.Second, 0, hoptiller.TurnedAway, false},
-		"right after another answer":        {"SERVER_ERROR busy", time.Microsecond, 0, hoptiller.Unconfirmed, true},
-		"failed right after another answer": {"SERVER_ERROR failed", time.Microsecond, 0, hoptiller.ServerError, true},
-		"the call had reached the server":   {"SERVER_ERROR busy", time.Microsecond, time.Second, hoptiller.TurnedAway, false},
-		"an answer that names its request":  {"EN O01", time.Microsecond, 0, hoptiller.Miss, false},
+		"the first answer":                  {"SERVER_ERROR busy", 0, 0, 0, hoptiller.TurnedAway, false},
+		"long after another answer":         {"SERVER_ERROR busy", time.Hour, time.Second, 0, hoptiller.TurnedAway, false},
+		"right after another answer":        {"SERVER_ERROR busy", time.Hour, now, 0, hoptiller.Unconfirmed, true},
+		"failed right after another answer": {"SERVER_ERROR failed", time.Hour, now, 0, hoptiller.ServerError, true},
+		"the call had reached the server":   {"SERVER_ERROR busy", time.Hour, now, time.Second, hoptiller.TurnedAway, false},
+		"right after the first answer":      {"SERVER_ERROR busy", now, now, time.Second, hoptiller.Unconfirmed, true},
+		"an answer that names its request":  {"EN O01", time.Hour, now, 0, hoptiller.Miss, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p, conn, server := idleConn(t)
 			first, second := sentCall("01"), sentCall("02")
 			first.sentAt = first.sentAt.Add(-c.sent)
-			if c.lastAnswer > 0 {
-				conn.lastAnswer.at = time.Now().Add(-c.lastAnswer)
-			}
 			conn.server.fastestAnswer = roundTrip
 			conn.pending, conn.load = []*pendingCall{first, second}, 2
 			fmt.Fprintf(server, "%s\r\n", c.line)
-			if c.lastAnswer == time.Microsecond {
-				conn.lastAnswer.at = time.Now()
+			if c.lastAnswer > 0 {
+				conn.lastAnswer.firstAt, conn.lastAnswer.at = time.Now().Add(-c.firstAnswer), time.Now().Add(-c.lastAnswer)
 			}
 			go conn.readLoop()
 			if r := testprog.Await(t, first.result, "answer"); r.Status != c.want {
