--- a/internal/lab/drill/soak.go
+++ b/internal/lab/drill/soak.go
@@ -41,7 +41,7 @@
 		f.Steps = append(f.Steps, soakStep(r, f.Day.Routers))
 	}
 	f.Steps = withoutOverlaps(f.Steps)
-	f.Day.Faults = soakCacheFaults(r)
+	f.Day.Faults = append(soakCacheFaults(r), soakRepetition(r)...)
 	f.Claims = []Claim{{Kind: "rules"}, {Kind: "alive"}, {Kind: "ready", Within: seconds(6)}, {Kind: "unserved",
 		MaxShare: soakMaxUnserved},
 		{Kind: "unexplained", MaxShare: soakMaxUnexplained}}
@@ -117,6 +117,14 @@
 	return []model.Fault{hang, kinds[r.IntN(len(kinds))]}
 }
 
+// soakRepetition draws how many answers come a second time. On half of the days there are none.
+func soakRepetition(r *rand.Rand) []model.Fault {
+	if r.IntN(2) == 0 {
+		return nil
+	}
+	return []model.Fault{{Kind: "surplus", At: seconds(1), Duration: seconds(soakLength), Severity: r.Float64()}}
+}
+
 // stopsProcess reports whether a step ends a process.
 func stopsProcess(s Step) bool { return s.Kind == "restart" || s.Kind == "kill" }
 
--- a/internal/lab/model/conn.go
+++ b/internal/lab/model/conn.go
@@ -207,6 +207,9 @@
 		})
 	}
 	c.unanswered = c.unanswered[ready:]
+	if ready > 0 {
+		c.repeatLastAnswer()
+	}
 }
 
 // stop ends the process: connections are reset and new ones are refused.
--- a/internal/lab/model/fault.go
+++ b/internal/lab/model/fault.go
@@ -50,6 +50,7 @@
 	"peers":          {"messages between routers are lost", losePeerMessages},
 	"zone_cut":       {"a zone is cut off from the others", cutZone},
 	"zone_loss":      {"all caches of a zone die and come back cold after for", loseZone},
+	"surplus":        {"a size of the answers come a second time, some milliseconds later", repeatAnswers},
 	"origin_stop":    {"the origin stops", stopOrigin},
 	"origin_slow":    {"the origin takes size times as long", slowOrigin},
 	"origin_errors":  {"the origin fails a size of its calls", failOrigin},
@@ -429,6 +430,11 @@
 	}
 }
 
+func repeatAnswers(w *World, f *Fault, r *rand.Rand) func() {
+	w.repetition = repetition{share: f.Severity, random: r}
+	return func() { w.repetition = repetition{} }
+}
+
 func stopOrigin(w *World, f *Fault, _ *rand.Rand) func() {
 	w.Origin.halt(f.Duration.Std())
 	return nil
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -50,6 +50,7 @@
 	lossyRouters         map[int]bool
 	lossRate             float64
 	dropPeerMessages     bool
+	repetition           repetition
 }
 
 // New returns the world at the start of a day, which must have passed Validate.
--- a/internal/lab/standin/answer.go
+++ b/internal/lab/standin/answer.go
@@ -49,6 +49,18 @@
 	delete(l.queuedRejections, call)
 }
 
+// Repeated implements model.RepetitionHandler.
+func (l *link) Repeated(*model.Conn) {
+	if len(l.lastAnswer) == 0 {
+		return
+	}
+	if l.server == 0 {
+		l.enqueue(nil, l.lastAnswer)
+		return
+	}
+	l.enqueue(l.lastAnswer, nil)
+}
+
 // drawUnsized decides at random whether the origin sends a value without its length. The end of such a value
 // is the end of its connection, so that no other call may wait on the connection.
 func (l *link) drawUnsized(call *model.Call) bool {
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -75,6 +75,7 @@
 	brokenByServer   bool // the server has broken the connection
 
 	acceptedAt time.Duration
+	lastAnswer []byte // nil: there is none that may be sent a second time
 }
 
 const maxOutgoing = 256 // answers that may wait to be written; the connection to a router that reads more slowly is closed
@@ -272,6 +273,7 @@
 	if l.server == 0 {
 		cache = origin
 	}
+	l.lastAnswer = cache
 	select {
 	case l.outgoing <- cache:
 	default:
