Close a connection on which a server says that it could not read a command

The server and the router disagree there where a command begins, so that the next line may belong to anything; a safe request was sent again while its attempt was still out on the open connection.

They are a kind of answer of their own now, after which the connection is closed. TestOutcomes, 'command not understood' and 'command rejected': the old code waits 30 s in vain for the end of the connection. The test keeps idle connections open now (MaxIdle 1): without that, every case passed by the close of surplus idle ones after a second.

--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -235,11 +235,12 @@
 
 // The answers of a cache server.
 const (
-	Value  AnswerKind = iota // VA: the value
-	Stored                   // HD: a receipt
-	Miss                     // EN
-	Failed                   // SERVER_ERROR failed, and all other errors
-	Busy                     // SERVER_ERROR busy
+	Value    AnswerKind = iota // VA: the value
+	Stored                     // HD: a receipt
+	Miss                       // EN
+	Failed                     // SERVER_ERROR failed, and all other server errors
+	Busy                       // SERVER_ERROR busy
+	Rejected                   // CLIENT_ERROR or ERROR: the server could not read what it got
 )
 
 // Answer is one answer of a cache server. Its slices are parts of the parsed bytes.
@@ -299,7 +300,7 @@
 		}
 		return a, n, nil
 	default:
-		a.Kind = Failed
+		a.Kind = Rejected
 		return a, n, nil
 	}
 	var flag []byte
--- a/internal/meta/meta_test.go
+++ b/internal/meta/meta_test.go
@@ -53,8 +53,8 @@
 		"EN O9b h0 Z\r\n":              {Kind: Miss, ID: []byte("9b")},
 		"SERVER_ERROR busy\r\n":        {Kind: Busy},
 		"SERVER_ERROR failed\r\n":      {Kind: Failed},
-		"CLIENT_ERROR bad command\r\n": {Kind: Failed},
-		"ERROR\r\n":                    {Kind: Failed},
+		"CLIENT_ERROR bad command\r\n": {Kind: Rejected},
+		"ERROR\r\n":                    {Kind: Rejected},
 	} {
 		a, n, err := ParseAnswer([]byte(in), "9b")
 		if err != nil || n != len(in) || a.Kind != want.Kind || !bytes.Equal(a.ID, want.ID) || !bytes.Equal(a.Data, want.Data) {
--- a/internal/upstream/answer_record.go
+++ b/internal/upstream/answer_record.go
@@ -10,7 +10,7 @@
 // what an unexpected answer followed.
 type answerRecord struct {
 	firstAt   time.Time // when the first call was answered
-	requestID []byte // of the request that was answered
+	requestID []byte    // of the request that was answered
 	status    hoptiller.Status
 	at        time.Time // zero: no call has been answered
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -69,6 +69,8 @@
 		"miss":                     {answer("EN O01\r\n"), hoptiller.Miss, false},
 		"error":                    {answer("SERVER_ERROR failed\r\n"), hoptiller.ServerError, false},
 		"busy":                     {answer("SERVER_ERROR busy\r\n"), hoptiller.TurnedAway, false},
+		"command not understood":   {answer("ERROR\r\n"), hoptiller.ServerError, true},
+		"command rejected":         {answer("CLIENT_ERROR bad command\r\n"), hoptiller.ServerError, true},
 		"malformed length":         {answer("VA x\r\n"), hoptiller.ServerError, true},
 		"value of another request": {answer("VA 1 O02\r\nx\r\n"), hoptiller.ServerError, true},
 		"value without an ID":      {answer("VA 1\r\nx\r\n"), hoptiller.ServerError, true},
@@ -96,6 +98,7 @@
 			ctx, cancel = context.WithTimeout(context.Background(), 20*time.Millisecond)
 		}
 		p := serve(t, c.handle)
+		p.settings.MaxIdle = 1 // the connection is not closed for being idle
 		if r := p.Call(ctx, ctx, 1, exampleRead); r.Status != c.want {
 			t.Errorf("%s: status %d, want %d", name, r.Status, c.want)
 		}
--- a/internal/upstream/protocol.go
+++ b/internal/upstream/protocol.go
@@ -94,6 +94,8 @@
 	switch a.Kind {
 	case meta.Failed:
 		r.Status, r.Unnamed = hoptiller.ServerError, true
+	case meta.Rejected: // the server and this router no longer agree where a command begins
+		r.Status, r.Unnamed, r.KeepConn = hoptiller.ServerError, true, false
 	case meta.Busy:
 		r.Status, r.Unnamed = hoptiller.TurnedAway, true
 	case meta.Miss:
