Review case 3: a driver that has lost the release goes on for 15 s, and a command runs twice

Looked for: whether a driver acts on a release whose place another driver has.

Found: release.Run halts 15 s after the place was lost, and until then lets routers out and begins commands as if it were held. A driver that stood still for 20 s and one that took its place ran the command for the same router at the same time.

--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -38,7 +38,7 @@
 func NewPlatform(w *World, s Servers) (*Platform, error) {
 	p := &Platform{world: w, readTime: s.ReadTime, writeTime: s.WriteTime, runs: map[string]int{}}
 	for range s.Caches {
-		l, err := listen()
+		l, err := Listen()
 		if err != nil {
 			return nil, err
 		}
@@ -54,9 +54,12 @@
 	return p, err
 }
 
+// AddCache adds a slot cache that the case plays itself.
+func (p *Platform) AddCache(addr string) { p.cacheAddrs = append(p.cacheAddrs, addr) }
+
 // serveHTTP serves a handler on a free loopback address.
 func serveHTTP(w *World, handler http.Handler) (addr string, err error) {
-	l, err := listen()
+	l, err := Listen()
 	if err != nil {
 		return "", err
 	}
--- a/review/standin/release.go
+++ b/review/standin/release.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -188,3 +189,56 @@
 	}
 	return f, replacer, nil
 }
+
+// Holder is a driver that has the fleet's place for releases, as a router says at a time.
+type Holder struct {
+	Driver string
+	Since  time.Duration
+}
+
+// WatchReleaseHolder asks the routers again and again who has the fleet's place for releases. The function that it returns gives
+// the holders so far.
+func (f *Fleet) WatchReleaseHolder() (holders func() []Holder) {
+	var mu sync.Mutex
+	var list []Holder
+	go func() {
+		for {
+			time.Sleep(200 * time.Millisecond)
+			name := f.releaseHolder()
+			mu.Lock()
+			if name != "" && (len(list) == 0 || list[len(list)-1].Driver != name) {
+				list = append(list, Holder{name, f.World.Since()})
+				f.World.Log("most routers say that the fleet's place for releases is the driver's %s", name)
+			}
+			mu.Unlock()
+		}
+	}()
+	return func() []Holder {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(list)
+	}
+}
+
+// releaseHolder returns the driver that most routers name, or an empty text.
+func (f *Fleet) releaseHolder() string {
+	client := http.Client{Timeout: time.Second}
+	votes := map[string]int{}
+	for _, r := range f.Routers {
+		response, err := client.Get("http://" + r.Admin + "/v1/fleet")
+		if err != nil {
+			continue
+		}
+		var report struct {
+			Release struct{ By, State string }
+		}
+		err = json.NewDecoder(response.Body).Decode(&report)
+		response.Body.Close()
+		if name := report.Release.By; err == nil && report.Release.State == "held" {
+			if votes[name]++; votes[name]*2 > len(f.Routers) {
+				return name
+			}
+		}
+	}
+	return ""
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -156,6 +156,12 @@
 // Pid returns the process id.
 func (p *Process) Pid() int { return p.cmd.Process.Pid }
 
+// Pause stops the process until Continue.
+func (p *Process) Pause() { p.Signal(syscall.SIGSTOP) }
+
+// Continue ends a Pause.
+func (p *Process) Continue() { p.Signal(syscall.SIGCONT) }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
 
@@ -190,8 +196,8 @@
 	portCount = 10000
 )
 
-// listen listens on a free port of the host.
-func listen() (net.Listener, error) {
+// Listen listens on a free port of the host.
+func Listen() (net.Listener, error) {
 	var err error
 	for range 100 {
 		var l net.Listener
@@ -204,7 +210,7 @@
 
 // FreeAddr returns a loopback address that nobody listens on, for TCP and UDP.
 func FreeAddr() (string, error) {
-	l, err := listen()
+	l, err := Listen()
 	if err != nil {
 		return "", err
 	}
