Review case 1: a request that must never run twice is run twice when refusals come again

Looked for: what an answer that names no request can end, where the network holds a second copy of it back.

Found: such a copy that arrives 20 ms or more after the answer before it is taken for the next call's own, however short that call has been out. A refusal so taken counts as a proof that nothing ran, and the request is sent again while its first attempt runs.

--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -266,6 +266,7 @@
 	Routers   []*Router
 	OperFile  string // path of the operators' file; empty: none
 	Datagrams bool   // routers may send each other datagrams
+	Album     bool   // the settings follow the site album-cz where they differ from those of prairie-booking
 }
 
 // NewFleet chooses addresses for the routers.
@@ -316,6 +317,14 @@
 		}
 		config["peers"], config["peer_listen"] = peers, r.Peer
 	}
+	if f.Album {
+		settings := config["settings"].(map[string]any)
+		settings["fees"] = map[string]any{}
+		settings["bounds"] = map[string]any{"connIdle": 5000000, "connectTimeout": 250000, "maxRetryAfter": 2000000, "mayCancel": true,
+			"mayTell": false, "mostTries": 3, "retryAfter": true, "secondCopies": true, "streamsPerConn": 32}
+		settings["rules"] = map[string]any{"askWithin": 10000000, "cold": 8700000, "coldFrom": 0.32, "fall": 3000000, "graceToAnswer": 20000,
+			"overloadFactor": 3, "stopSendingWithin": 1000000}
+	}
 	text, err := json.MarshalIndent(config, "", " ")
 	if err != nil {
 		return err
