Count and log how long values wait for memory

No log line and no metric told a value that waits for memory in front of the decision module from a request that waits behind it. Now /v1/metrics has value_memory (capacity, held, waiting, waits, given_up, longest_wait_ms), and a wait of 0.1 s or more is logged. The semaphore moves into internal/valuemem, which counts; what waits for what is as before.

--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -20,18 +20,20 @@
 	"hoptiller/internal/metrics"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/unit"
+	"hoptiller/internal/valuemem"
 )
 
 // processMetrics is the answer to /v1/metrics.
 type processMetrics struct {
 	metrics.Snapshot
-	Reasons reasonCounts   `json:"reasons"`         // why connections and attempts ended
-	Fleet   *peers.Summary `json:"fleet,omitempty"` // this router's view of the fleet
+	Values  *valuemem.Summary `json:"value_memory,omitempty"` // memory for long values
+	Reasons reasonCounts      `json:"reasons"`                // why connections and attempts ended
+	Fleet   *peers.Summary    `json:"fleet,omitempty"`        // this router's view of the fleet
 }
 
 // adminCalls returns the operators' calls by path. fleet is nil if the fleet view is off.
-func adminCalls(phases *lifecycle.State, clientFront *front.Front, counts *metrics.Counters, reasons *endReasons,
-	reports *loadreport.Table, router *relay.Relay, fleet *peers.Peers) map[string]admin.Call {
+func adminCalls(phases *lifecycle.State, clientFront *front.Front, counts *metrics.Counters, values *valuemem.Budget,
+	reasons *endReasons, reports *loadreport.Table, router *relay.Relay, fleet *peers.Peers) map[string]admin.Call {
 	transitionCall := func(e lifecycle.Event) func() (bool, []byte) {
 		return func() (bool, []byte) {
 			changed := phases.Apply(e)
@@ -44,6 +46,10 @@
 			s := processMetrics{Snapshot: counts.Snapshot(), Reasons: reasons.counts()}
 			s.Members, s.Unavailable = router.CacheCounts()
 			s.Reports = reports.Summary()
+			if values.Used() {
+				summary := values.Summary()
+				s.Values = &summary
+			}
 			if fleet != nil {
 				s.Fleet = fleet.Summary()
 			}
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 
 	"hoptiller"
 	"hoptiller/internal/admin"
@@ -32,6 +31,7 @@
 	"hoptiller/internal/plan"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/upstream"
+	"hoptiller/internal/valuemem"
 )
 
 const (
@@ -158,7 +158,7 @@
 		debug.SetMemoryLimit(int64(limits.heapBytes))
 	}
 	var fleet *fleetMember
-	longValueBudget := semaphore.NewWeighted(int64(max(limits.longValueBytes, meta.MaxLongValue)))
+	longValueBudget := valuemem.New(int64(max(limits.longValueBytes, meta.MaxLongValue)))
 	providers := upstream.New(upstream.Settings{
 		CallsPerConn: callsPerConn(c), MaxConnsPerServer: limits.connsPerCache, MaxConns: limits.cacheConns, MaxCallsPerConn: max(1, c.MaxCallsPerConn),
 		IdleLimit: c.ConnIdleTimeout * 3 / 4, ConnectTimeout: c.Settings.ConnectTimeout,
@@ -237,7 +237,7 @@
 	})
 	if operatorListener != nil {
 		a := &admin.Server{MaxConns: limits.operatorConns,
-			Calls: adminCalls(phases, clientFront, counts, reasons, reports, router, fleet.peers)}
+			Calls: adminCalls(phases, clientFront, counts, longValueBudget, reasons, reports, router, fleet.peers)}
 		group.Go(func() error { return a.Serve(ctx, operatorListener) })
 	}
 	err = group.Wait()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,11 +12,11 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 
 	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/metrics"
 	"hoptiller/internal/relay"
+	"hoptiller/internal/valuemem"
 )
 
 // Server serves a request and returns its final answer, as *relay.Relay does.
@@ -26,21 +26,21 @@
 
 // Front serves the clients of a router. They may connect to several listeners.
 type Front struct {
-	Classes         []string            // names of the classes, by index
-	AnyClass        bool                // every request belongs to the first class, whatever class it names
-	Tenants         []string            // names of the tenants, by index; if empty, all clients are one tenant
-	Deadlines       []time.Duration     // deadline of a request that states none, by class
-	Aims            []time.Duration     // target latency, after which an answer counts as late, by class; 0 or a nil slice: never
-	MaxConns        int                 // client connections at the same time
-	MaxUsedConns    int                 // connections that sent a command; surplus idle ones end as others connect; 0: no limit
-	MaxStartedConns int                 // connections that have sent at least a part of a command; 0: no limit
-	MaxOpenRequests int                 // open requests at which a connection may have only one command open
-	AcceptDuration  time.Duration       // after a stop: for how long connections are still accepted
-	ServeDuration   time.Duration       // after a stop: for how long open connections are served at most
-	CommandGrace    time.Duration       // after ServeDuration: for how long the rest of a command may arrive
-	FailOpenAfter   time.Duration       // after a stop: when all requests still open are answered as failed; 0: never
-	ValueMemory     *semaphore.Weighted // memory budget of long values in bytes, at least the size of the longest value
-	Lifecycle       *lifecycle.State    // the router's lifecycle, e.g. serving, draining or stopping
+	Classes         []string         // names of the classes, by index
+	AnyClass        bool             // every request belongs to the first class, whatever class it names
+	Tenants         []string         // names of the tenants, by index; if empty, all clients are one tenant
+	Deadlines       []time.Duration  // deadline of a request that states none, by class
+	Aims            []time.Duration  // target latency, after which an answer counts as late, by class; 0 or a nil slice: never
+	MaxConns        int              // client connections at the same time
+	MaxUsedConns    int              // connections that sent a command; surplus idle ones end as others connect; 0: no limit
+	MaxStartedConns int              // connections that have sent at least a part of a command; 0: no limit
+	MaxOpenRequests int              // open requests at which a connection may have only one command open
+	AcceptDuration  time.Duration    // after a stop: for how long connections are still accepted
+	ServeDuration   time.Duration    // after a stop: for how long open connections are served at most
+	CommandGrace    time.Duration    // after ServeDuration: for how long the rest of a command may arrive
+	FailOpenAfter   time.Duration    // after a stop: when all requests still open are answered as failed; 0: never
+	ValueMemory     *valuemem.Budget // memory for long values, at least the size of the longest value
+	Lifecycle       *lifecycle.State // the router's lifecycle, e.g. serving, draining or stopping
 	Counts          *metrics.Counters
 	Server          Server            // serves the requests
 	OnClosed        func(CloseReason) // called with the reason when a client connection ends; may be nil
--- a/internal/front/long_value.go
+++ b/internal/front/long_value.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"time"
 
 	"hoptiller/internal/buffer"
 	"hoptiller/internal/meta"
+	"hoptiller/internal/relay"
 )
 
 const (
@@ -27,13 +29,25 @@
 
 // acquireMemory waits until the memory budget has size bytes for a long value. It fails when ctx is done or when a shutdown
 // answers all open requests as failed.
-func (f *Front) acquireMemory(ctx context.Context, size int64) error {
+func (f *Front) acquireMemory(ctx context.Context, size int64) (waited time.Duration, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(f.openFailed, cancel)()
 	return f.ValueMemory.Acquire(ctx, size)
 }
 
+// minLoggedWait is the shortest wait for memory that is logged.
+const minLoggedWait = 100 * time.Millisecond
+
+// logMemoryWait logs that a request's long value of some bytes has waited for memory, unless the wait was short.
+func logMemoryWait(req *relay.Request, length int, waited time.Duration, err error) {
+	if waited < minLoggedWait {
+		return
+	}
+	slog.Info("long value waited for memory", "request", string(req.ID), "length", length, "waited", waited.Round(time.Millisecond),
+		"acquired", err == nil)
+}
+
 // readLongValue reads the value of c.longWrite and starts the request when the value is complete. It first acquires memory
 // for the whole value, since requests that each held a part of their memory could deadlock. While it waits, nothing is read,
 // so the client has to wait as well. stopReading reports that the connection must not be read any further.
@@ -54,7 +68,9 @@
 	}()
 	releaseID := func() { c.front.releaseID(string(req.ID)) }
 	size := int64(length)
-	if err := c.front.acquireMemory(ctx, size); err != nil {
+	waited, err := c.front.acquireMemory(ctx, size)
+	logMemoryWait(req, length, waited, err)
+	if err != nil {
 		releaseID()
 		if !c.front.hasFailedOpenRequests() {
 			return false, err
--- a/internal/front/long_value_test.go
+++ b/internal/front/long_value_test.go
@@ -9,13 +9,12 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"hoptiller"
 	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/testprog"
+	"hoptiller/internal/valuemem"
 )
 
 // longValueServer sends the id and the long value of each request to arrived and answers it with the next text from replies.
@@ -34,7 +33,7 @@
 // arrives completely. Other requests are not delayed meanwhile.
 func TestLongValueMemoryIsBounded(t *testing.T) {
 	server := longValueServer{make(chan string, 2), make(chan string)}
-	f := &Front{MaxConns: 9, MaxOpenRequests: 9, ValueMemory: semaphore.NewWeighted(meta.MaxLongValue), Server: server}
+	f := &Front{MaxConns: 9, MaxOpenRequests: 9, ValueMemory: valuemem.New(meta.MaxLongValue), Server: server}
 	connect := start(t, f)
 	first, second, other := connect(), connect(), connect()
 	value := strings.Repeat("a", meta.MaxLongValue)
@@ -76,7 +75,7 @@
 // A client that disconnects in the middle of a long value, or ends it wrongly, frees its memory and its request id.
 func TestIncompleteLongValue(t *testing.T) {
 	server := longValueServer{make(chan string, 2), make(chan string, 2)}
-	f := &Front{MaxConns: 9, MaxOpenRequests: 9, ValueMemory: semaphore.NewWeighted(meta.MaxLongValue), Server: server}
+	f := &Front{MaxConns: 9, MaxOpenRequests: 9, ValueMemory: valuemem.New(meta.MaxLongValue), Server: server}
 	connect := start(t, f)
 	value := strings.Repeat("a", meta.MaxLongValue)
 	head := fmt.Sprintf("ms k %d O1 Pc=read,d=900\r\n", len(value))
--- a/internal/front/race_test.go
+++ b/internal/front/race_test.go
@@ -13,14 +13,13 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"hoptiller"
 	"hoptiller/internal/lifecycle"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/metrics"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/testprog"
+	"hoptiller/internal/valuemem"
 )
 
 // disconnectServer serves a request until its context is cancelled, which happens when its client disconnects. It sends the
@@ -212,7 +211,7 @@
 // it holds no memory.
 func startWaitingForMemory(t *testing.T, f *Front, served disconnectServer) (conn net.Conn, checkNotSent func()) {
 	t.Helper()
-	f.ValueMemory = semaphore.NewWeighted(meta.MaxLongValue)
+	f.ValueMemory = valuemem.New(meta.MaxLongValue)
 	if !f.ValueMemory.TryAcquire(meta.MaxLongValue) {
 		t.Fatal("no memory for long values")
 	}
--- a/internal/origin/crossing_test.go
+++ b/internal/origin/crossing_test.go
@@ -9,19 +9,18 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"hoptiller"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/relay"
 	"hoptiller/internal/testprog"
 	"hoptiller/internal/upstream"
+	"hoptiller/internal/valuemem"
 )
 
 // serve starts an origin that handles each request, and returns a pool that knows it as server 1 and the pool's
 // memory for values.
 func serve(t *testing.T, cooldown time.Duration,
-	handle func(conn *net.TCPConn, path string) (more bool)) (*upstream.Pool, *semaphore.Weighted) {
+	handle func(conn *net.TCPConn, path string) (more bool)) (*upstream.Pool, *valuemem.Budget) {
 	l := testprog.Listen(t)
 	testprog.Accept(l, func(conn net.Conn) {
 		defer conn.Close()
@@ -33,7 +32,7 @@
 			}
 		}
 	})
-	memory := semaphore.NewWeighted(meta.MaxLongValue)
+	memory := valuemem.New(meta.MaxLongValue)
 	p := upstream.New(upstream.Settings{CallsPerConn: 1, MaxConnsPerServer: 2, MaxCallsPerConn: 1, ConnectTimeout: 5 * time.Second, Cooldown: cooldown,
 		ValueMemory: memory}, Protocol{})
 	p.Update(relay.Server{Addr: l.Addr().String(), Server: hoptiller.Server{ID: 1, Phase: hoptiller.Ready}}, false)
--- a/internal/upstream/buffered_body.go
+++ b/internal/upstream/buffered_body.go
@@ -58,7 +58,7 @@
 func (p *Pool) bufferBody(ctx context.Context, stream *streamBody) relay.Result {
 	const maxLen = meta.MaxLongValue
 	defer context.AfterFunc(ctx, stream.Close)()
-	if err := p.settings.ValueMemory.Acquire(ctx, maxLen); err != nil {
+	if _, err := p.settings.ValueMemory.Acquire(ctx, maxLen); err != nil {
 		stream.Close()
 		return relay.Result{Status: contextStatus(ctx)}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,12 +9,11 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"hoptiller"
 	"hoptiller/internal/fleet/connlimit"
 	"hoptiller/internal/loadreport"
 	"hoptiller/internal/relay"
+	"hoptiller/internal/valuemem"
 )
 
 // Settings are the limits and callbacks of a Pool.
@@ -28,7 +27,7 @@
 	ConnsPerCore      int           // connections that each core of a server accepts; 0: not stated
 	MaxIdle           int           // idle connections to one server that stay open until IdleLimit; surplus ones close sooner
 	ConnectTimeout    time.Duration
-	ValueMemory       *semaphore.Weighted      // memory in bytes for values whose length is known only at their end
+	ValueMemory       *valuemem.Budget         // memory for values whose length is known only at their end
 	LoadReports       *loadreport.Table        // stores the load reports of servers; nil: they are dropped
 	Observed          func(id uint32, up bool) // called when a server is found to have no process, or answers again; may be nil
 	AttemptSent       func()                   // called for each call that was written completely; may be nil
