Reject a long write that has no memory within half of its time

Cause: front.readLongValue waited for memory for the whole value before its first byte, without regard to the request's own time; that was looked at only once the value had been read.

Now the wait ends at half of the request's time, counted from the earliest moment at which its last byte can have arrived, since that may wait unread. The value is then read and discarded, which takes no memory, and the request is rejected with the module's Retry-After at its last byte. So the client gets its answer in its time however long others hold the memory, its connection stays in step, and commands behind it are taken. Reading a value and what becomes of it are separate functions now.

--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -203,6 +203,7 @@
 	for _, class := range c.Settings.Classes {
 		clientFront.Deadlines = append(clientFront.Deadlines, class.Deadline)
 		clientFront.Aims = append(clientFront.Aims, class.Aim)
+		clientFront.RetryAfter = append(clientFront.RetryAfter, c.Settings.RetryAfter(&class))
 	}
 
 	fleet.phase = func() view.Phase { return memberPhase(phases.Phase(), clientFront.Ready()) }
--- a/internal/buffer/reader.go
+++ b/internal/buffer/reader.go
@@ -53,7 +53,8 @@
 
 // EarliestArrival returns the earliest time at which the byte in front of an offset in the delivered bytes can have arrived.
 // Bytes that arrived while nobody read may have waited since the read before. EarliestArrival is meant for the callback
-// that gets the bytes from Next or Redeliver.
+// that gets the bytes from Next or Redeliver. Between reads, the offset counts from the first unconsumed byte and may lie behind
+// the bytes that were read.
 func (r *Reader) EarliestArrival(offset int) time.Time {
 	if at, known := r.arrivals.timeOf(offset); known {
 		return at
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -31,6 +31,7 @@
 	Tenants         []string         // names of the tenants, by index; if empty, all clients are one tenant
 	Deadlines       []time.Duration  // deadline of a request that states none, by class
 	Aims            []time.Duration  // target latency, after which an answer counts as late, by class; 0 or a nil slice: never
+	RetryAfter      []time.Duration  // after which the client of a request that is rejected here may retry, by class; nil: not stated
 	MaxConns        int              // client connections at the same time
 	MaxUsedConns    int              // connections that sent a command; surplus idle ones end as others connect; 0: no limit
 	MaxStartedConns int              // connections that have sent at least a part of a command; 0: no limit
--- a/internal/front/long_value.go
+++ b/internal/front/long_value.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"time"
@@ -14,6 +15,17 @@
 const (
 	pieceTimeout = 6 * time.Second // for the next piece of a long value to arrive
 	minRate      = 64 << 10        // bytes a second that must arrive on average, apart from the first pieceTimeout
+
+	// memoryWaitFraction is the part of its time that a request may wait for memory. A rejection within half of the time costs
+	// a client nothing, and the other half is left to read the value and to make an attempt.
+	memoryWaitFraction = 0.5
+
+	minLoggedWait = 100 * time.Millisecond // the shortest wait for memory that is logged
+)
+
+var (
+	errNoMemory      = errors.New("no memory for a long value within the time of its request")
+	errBadTerminator = errors.New("a long value is not followed by a line end")
 )
 
 // nextPieceDeadline returns the time by which the next piece of a value must arrive. Each piece extends the deadline, but
@@ -27,33 +39,109 @@
 	return latest
 }
 
-// acquireMemory waits until the memory budget has size bytes for a long value. It fails when ctx is done or when a shutdown
-// answers all open requests as failed.
-func (f *Front) acquireMemory(ctx context.Context, size int64) (waited time.Duration, err error) {
-	ctx, cancel := context.WithCancel(ctx)
+// acquireMemory waits until the memory budget has size bytes for a long value. It fails with errNoMemory at the given time, and
+// also when ctx is done or when a shutdown answers all open requests as failed.
+func (f *Front) acquireMemory(ctx context.Context, size int64, until time.Time) (waited time.Duration, err error) {
+	waitCtx, cancel := context.WithDeadlineCause(ctx, until, errNoMemory)
 	defer cancel()
 	defer context.AfterFunc(f.openFailed, cancel)()
-	return f.ValueMemory.Acquire(ctx, size)
+	if waited, err = f.ValueMemory.Acquire(waitCtx, size); err != nil {
+		return waited, context.Cause(waitCtx)
+	}
+	return waited, nil
+}
+
+// longValue is the long value of a write request while it arrives.
+type longValue struct {
+	conn       *conn
+	req        *relay.Request
+	length     int    // bytes of the value
+	remaining  int    // bytes of the value that have not been read yet
+	terminator string // the part of the line end behind the value that has not been read yet
+	badEnd     bool   // something else came in place of the line end
+
+	content   *buffer.Chain // what has been read; nil if the value is discarded
+	begun     time.Time     // when the first byte was waited for
+	endsFirst time.Time     // the earliest time at which the last byte can have arrived, as far as is known
+}
+
+// newLongValue returns the value of c.longWrite, of which nothing has been read.
+func (c *conn) newLongValue() *longValue {
+	v := &longValue{conn: c, req: c.longWrite, length: c.longWriteLen, remaining: c.longWriteLen, terminator: "\r\n",
+		content: &buffer.Chain{}}
+	c.longWrite = nil
+	v.endsFirst = c.reader.EarliestArrival(v.length + len(v.terminator))
+	return v
 }
 
-// minLoggedWait is the shortest wait for memory that is logged.
-const minLoggedWait = 100 * time.Millisecond
+// acquireMemory acquires memory for the whole value, since requests that each held a part of their memory could deadlock. While
+// it waits, nothing is read, so the client has to wait as well. The whole value may have arrived unread, or may wait in the
+// client's system, and then the time of the request is running. So the wait ends in time to reject the request.
+func (v *longValue) acquireMemory(ctx context.Context) error {
+	limit := v.endsFirst.Add(time.Duration(memoryWaitFraction * float64(v.req.Timeout)))
+	waited, err := v.conn.front.acquireMemory(ctx, int64(v.length), limit)
+	if waited >= minLoggedWait {
+		slog.Info("long value waited for memory", "request", string(v.req.ID), "length", v.length,
+			"waited", waited.Round(time.Millisecond), "acquired", err == nil)
+	}
+	return err
+}
+
+// free frees the memory of the value.
+func (v *longValue) free() {
+	if v.content != nil {
+		v.content.Free()
+		v.conn.front.ValueMemory.Release(int64(v.length))
+	}
+}
+
+// read reads the rest of the value and the line end behind it.
+func (v *longValue) read() error {
+	c := v.conn
+	c.reader.LargeReads = true
+	v.begun = time.Now()
+	for next := c.reader.Redeliver; v.remaining > 0 || v.terminator != ""; next = c.reader.Next {
+		c.mu.Lock()
+		c.pieceDeadline = nextPieceDeadline(v.begun, time.Now(), v.length-v.remaining)
+		c.updateReadDeadline()
+		c.mu.Unlock()
+		if err := next(v.take); err != nil {
+			return err
+		}
+		if v.badEnd {
+			return errBadTerminator
+		}
+	}
+	if c.reader.PeerClosed() {
+		return io.EOF
+	}
+	return nil
+}
 
-// logMemoryWait logs that a request's long value of some bytes has waited for memory, unless the wait was short.
-func logMemoryWait(req *relay.Request, length int, waited time.Duration, err error) {
-	if waited < minLoggedWait {
-		return
+// take takes what belongs to the value from the start of b and returns its length.
+func (v *longValue) take(b []byte) (used int) {
+	used = min(v.remaining, len(b))
+	if v.content != nil {
+		v.content.Append(b[:used])
+	}
+	if v.remaining -= used; v.remaining > 0 {
+		return used
+	}
+	n := min(len(v.terminator), len(b)-used)
+	v.badEnd = string(b[used:used+n]) != v.terminator[:n]
+	v.terminator = v.terminator[n:]
+	used += n
+	if v.terminator == "" {
+		v.req.Arrived = v.conn.reader.EarliestArrival(used)
 	}
-	slog.Info("long value waited for memory", "request", string(req.ID), "length", length, "waited", waited.Round(time.Millisecond),
-		"acquired", err == nil)
+	return used
 }
 
-// readLongValue reads the value of c.longWrite and starts the request when the value is complete. It first acquires memory
-// for the whole value, since requests that each held a part of their memory could deadlock. While it waits, nothing is read,
-// so the client has to wait as well. stopReading reports that the connection must not be read any further.
+// readLongValue reads the value of c.longWrite. It starts the request when the value is complete. If there is no memory for the
+// value, it reads and discards the value, and rejects the request. stopReading reports that the connection must not be read any
+// further.
 func (c *conn) readLongValue(ctx context.Context) (stopReading bool, err error) {
-	req, length := c.longWrite, c.longWriteLen
-	c.longWrite = nil
+	value := c.newLongValue()
 	// The command counts as open from now on, so that the connection is not evicted.
 	c.mu.Lock()
 	c.openCommands++
@@ -66,63 +154,32 @@
 		c.hasPartialCommand, c.pieceDeadline = false, time.Time{}
 		c.commandAnswered()
 	}()
-	releaseID := func() { c.front.releaseID(string(req.ID)) }
-	size := int64(length)
-	waited, err := c.front.acquireMemory(ctx, size)
-	logMemoryWait(req, length, waited, err)
-	if err != nil {
-		releaseID()
-		if !c.front.hasFailedOpenRequests() {
-			return false, err
-		}
-		c.enqueue(pendingAnswer{line: string(meta.AppendFailed(nil))})
-		return true, nil
+	releaseID := func() { c.front.releaseID(string(value.req.ID)) }
+	if err = value.acquireMemory(ctx); err != nil {
+		value.content = nil
 	}
-	value := &buffer.Chain{}
-	release := func() {
-		value.Free()
-		c.front.ValueMemory.Release(size)
+	if err == nil || errors.Is(err, errNoMemory) {
+		err = value.read()
 	}
-	c.reader.LargeReads = true
-	begun := time.Now()
-	remaining, terminator := length, "\r\n"
-	for next := c.reader.Redeliver; remaining > 0 || terminator != ""; next = c.reader.Next {
-		c.mu.Lock()
-		c.pieceDeadline = nextPieceDeadline(begun, time.Now(), value.Len())
-		c.updateReadDeadline()
-		c.mu.Unlock()
-		badTerminator := false
-		if err := next(func(b []byte) (used int) {
-			used = min(remaining, len(b))
-			value.Append(b[:used])
-			if remaining -= used; remaining == 0 {
-				n := min(len(terminator), len(b)-used)
-				badTerminator = string(b[used:used+n]) != terminator[:n]
-				terminator = terminator[n:]
-				used += n
-			}
-			if remaining == 0 && terminator == "" {
-				req.Arrived = c.reader.EarliestArrival(used)
-			}
-			return used
-		}); err != nil {
-			release()
-			releaseID()
-			return false, err
-		}
-		if badTerminator {
-			release()
-			releaseID()
-			c.answerInvalid(meta.ErrBadChunk.Error())
-			return true, nil
-		}
-	}
-	if c.reader.PeerClosed() {
-		release()
+	switch {
+	case err == nil && value.content == nil:
 		releaseID()
-		return false, io.EOF
+		c.rejectRequest(value.req)
+		return false, nil
+	case err == nil:
+		value.req.LongValue = value.content
+		c.startRequest(ctx, value.req, value.free)
+		return false, nil
+	}
+	value.free()
+	releaseID()
+	switch {
+	case errors.Is(err, errBadTerminator):
+		c.answerInvalid(meta.ErrBadChunk.Error())
+		return true, nil
+	case errors.Is(err, context.Canceled) && c.front.hasFailedOpenRequests():
+		c.enqueue(pendingAnswer{line: string(meta.AppendFailed(nil))})
+		return true, nil
 	}
-	req.LongValue = value
-	c.startRequest(ctx, req, release)
-	return false, nil
+	return false, err
 }
--- a/internal/front/long_value_test.go
+++ b/internal/front/long_value_test.go
@@ -122,3 +122,57 @@
 	}
 	checkNotSent()
 }
+
+// answerGrace is how long after its time a request may be answered (STANDING, "lost").
+const answerGrace = 500 * time.Millisecond
+
+// Guards against a long write that waits unread for memory, which other clients hold, until long after its time. It is rejected
+// in its time, whether or not its value has arrived, and the commands behind it are answered.
+func TestLongWriteIsAnsweredInTimeWithoutMemory(t *testing.T) {
+	t.Parallel()
+	const timeout = 600 * time.Millisecond
+	for name, sentAtOnce := range map[string]int{"arrived": waitingLength, "arriving": waitingLength / 2, "only its command line": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := longValueServer{make(chan string, 1), make(chan string, 1)}
+			f := &Front{MaxConns: 9, MaxOpenRequests: 9, ValueMemory: valuemem.New(meta.MaxLongValue), Server: server,
+				RetryAfter: []time.Duration{70 * time.Millisecond}}
+			if !f.ValueMemory.TryAcquire(meta.MaxLongValue) {
+				t.Fatal("no memory for long values")
+			}
+			conn := start(t, f)()
+			value := strings.Repeat("a", waitingLength)
+			fmt.Fprintf(conn, "ms k %d O1 Pc=read,d=%d\r\n%s", waitingLength, timeout.Milliseconds(), value[:sentAtOnce])
+			if sentAtOnce < waitingLength {
+				testprog.Eventually(t, "the wait for memory is over", func() bool { return f.ValueMemory.Summary().GivenUp == 1 })
+			}
+			io.WriteString(conn, value[sentAtOnce:]+"\r\nmn\r\n")
+			arrived := time.Now()
+			answers := bufio.NewReader(conn)
+			if line, err := answers.ReadString('\n'); line != "SERVER_ERROR busy 70\r\n" {
+				t.Fatalf("%q, %v", line, err)
+			}
+			if took := time.Since(arrived); took > timeout+answerGrace {
+				t.Errorf("answered after %v, with a time of %v", took, timeout)
+			}
+			if line, err := answers.ReadString('\n'); line != "MN\r\n" {
+				t.Errorf("behind it: %q, %v", line, err)
+			}
+			if n := len(server.arrived); n > 0 {
+				t.Error("the rejected request was passed on")
+			}
+			if s := f.Counts.Snapshot(); s.Downstream["read"].Rejected != 1 || s.Pending != 0 {
+				t.Errorf("%+v", s)
+			}
+			f.ValueMemory.Release(meta.MaxLongValue)
+			fmt.Fprintf(conn, "ms k %d O1 Pc=read,d=9000\r\n%s\r\n", waitingLength, value) // its ID is free again
+			testprog.Send(t, server.replies, "c1", "reply text")
+			if line, err := answers.ReadString('\n'); line != "HD O1 cc1\r\n" {
+				t.Errorf("once memory is free: %q, %v", line, err)
+			}
+			if held := f.ValueMemory.Summary().Held; held != 0 {
+				t.Errorf("%d bytes are still held", held)
+			}
+		})
+	}
+}
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -165,6 +165,17 @@
 	c.enqueue(pending)
 }
 
+// rejectRequest answers a request as rejected that was not passed to the Server.
+func (c *conn) rejectRequest(req *relay.Request) {
+	c.front.Counts.Accepted()
+	c.front.Counts.Finished(req.Class, metrics.Rejected)
+	var retryAfter time.Duration
+	if req.Class < len(c.front.RetryAfter) {
+		retryAfter = c.front.RetryAfter[req.Class]
+	}
+	c.enqueue(pendingAnswer{line: string(meta.AppendBusy(nil, retryAfter.Milliseconds()))})
+}
+
 // answerUnserved answers a request that was not passed to the Server: as rejected if its client has no slot, else as failed.
 func (c *conn) answerUnserved(req *relay.Request) {
 	if c.rejectsRequests {
--- a/router.go
+++ b/router.go
@@ -736,13 +736,17 @@
 	return !slices.ContainsFunc(q.attempts, func(t attempt) bool { return t.mayHaveRun })
 }
 
+// RetryAfter returns how long the client of a rejected request of a class should wait before a retry.
+func (s *Settings) RetryAfter(class *Class) time.Duration {
+	return min(s.MaxRetryAfter, time.Duration(retryAfterFraction*float64(class.Aim)))
+}
+
 // finish ends a request: with a refusal if the caller wants one and repeating is harmless, otherwise with a
 // failure.
 func (r *Router) finish(q *request, refuse bool) {
 	r.cancelAttempts(q)
 	if refuse && r.mayRefuse(q) {
-		r.actions.Refuse(q.ID,
-			min(r.settings.MaxRetryAfter, time.Duration(retryAfterFraction*float64(q.class.Aim))))
+		r.actions.Refuse(q.ID, r.settings.RetryAfter(q.class))
 	} else {
 		r.actions.Fail(q.ID)
 	}
