Let long values take memory as they arrive

Cause: a value took memory for its whole length before its first byte was read, and kept it for as long as its client took to send: three clients with 4 MiB over 6 s hold 8 MiB of 8 MiB from their first byte on.

Now a value takes memory buffer by buffer as it arrives, and so does an answer of the origin without a length. So that values which hold a part each can't wait for one another, memory is granted by the banker's algorithm: only while there is an order in which all can become complete. A value that finds no memory in its time frees what it has. Memory is counted in whole buffers, as it is used; before, by the values' length.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -28,6 +28,9 @@
 	n    int // length of the value in bytes
 }
 
+// ChainSize returns how much memory a Chain takes that holds length bytes.
+func ChainSize(length int) int64 { return int64(length+Size-1) / Size * Size }
+
 // Len returns the length of the value in bytes.
 func (c *Chain) Len() int { return c.n }
 
--- a/internal/front/long_value.go
+++ b/internal/front/long_value.go
@@ -10,6 +10,7 @@
 	"hoptiller/internal/buffer"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/relay"
+	"hoptiller/internal/valuemem"
 )
 
 const (
@@ -39,70 +40,90 @@
 	return latest
 }
 
-// acquireMemory waits until the memory budget has size bytes for a long value. It fails with errNoMemory at the given time, and
-// also when ctx is done or when a shutdown answers all open requests as failed.
-func (f *Front) acquireMemory(ctx context.Context, size int64, until time.Time) (waited time.Duration, err error) {
-	waitCtx, cancel := context.WithDeadlineCause(ctx, until, errNoMemory)
-	defer cancel()
-	defer context.AfterFunc(f.openFailed, cancel)()
-	if waited, err = f.ValueMemory.Acquire(waitCtx, size); err != nil {
-		return waited, context.Cause(waitCtx)
-	}
-	return waited, nil
-}
-
 // longValue is the long value of a write request while it arrives.
 type longValue struct {
 	conn       *conn
 	req        *relay.Request
-	length     int    // bytes of the value
 	remaining  int    // bytes of the value that have not been read yet
 	terminator string // the part of the line end behind the value that has not been read yet
 	badEnd     bool   // something else came in place of the line end
 
-	content   *buffer.Chain // what has been read; nil if the value is discarded
-	begun     time.Time     // when the first byte was waited for
-	endsFirst time.Time     // the earliest time at which the last byte can have arrived, as far as is known
+	content  *buffer.Chain   // what has been read; nil if the value is discarded
+	memory   *valuemem.Claim // of content
+	begun    time.Time       // when the first byte was waited for; later by as long as the value has waited for memory since
+	received int             // bytes of the value that have been read
 }
 
 // newLongValue returns the value of c.longWrite, of which nothing has been read.
 func (c *conn) newLongValue() *longValue {
-	v := &longValue{conn: c, req: c.longWrite, length: c.longWriteLen, remaining: c.longWriteLen, terminator: "\r\n",
-		content: &buffer.Chain{}}
+	length := c.longWriteLen
+	v := &longValue{conn: c, req: c.longWrite, remaining: length, terminator: "\r\n", begun: time.Now(),
+		content: &buffer.Chain{}, memory: c.front.ValueMemory.NewClaim(buffer.ChainSize(length))}
 	c.longWrite = nil
-	v.endsFirst = c.reader.EarliestArrival(v.length + len(v.terminator))
 	return v
 }
 
-// acquireMemory acquires memory for the whole value, since requests that each held a part of their memory could deadlock. While
-// it waits, nothing is read, so the client has to wait as well. The whole value may have arrived unread, or may wait in the
-// client's system, and then the time of the request is running. So the wait ends in time to reject the request.
+// room returns how many more bytes the acquired memory can hold.
+func (v *longValue) room() int { return int(v.memory.Held()) - v.content.Len() }
+
+// acquireRoom acquires memory for the bytes that the next read may bring. If there is none in time, it discards the value.
+func (v *longValue) acquireRoom(ctx context.Context) error {
+	if v.content == nil || v.room() >= min(v.remaining, buffer.Size) {
+		return nil
+	}
+	err := v.acquireMemory(ctx)
+	if errors.Is(err, errNoMemory) {
+		v.free()
+		return nil
+	}
+	return err
+}
+
+// acquireMemory acquires the memory of one more buffer. It fails with errNoMemory when the request's time runs short, and also when
+// ctx is done or when a shutdown answers all open requests as failed. While it waits, nothing is read, so the client has to wait
+// as well. The rest of the value may have arrived unread, or may wait in the client's system, and then the time of the request is
+// running.
 func (v *longValue) acquireMemory(ctx context.Context) error {
-	limit := v.endsFirst.Add(time.Duration(memoryWaitFraction * float64(v.req.Timeout)))
-	waited, err := v.conn.front.acquireMemory(ctx, int64(v.length), limit)
+	mayHaveEnded := v.conn.reader.EarliestArrival(v.remaining + len(v.terminator))
+	limit := mayHaveEnded.Add(time.Duration(memoryWaitFraction * float64(v.req.Timeout)))
+	waitCtx, cancel := context.WithDeadlineCause(ctx, limit, errNoMemory)
+	defer cancel()
+	defer context.AfterFunc(v.conn.front.openFailed, cancel)()
+	waited, err := v.memory.Acquire(waitCtx, buffer.Size)
 	if waited >= minLoggedWait {
-		slog.Info("long value waited for memory", "request", string(v.req.ID), "length", v.length,
-			"waited", waited.Round(time.Millisecond), "acquired", err == nil)
+		slog.Info("long value waited for memory", "request", string(v.req.ID), "length", v.received+v.remaining,
+			"arrived", v.received, "waited", waited.Round(time.Millisecond), "acquired", err == nil)
 	}
-	return err
+	v.begun = v.begun.Add(waited)
+	if err != nil {
+		return context.Cause(waitCtx)
+	}
+	return nil
 }
 
-// free frees the memory of the value.
+// free frees the memory of the value. What is still to be read is discarded.
 func (v *longValue) free() {
 	if v.content != nil {
 		v.content.Free()
-		v.conn.front.ValueMemory.Release(int64(v.length))
+		v.content = nil
 	}
+	v.memory.Release()
 }
 
-// read reads the rest of the value and the line end behind it.
-func (v *longValue) read() error {
+// read reads the value and the line end behind it.
+func (v *longValue) read(ctx context.Context) error {
 	c := v.conn
 	c.reader.LargeReads = true
-	v.begun = time.Now()
-	for next := c.reader.Redeliver; v.remaining > 0 || v.terminator != ""; next = c.reader.Next {
+	for v.remaining > 0 || v.terminator != "" {
+		if err := v.acquireRoom(ctx); err != nil {
+			return err
+		}
+		next := c.reader.Next
+		if c.reader.Unconsumed() > 0 {
+			next = c.reader.Redeliver
+		}
 		c.mu.Lock()
-		c.pieceDeadline = nextPieceDeadline(v.begun, time.Now(), v.length-v.remaining)
+		c.pieceDeadline = nextPieceDeadline(v.begun, time.Now(), v.received)
 		c.updateReadDeadline()
 		c.mu.Unlock()
 		if err := next(v.take); err != nil {
@@ -118,12 +139,14 @@
 	return nil
 }
 
-// take takes what belongs to the value from the start of b and returns its length.
+// take takes what belongs to the value from the start of b, as far as there is room for it, and returns its length.
 func (v *longValue) take(b []byte) (used int) {
 	used = min(v.remaining, len(b))
 	if v.content != nil {
+		used = min(used, v.room())
 		v.content.Append(b[:used])
 	}
+	v.received += used
 	if v.remaining -= used; v.remaining > 0 {
 		return used
 	}
@@ -155,12 +178,7 @@
 		c.commandAnswered()
 	}()
 	releaseID := func() { c.front.releaseID(string(value.req.ID)) }
-	if err = value.acquireMemory(ctx); err != nil {
-		value.content = nil
-	}
-	if err == nil || errors.Is(err, errNoMemory) {
-		err = value.read()
-	}
+	err = value.read(ctx)
 	switch {
 	case err == nil && value.content == nil:
 		releaseID()
--- a/internal/upstream/buffered_body.go
+++ b/internal/upstream/buffered_body.go
@@ -53,29 +53,35 @@
 }
 
 // bufferBody reads the rest of a value whose length is known only at its end, because the client must be sent the
-// length first. Memory for the longest allowed value is acquired before more of the value is read; what the value did
-// not need is released when it has arrived.
+// length first. Memory is acquired as the value arrives, at most until the call's ctx is done.
 func (p *Pool) bufferBody(ctx context.Context, stream *streamBody) relay.Result {
 	const maxLen = meta.MaxLongValue
 	defer context.AfterFunc(ctx, stream.Close)()
-	if _, err := p.settings.ValueMemory.Acquire(ctx, maxLen); err != nil {
+	memory := p.settings.ValueMemory.NewClaim(buffer.ChainSize(maxLen))
+	buffered := &bufferedBody{value: &buffer.Chain{}}
+	buffered.free = func() {
+		buffered.value.Free()
+		memory.Release()
+	}
+	if _, err := memory.Acquire(ctx, buffer.Size); err != nil {
 		stream.Close()
+		buffered.free()
 		return relay.Result{Status: contextStatus(ctx)}
 	}
-	buffered := &bufferedBody{value: &buffer.Chain{}}
 	err := stream.Copy(func(part []byte) error {
-		if buffered.value.Len()+len(part) > maxLen {
+		length := buffered.value.Len() + len(part)
+		if length > maxLen {
 			return errValueTooLong
 		}
+		for memory.Held() < int64(length) {
+			if _, err := memory.Acquire(ctx, buffer.Size); err != nil {
+				return err
+			}
+		}
 		buffered.value.Append(part)
 		return nil
 	})
-	used := int64(buffered.value.Len())
-	buffered.free = func() {
-		buffered.value.Free()
-		p.settings.ValueMemory.Release(used)
-	}
-	p.settings.ValueMemory.Release(maxLen - used)
+	memory.Complete()
 	switch {
 	case err == nil && stream.call.req.Write:
 		defer buffered.free()
