End a call's wait for its turn to be written when its time is over

No operator has reported it: today calls are shared at cache servers only, and writes go to the origin wherever one is listed.

Evidence: upstream.TestCallBehindSlowWriteEndsInTime, before: "the call is still waiting, with a time of 30 ms" after 10 s. The turn is a channel now, whose wait ends with the call's own sendCtx; the call then ends as one that found no connection in time. The final check behind it is as before. go test -race -count=3 ./internal/upstream ./internal/origin: ok. Two tests that took the mutex take the turn.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +22,7 @@
 	reader       *buffer.Reader
 	lastReleased time.Time // when a call left the connection last
 
-	writeMu sync.Mutex // held while a call is queued and written
+	writeTurn chan struct{} // of capacity 1; holds a value while a call is queued and written
 
 	// The fields below are guarded by pool.mu.
 	load            int            // number of calls that use the connection or are about to
--- a/internal/upstream/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -112,7 +112,7 @@
 		t.Fatal(err)
 	}
 	s := p.servers[1]
-	c = &conn{Conn: nc, pool: p, server: s, reader: reader, answered: true, load: 1}
+	c = &conn{Conn: nc, pool: p, server: s, reader: reader, answered: true, writeTurn: make(chan struct{}, 1), load: 1}
 	p.connCount, s.conns = 1, []*conn{c}
 	return p, c, server
 }
@@ -195,7 +195,7 @@
 			testprog.Await(t, received, "first call")
 			var c *conn
 			until(t, p, "the first call is in flight", func(s *server) bool { c = s.conns[0]; return c.load == 1 })
-			c.writeMu.Lock() // as another call does while it is written
+			c.writeTurn <- struct{}{} // as another call does while it is written
 			sendCtx, disconnect := context.WithCancel(t.Context())
 			result := make(chan relay.Result, 1)
 			go func() { result <- p.Call(sendCtx, ctx, 1, readRequest("02")) }()
@@ -206,7 +206,7 @@
 			} else {
 				disconnect()
 			}
-			c.writeMu.Unlock()
+			c.endWriteTurn()
 			if r := testprog.Await(t, result, "end of the call"); r.Status != hoptiller.NotSent {
 				t.Errorf("the call ended with status %d", r.Status)
 			}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -82,7 +82,8 @@
 		p.observe(s, false)
 	}
 	if d.err = err; err == nil {
-		c := &conn{Conn: nc, pool: p, server: s, host: s.Name, addr: addr, opened: time.Now(), reader: reader, load: 1}
+		c := &conn{Conn: nc, pool: p, server: s, host: s.Name, addr: addr, opened: time.Now(), reader: reader,
+			writeTurn: make(chan struct{}, 1), load: 1}
 		d.conn, s.conns = c, append(s.conns, c)
 		go c.readLoop()
 		if d.abandoned {
--- a/internal/upstream/final_check_test.go
+++ b/internal/upstream/final_check_test.go
@@ -130,6 +130,40 @@
 	expectNothing(t, server)
 }
 
+// Guards against a call that waits to be written, behind a long one that its server reads slowly, until long after its own time.
+func TestCallBehindSlowWriteEndsInTime(t *testing.T) {
+	p, c, _ := idleConn(t)
+	c.load++
+	fill(t, c.Conn)
+	firstCtx, endFirst := context.WithCancel(callContext(t))
+	first := make(chan hoptiller.Status, 1)
+	go func() {
+		_, status := c.send(firstCtx, firstCtx, &pendingCall{req: readRequest("01"), result: make(chan relay.Result, 1)})
+		first <- status
+	}()
+	until(t, p, "the first call is being written", func(*server) bool { return len(c.pending) == 1 })
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	second := make(chan hoptiller.Status, 1)
+	go func() {
+		_, status := c.send(ctx, ctx, &pendingCall{req: readRequest("02"), result: make(chan relay.Result, 1)})
+		second <- status
+	}()
+	select {
+	case status := <-first:
+		t.Fatalf("the first call has ended with %v", status)
+	case status := <-second:
+		if status != hoptiller.ConnectFailed {
+			t.Errorf("status %v", status)
+		}
+	case <-time.After(testprog.WaitTimeout / 3):
+		t.Error("the call is still waiting, with a time of 30 ms")
+	}
+	endFirst()
+	testprog.Await(t, first, "end of the first call")
+	until(t, p, "no call is left", func(*server) bool { return c.load == 0 && len(c.pending) == 0 })
+}
+
 // callContext returns a context that leaves enough time for a call.
 func callContext(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), testprog.WaitTimeout)
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -15,8 +15,11 @@
 // with status OK, and another connection may be tried. If the write fails, the status says how: the server cannot have
 // begun the call until the last byte is written.
 func (c *conn) send(sendCtx, ctx context.Context, call *pendingCall) (sent bool, status hoptiller.Status) {
-	c.writeMu.Lock() // calls are queued in the order in which they are written
-	defer c.writeMu.Unlock()
+	if !c.awaitWriteTurn(sendCtx) { // calls are queued in the order in which they are written
+		c.releaseUnsent()
+		return false, unsentStatus(sendCtx)
+	}
+	defer c.endWriteTurn()
 	sendBy, _ := sendCtx.Deadline()
 	c.SetWriteDeadline(sendBy)
 	buf := buffer.Get()
@@ -45,6 +48,27 @@
 	return false, hoptiller.ConnectFailed
 }
 
+// awaitWriteTurn waits until no other call is being written on the connection, and reports whether that was before sendCtx was done.
+// Another call may take long: its value may be long and its server slow, and it may have more time than this one.
+func (c *conn) awaitWriteTurn(sendCtx context.Context) bool {
+	select {
+	case c.writeTurn <- struct{}{}:
+		return true
+	case <-sendCtx.Done():
+		return false
+	}
+}
+
+// endWriteTurn lets the next call be written.
+func (c *conn) endWriteTurn() { <-c.writeTurn }
+
+// releaseUnsent removes a call that was not queued from the connection's load.
+func (c *conn) releaseUnsent() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.release()
+}
+
 // enqueue queues a call that is about to be written, and reports whether the connection can still carry it. The call
 // is queued before it is written, so that its answer finds it.
 func (c *conn) enqueue(call *pendingCall) (queued bool) {
--- a/internal/upstream/time_left_test.go
+++ b/internal/upstream/time_left_test.go
@@ -68,14 +68,14 @@
 			testprog.Await(t, received, "first attempt")
 			var conn *conn
 			until(t, p, "the first attempt is in flight", func(s *server) bool { conn = s.conns[0]; return conn.load == 1 })
-			conn.writeMu.Lock() // as another attempt does while it is written
+			conn.writeTurn <- struct{}{} // as another attempt does while it is written
 			go p.Call(ctx, ctx, 1, request)
 			until(t, p, "the second attempt has its connection", func(*server) bool { return conn.load == 2 })
 			timer := time.NewTimer(delay)
 			<-timer.C
 			end, _ := ctx.Deadline()
 			maxLeft := time.Until(end)
-			conn.writeMu.Unlock()
+			conn.endWriteTurn()
 			if line := testprog.Await(t, received, "second attempt"); statedTime(line) < 0 || statedTime(line) > maxLeft {
 				t.Errorf("%q, but %v are left", line, maxLeft)
 			}
