Bound a request's wait in all queues of the operator's file by its own time

Cause: each queue's wait is bounded by its own maximum, and nothing looks at the request's time (middleware.Handler.awaitDecision). Now the queues together may take three quarters of the request's time, counted from its last byte; the rest is left for an attempt.

Failed before, on: middleware.TestQueuesTogetherEndWithinRequestTime (no answer within 30 s with a time of 0.2 s). Passes now, 3 of 3 under -race. Two requests of TestQueue had no time at all and state a minute now.

--- a/internal/admission/middleware/middleware.go
+++ b/internal/admission/middleware/middleware.go
@@ -81,7 +81,7 @@
 	}
 	id := h.lastID.Add(1)
 	arrival := time.Since(h.start)
-	decision := h.admit(ctx, arrival, id, constraints)
+	decision := h.admit(ctx, arrival, id, constraints, h.latestAdmission(req))
 	if decision.Verdict == limit.Rejected {
 		h.onReject(decision.Limit)
 		return relay.Answer{Kind: hoptiller.StepReject, RetryAfter: decision.RetryAfter}
@@ -99,9 +99,18 @@
 	return answer
 }
 
-// admit waits until a request is admitted or rejected.
+// maxQueueFraction is the part of its time that a request may spend in queues. The rest is left for an attempt.
+const maxQueueFraction = 0.75
+
+// latestAdmission returns the time since the start of the Handler until which a request may wait in all its queues together.
+// Each queue has a maximum wait of its own, but a request may pass several, and its client's time may be shorter.
+func (h *Handler) latestAdmission(req *relay.Request) time.Duration {
+	return req.Arrived.Sub(h.start) + time.Duration(maxQueueFraction*float64(req.Timeout))
+}
+
+// admit waits until a request is admitted or rejected, but not beyond latest.
 func (h *Handler) admit(
-	ctx context.Context, now time.Duration, id uint64, constraints *admission.Constraints,
+	ctx context.Context, now time.Duration, id uint64, constraints *admission.Constraints, latest time.Duration,
 ) admission.Decision {
 	h.mu.Lock() // held so that a decision on a request that waits always finds its channel
 	decision, others := h.controller.Admit(now, id, constraints)
@@ -116,6 +125,7 @@
 		return decision
 	}
 	for decision.Verdict == limit.Queued {
+		decision.WaitUntil = min(decision.WaitUntil, latest)
 		decision = h.awaitDecision(ctx, id, decision, decisions)
 	}
 	h.mu.Lock()
--- a/internal/admission/middleware/middleware_test.go
+++ b/internal/admission/middleware/middleware_test.go
@@ -68,6 +68,58 @@
 	testprog.Eventually(t, fmt.Sprint(n, " wait"), func() bool { _, waiting := h.Counts(); return waiting == n })
 }
 
+const twoQueuesPlan = `limits {
+	concurrency 1
+	queue 9 for 50s
+}
+policy p {
+	concurrency 1
+	queue 9 for 50s
+}
+policy other {
+	concurrency 1
+	queue 9 for 50s
+}
+route r {
+	policy p
+}
+route s {
+	key "s*"
+	policy other
+}
+`
+
+// Guards against a request that waits in its route's queue and then in that of all routes until after its client's time, since
+// each queue has a maximum wait of its own.
+func TestQueuesTogetherEndWithinRequestTime(t *testing.T) {
+	t.Parallel()
+	h, fake, rejections := newHandler(t, twoQueuesPlan)
+	answers := make(chan relay.Answer, 3)
+	serve := func(key string, timeout time.Duration) {
+		answers <- h.Serve(context.Background(), &relay.Request{Key: []byte(key), Arrived: time.Now(), Timeout: timeout})
+	}
+	go serve("s1", time.Minute) // holds the only slot of all routes
+	testprog.Await(t, fake.arrived, "request at the relay")
+	go serve("k1", time.Minute) // waits for that slot, and holds the only one of its route
+	awaitWaiting(t, h, 1)
+	const timeout = 200 * time.Millisecond
+	started := time.Now()
+	go serve("k2", timeout)
+	if answer := testprog.Await(t, answers, "answer to the request with little time"); answer.Kind != hoptiller.StepReject {
+		t.Errorf("%+v", answer)
+	}
+	if waited := time.Since(started); waited > timeout+500*time.Millisecond {
+		t.Errorf("rejected after %v, with a time of %v", waited, timeout)
+	}
+	testprog.Await(t, rejections, "limit that rejects")
+	for range 2 {
+		fake.proceed <- true
+	}
+	for range 2 {
+		testprog.Await(t, answers, "answer")
+	}
+}
+
 // One request is admitted, the next waits until the first is answered, the third is rejected at once.
 func TestQueue(t *testing.T) {
 	h, fake, rejections := newHandler(t, fmt.Sprintf(oneSlotPlan, "50s"))
@@ -79,7 +131,7 @@
 	testprog.Await(t, fake.arrived, "request at the relay")
 	go serve(context.Background())
 	awaitWaiting(t, h, 1)
-	if a := h.Serve(context.Background(), &relay.Request{}); a.Kind != hoptiller.StepReject || a.RetryAfter <= 0 ||
+	if a := h.Serve(context.Background(), &relay.Request{Arrived: time.Now(), Timeout: time.Minute}); a.Kind != hoptiller.StepReject || a.RetryAfter <= 0 ||
 		testprog.Await(t, rejections, "limit that rejects") != "concurrency of route r" {
 		t.Errorf("%+v", a)
 	}
@@ -103,7 +155,7 @@
 	cancel()
 	testprog.Await(t, answers, "answer")
 	h.SetPlan(load(t, fmt.Sprintf(oneSlotPlan, "2ms")))
-	if a := h.Serve(context.Background(), &relay.Request{}); a.Kind != hoptiller.StepReject ||
+	if a := h.Serve(context.Background(), &relay.Request{Arrived: time.Now(), Timeout: time.Minute}); a.Kind != hoptiller.StepReject ||
 		testprog.Await(t, rejections, "limit that rejects") != "queue of route r" {
 		t.Errorf("%+v", a)
 	}
