Make clients read a value that is held in memory at a minimum rate

A client that takes 16 KiB in 10 s keeps 4 MiB for 43 minutes, and with two of them a router with 32 MB has no memory for any other long write. Clients that send have had a minimum rate of 64 KiB a second after the first seconds; those that read had none.

Now a value that holds memory must be read at that rate on average, apart from the first 10 s. One that is passed on as it comes holds no memory, and its client may read as slowly as before.

Failed before: front.TestSlowReaderOfHeldValueMustKeepMinRate/held ("a byte extends the deadline by 30.221263ms", with the change of protocol.go taken out). Passes now, 5 of 5 under -race; upstream, origin, relay and front: ok.

--- a/internal/front/long_value.go
+++ b/internal/front/long_value.go
@@ -15,7 +15,7 @@
 
 const (
 	pieceTimeout = 6 * time.Second // for the next piece of a long value to arrive
-	minRate      = 64 << 10        // bytes a second that must arrive on average, apart from the first pieceTimeout
+	minRate      = 64 << 10        // bytes a second that clients must send or read on average of a value that holds memory
 
 	// memoryWaitFraction is the part of its time that a request may wait for memory. A rejection within half of the time costs
 	// a client nothing, and the other half is left to read the value and to make an attempt.
@@ -29,12 +29,13 @@
 	errBadTerminator = errors.New("a long value is not followed by a line end")
 )
 
-// nextPieceDeadline returns the time by which the next piece of a value must arrive. Each piece extends the deadline, but
-// only as far as minRate allows: a client that sends a single byte now and then would otherwise hold its memory for hours
-// and block all requests that wait for memory.
-func nextPieceDeadline(begun, now time.Time, received int) time.Time {
-	latest := begun.Add(pieceTimeout + time.Duration(received)*time.Second/minRate)
-	if deadline := now.Add(pieceTimeout); deadline.Before(latest) {
+// nextPieceDeadline returns the time by which a client must have sent or read the next piece of a value, of which it has sent or read
+// transferred bytes since begun. Each piece extends the deadline by timeout, but only as far as minRate allows, apart from the first
+// timeout: a client that sends or reads a single byte now and then would otherwise hold its memory for hours and block all requests
+// that wait for memory.
+func nextPieceDeadline(begun, now time.Time, transferred int, timeout time.Duration) time.Time {
+	latest := begun.Add(timeout + time.Duration(transferred)*time.Second/minRate)
+	if deadline := now.Add(timeout); deadline.Before(latest) {
 		return deadline
 	}
 	return latest
@@ -123,7 +124,7 @@
 			next = c.reader.Redeliver
 		}
 		c.mu.Lock()
-		c.pieceDeadline = nextPieceDeadline(v.begun, time.Now(), v.received)
+		c.pieceDeadline = nextPieceDeadline(v.begun, time.Now(), v.received, pieceTimeout)
 		c.updateReadDeadline()
 		c.mu.Unlock()
 		if err := next(v.take); err != nil {
--- a/internal/front/long_value_test.go
+++ b/internal/front/long_value_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -103,7 +104,7 @@
 	begun, late := time.Now(), 5*time.Second
 	for received, want := range map[int]time.Duration{5: pieceTimeout, minRate: pieceTimeout + time.Second,
 		meta.MaxLongValue: late + pieceTimeout} {
-		if deadline := nextPieceDeadline(begun, begun.Add(late), received).Sub(begun).Round(time.Millisecond); deadline != want {
+		if deadline := nextPieceDeadline(begun, begun.Add(late), received, pieceTimeout).Sub(begun).Round(time.Millisecond); deadline != want {
 			t.Errorf("%d bytes after %v: %v, want %v", received, late, deadline, want)
 		}
 	}
@@ -184,3 +185,76 @@
 		})
 	}
 }
+
+// pieceBody is a long value of two pieces of one byte, of which the second comes later than the first.
+type pieceBody struct{ holdsMemory bool }
+
+const pieceDelay = 30 * time.Millisecond
+
+func (b pieceBody) Len() int          { return 2 }
+func (b pieceBody) HoldsMemory() bool { return b.holdsMemory }
+func (b pieceBody) Close()            {}
+func (b pieceBody) Copy(write func(piece []byte) error) error {
+	if err := write([]byte("a")); err != nil {
+		return err
+	}
+	<-time.After(pieceDelay)
+	return write([]byte("b"))
+}
+
+// bodyServer answers each request with a body.
+type bodyServer struct{ body relay.Body }
+
+func (s bodyServer) Serve(context.Context, *relay.Request) relay.Answer {
+	return relay.Answer{Kind: hoptiller.StepServed, Body: s.body}
+}
+
+// deadlineListener passes the write deadlines of the connections that it accepts to deadlines.
+type deadlineListener struct {
+	net.Listener
+	deadlines chan time.Time
+}
+
+// deadlineConn is a connection that passes its write deadlines to deadlines.
+type deadlineConn struct {
+	*net.TCPConn
+	deadlines chan time.Time
+}
+
+func (l deadlineListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return deadlineConn{conn.(*net.TCPConn), l.deadlines}, nil
+}
+
+func (c deadlineConn) SetWriteDeadline(deadline time.Time) error {
+	c.deadlines <- deadline
+	return c.TCPConn.SetWriteDeadline(deadline)
+}
+
+// Guards against a client that reads a value a byte now and then and holds its memory for most of an hour: such a client must keep
+// minRate, while one whose value holds no memory may read as slowly as it likes, if only it reads on.
+func TestSlowReaderOfHeldValueMustKeepMinRate(t *testing.T) {
+	t.Parallel()
+	for name, body := range map[string]pieceBody{"held": {true}, "streamed": {false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			deadlines := make(chan time.Time, 99)
+			f := &Front{MaxConns: 9, MaxOpenRequests: 9, Server: bodyServer{body}}
+			conn := startWithListener(t, f, func(l net.Listener) net.Listener { return deadlineListener{l, deadlines} })()
+			fmt.Fprint(conn, "mg k v O1 Pc=read,d=900\r\n")
+			answer := make([]byte, len("VA 2 O1\r\nab\r\n"))
+			if _, err := io.ReadFull(conn, answer); string(answer) != "VA 2 O1\r\nab\r\n" {
+				t.Fatalf("%q, %v", answer, err)
+			}
+			<-deadlines // of the head
+			first := testprog.Await(t, deadlines, "deadline of the first piece")
+			second := testprog.Await(t, deadlines, "deadline of the second piece")
+			if extended := second.Sub(first) >= pieceDelay; extended == body.holdsMemory {
+				t.Errorf("a byte extends the deadline by %v", second.Sub(first))
+			}
+		})
+	}
+}
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -278,10 +278,14 @@
 	if !c.write(meta.AppendValueHead(nil, id, body.Len())) {
 		return false
 	}
-	written := 0
+	begun, written := time.Now(), 0
 	var unwritable error
 	if err := body.Copy(func(piece []byte) error {
-		c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		deadline := time.Now().Add(writeTimeout)
+		if body.HoldsMemory() {
+			deadline = nextPieceDeadline(begun, time.Now(), written, writeTimeout)
+		}
+		c.SetWriteDeadline(deadline)
 		n, err := c.Write(piece)
 		written, unwritable = written+n, err
 		return err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,6 +73,8 @@
 type Body interface {
 	// Len returns the announced length of the value in bytes.
 	Len() int
+	// HoldsMemory reports whether the complete value is held in memory until it is copied or closed.
+	HoldsMemory() bool
 	// Copy passes the value to write in pieces, reading no faster than write accepts them. If it returns an error,
 	// the value is incomplete.
 	Copy(write func(piece []byte) error) error
--- a/internal/upstream/buffered_body.go
+++ b/internal/upstream/buffered_body.go
@@ -28,6 +28,9 @@
 // Len implements relay.Body.
 func (b *bufferedBody) Len() int { return b.value.Len() }
 
+// HoldsMemory implements relay.Body.
+func (b *bufferedBody) HoldsMemory() bool { return true }
+
 // Copy implements relay.Body.
 func (b *bufferedBody) Copy(write func(piece []byte) error) error {
 	if !b.claimed.CompareAndSwap(false, true) {
--- a/internal/upstream/stream_body.go
+++ b/internal/upstream/stream_body.go
@@ -32,6 +32,9 @@
 // Len implements relay.Body.
 func (b *streamBody) Len() int { return b.length }
 
+// HoldsMemory implements relay.Body.
+func (b *streamBody) HoldsMemory() bool { return false }
+
 // Copy implements relay.Body. It reads from the connection no faster than write accepts the pieces.
 func (b *streamBody) Copy(write func(piece []byte) error) (err error) {
 	defer func() { b.finish(err) }()
