--- a/internal/origin/endless_test.go
+++ b/internal/origin/endless_test.go
@@ -54,3 +54,39 @@
 		})
 	}
 }
+
+// A chunked answer arrives while other values hold all memory. Its call waits for memory no longer than its own time, and holds
+// none afterwards; a call that finds memory within its time gets its value.
+func TestAnswerWaitsForMemoryWithinItsTime(t *testing.T) {
+	t.Parallel()
+	value := strings.Repeat("x", 2*meta.MaxShortValue)
+	p, memory := serve(t, 0, func(conn *net.TCPConn, _ string) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(value), value)
+		return true
+	})
+	all := memory.NewClaim(meta.MaxLongValue)
+	if _, err := all.Acquire(t.Context(), meta.MaxLongValue); err != nil {
+		t.Fatal(err)
+	}
+	call := func(timeout time.Duration) <-chan relay.Result {
+		ended := make(chan relay.Result, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		t.Cleanup(cancel)
+		go func() { ended <- p.Call(ctx, ctx, 1, &relay.Request{Key: []byte("k"), ID: []byte("1")}) }()
+		return ended
+	}
+	if r := testprog.Await(t, call(200*time.Millisecond), "end of the call without memory"); r.Status != hoptiller.Timeout {
+		t.Errorf("without memory: status %d", r.Status)
+	}
+	ended := call(testprog.WaitTimeout)
+	testprog.Eventually(t, "the answer waits for memory", func() bool { return memory.Summary().Waiting == 1 })
+	all.Release()
+	r := testprog.Await(t, ended, "end of the call that finds memory")
+	if r.Status != hoptiller.OK || r.Body == nil || r.Body.Len() != len(value) {
+		t.Fatalf("%+v", r)
+	}
+	r.Body.Close()
+	if held := memory.Summary().Held; held != 0 {
+		t.Errorf("%d bytes are still held", held)
+	}
+}
