Let clients send long values slowly in a drill and in the soak

New: the step slow_writes (clients send long values slowly, never the last byte), load.long_writes (the share of writes with a long value), router_mb. Steps that connect clients end only their own ones.

--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -67,13 +67,19 @@
 	program     string
 	driverWaits sync.WaitGroup
 
-	mu             sync.Mutex
-	currentDriver  *os.Process   // the latest process that drives the release; nil if there is none
-	drivers        []*os.Process // all processes of release commands
-	proxies        map[proxyKey][]*faultproxy.StreamProxy
-	streamFaults   map[proxyKey]faultproxy.StreamFaults // current faults, with which new proxies begin
-	closeIdleConns map[int]func()                       // by router: closes its idle connections
-	control        standin.Control
+	mu            sync.Mutex
+	currentDriver *os.Process   // the latest process that drives the release; nil if there is none
+	drivers       []*os.Process // all processes of release commands
+	proxies       map[proxyKey][]*faultproxy.StreamProxy
+	streamFaults  map[proxyKey]faultproxy.StreamFaults // current faults, with which new proxies begin
+	disconnect    map[stepTarget]func()                // ends the connections of a step's clients to a router
+	control       standin.Control
+}
+
+// stepTarget is one of the routers that a step is applied to.
+type stepTarget struct {
+	router int
+	step   *Step
 }
 
 // proxyKey names the proxies of one router for one party.
@@ -93,7 +99,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := &player{drill: f, timeline: &Timeline{}, proxies: map[proxyKey][]*faultproxy.StreamProxy{},
-		streamFaults: map[proxyKey]faultproxy.StreamFaults{}, closeIdleConns: map[int]func(){}}
+		streamFaults: map[proxyKey]faultproxy.StreamFaults{}, disconnect: map[stepTarget]func(){}}
 	defer p.close()
 	if err := p.writeFiles(); err != nil {
 		return nil, err
@@ -303,7 +309,9 @@
 			p.pauseRepeatedly(i, s, control)
 		}
 	case "crowd":
-		p.setIdleConns(i, s, on, control)
+		p.setClients(i, s, on, func() (release func()) { return control.OpenIdleConns(i, s.IdleConns) })
+	case "slow_writes":
+		p.setClients(i, s, on, func() (release func()) { return control.OpenSlowWrites(i, s.Writers, s.Duration.Std()/2) })
 	case "call":
 		if on {
 			go p.post(i, expandCacheNames(s.Path, control.CacheName))
--- a/internal/lab/drill/process.go
+++ b/internal/lab/drill/process.go
@@ -62,13 +62,14 @@
 	next()
 }
 
-// setIdleConns opens the step's idle connections to a router, or closes them if on is false.
-func (p *player) setIdleConns(router int, s *Step, on bool, control standin.Control) {
+// setClients connects a step's clients to a router by calling open, or disconnects them if on is false.
+func (p *player) setClients(router int, s *Step, on bool, open func() (release func())) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	key := stepTarget{router, s}
 	if on {
-		p.closeIdleConns[router] = control.OpenIdleConns(router, s.IdleConns)
-	} else if release := p.closeIdleConns[router]; release != nil {
+		p.disconnect[key] = open()
+	} else if release := p.disconnect[key]; release != nil {
 		release()
 	}
 }
--- a/internal/lab/drill/soak.go
+++ b/internal/lab/drill/soak.go
@@ -16,6 +16,10 @@
 	soakMeanBytes      = 40_000 // mean bytes of a value on days with long ones; routers stream values over 64 KiB
 	soakUnsizedShare   = 0.2    // fraction of the origin's values without a stated length on days with long values
 	soakIdleConns      = 900    // idle connections of a crowd; a process has 1,024 descriptors
+	soakMemoryMB       = 32     // memory of each router on days with slow writes, a quarter of it for long values
+	soakSlowWriters    = 6      // clients of one step of slow writes; their values take more memory than there is
+	soakLongWriteShare = 0.9    // fraction of the writes with a long value on these days
+	soakWriteFactor    = 4      // by which writes are more frequent on these days
 	soakMinDeadline    = 0.4    // lower bound of all classes' deadlines, in seconds
 	soakMaxUnserved    = 0.55   // fraction of the requested worth that routers may leave unserved
 	soakMaxUnexplained = 0.02   // fraction of the accepted requests that may fail for no reason but their router
@@ -42,6 +46,7 @@
 	}
 	f.Steps = withoutOverlaps(f.Steps)
 	f.Day.Faults = append(soakCacheFaults(r), soakRepetition(r)...)
+	addSlowWrites(r, f)
 	f.Claims = []Claim{{Kind: "rules"}, {Kind: "alive"}, {Kind: "ready", Within: seconds(6)}, {Kind: "unserved",
 		MaxShare: soakMaxUnserved},
 		{Kind: "unexplained", MaxShare: soakMaxUnexplained}}
@@ -125,6 +130,24 @@
 	return []model.Fault{{Kind: "surplus", At: seconds(1), Duration: seconds(soakLength), Severity: r.Float64()}}
 }
 
+// addSlowWrites makes a part of the writes long on half of the days, and lets clients that send long values slowly take up a router's
+// memory for them meanwhile.
+func addSlowWrites(r *rand.Rand, f *File) {
+	if r.IntN(2) == 0 {
+		return
+	}
+	f.Day.RouterMemoryMB, f.Day.Load.LongWriteShare = soakMemoryMB, soakLongWriteShare
+	for i := range f.Day.Classes {
+		if c := &f.Day.Classes[i]; c.Write {
+			c.Share *= soakWriteFactor
+		}
+	}
+	for range 2 {
+		f.Steps = append(f.Steps, Step{Kind: "slow_writes", At: seconds(2 + r.Float64()*15), Duration: seconds(4 + r.Float64()*6),
+			Routers: []int{r.IntN(f.Day.Routers)}, Writers: soakSlowWriters})
+	}
+}
+
 // stopsProcess reports whether a step ends a process.
 func stopsProcess(s Step) bool { return s.Kind == "restart" || s.Kind == "kill" }
 
--- a/internal/lab/model/day.go
+++ b/internal/lab/model/day.go
@@ -13,10 +13,13 @@
 	WarmUp unit.Duration `toml:"warm"` // warm-up before the measured time, not counted; the origin cannot collapse in it
 	// FillCaches stores keys in the caches at the start, each where a router would request it. Large fleets do not
 	// warm up within seconds.
-	FillCaches    bool          `toml:"fill"`
-	Length        unit.Duration `toml:"length"`  // measured time
-	Routers       int           `toml:"routers"` // distributed evenly over the zones
-	Zones         int           `toml:"zones"`
+	FillCaches bool          `toml:"fill"`
+	Length     unit.Duration `toml:"length"`  // measured time
+	Routers    int           `toml:"routers"` // distributed evenly over the zones
+	Zones      int           `toml:"zones"`
+	// RouterMemoryMB is the memory that each router's configuration states, in MB; 0: that of a usual router.
+	RouterMemoryMB int `toml:"router_mb,omitempty"`
+
 	EventInterval unit.Duration `toml:"round"` // minimum time between batches of a router's events; 0 handles each event at once
 
 	Fleet      Fleet             `toml:"fleet"`
@@ -103,19 +106,22 @@
 
 // Load describes the requests of the clients.
 type Load struct {
-	Level    float64       `toml:"level"` // mean load as a share of the fleet's capacity; 0 means no requests
-	Shape    string        `toml:"shape"` // steady, wave or bursty
-	Swing    float64       `toml:"swing"`
-	Period   unit.Duration `toml:"period"`
-	Keys     int           `toml:"keys"` // number of keys per slot cache
-	Zipf     float64       `toml:"zipf"`
-	Offset   float64       `toml:"offset"`
-	Drift    float64       `toml:"drift"`     // share of the keys that change their rank each second
-	Sizes    float64       `toml:"sizes"`     // sigma of the lognormal object sizes
-	Bytes    int           `toml:"bytes"`     // mean size of a value, on sockets
-	SizeWork float64       `toml:"size_work"` // share of a read's work that is proportional to the size of its object
-	ZoneSkew float64       `toml:"zone_skew"`
-	Tenants  int           `toml:"tenants"`
+	Level  float64       `toml:"level"` // mean load as a share of the fleet's capacity; 0 means no requests
+	Shape  string        `toml:"shape"` // steady, wave or bursty
+	Swing  float64       `toml:"swing"`
+	Period unit.Duration `toml:"period"`
+	Keys   int           `toml:"keys"` // number of keys per slot cache
+	Zipf   float64       `toml:"zipf"`
+	Offset float64       `toml:"offset"`
+	Drift  float64       `toml:"drift"` // share of the keys that change their rank each second
+	Sizes  float64       `toml:"sizes"` // sigma of the lognormal object sizes
+	Bytes  int           `toml:"bytes"` // mean size of a value, on sockets
+	// LongWriteShare is the share of the writes, on sockets, whose values are too long for a router to read at once.
+	LongWriteShare float64 `toml:"long_writes,omitempty"`
+
+	SizeWork float64 `toml:"size_work"` // share of a read's work that is proportional to the size of its object
+	ZoneSkew float64 `toml:"zone_skew"`
+	Tenants  int     `toml:"tenants"`
 }
 
 // Class is one class of request.
@@ -218,6 +224,7 @@
 		{"load.level", d.Load.Level, 0, 10}, {"load.swing", d.Load.Swing, 0, 1}, {"load.keys", float64(d.Load.Keys), 1, 1e5},
 		{"load.zipf", d.Load.Zipf, 0, 3}, {"load.offset", d.Load.Offset, 0, 1e6}, {"load.drift", d.Load.Drift, 0, 1},
 		{"load.sizes", d.Load.Sizes, 0, 3}, {"load.bytes", float64(d.Load.Bytes), 1, 1 << 20},
+		{"load.long_writes", d.Load.LongWriteShare, 0, 1}, {"router_mb", float64(d.RouterMemoryMB), 0, 1 << 20},
 		{"load.size_work", d.Load.SizeWork, 0, 1}, {"load.zone_skew", d.Load.ZoneSkew, 0, 1},
 		{"load.tenants", float64(d.Load.Tenants), 1, 1e5}, {"load.period", d.Load.Period.Seconds(), 0.1, 86400},
 		{"clients.retries", float64(d.Clients.Retries), 0, 10}, {"clients.honour", d.Clients.HonourShare, 0, 1},
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -200,7 +200,8 @@
 	}
 	command := fmt.Sprintf("mg %s v O%s %s\r\n", formatKey(op.Key), request.id, facts)
 	if op.Write {
-		command = fmt.Sprintf("ms %s 2 O%s %s\r\nhi\r\n", formatKey(op.Key), request.id, facts)
+		value := n.engine.writtenValue(op)
+		command = fmt.Sprintf("ms %s %d O%s %s\r\n%s\r\n", formatKey(op.Key), len(value), request.id, facts, value)
 	}
 	if _, err := io.WriteString(conn.socket, command); err != nil {
 		return 0, 0, err
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -91,6 +91,9 @@
 	KillTerminated(router int)
 	// OpenIdleConns opens idle connections to a router and closes them when release is called.
 	OpenIdleConns(router, connections int) (release func())
+	// OpenSlowWrites lets clients send a write of the longest value each to a router, over a time. They never send its last byte
+	// and disconnect when release is called.
+	OpenSlowWrites(router, writers int, over time.Duration) (release func())
 	Start(router int)
 	// Replace terminates a router's process and starts another one of the given variant when it has ended.
 	// Then it calls done with the error, if any.
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -66,6 +67,8 @@
 	return set
 }
 
+const usualMemoryMB = 192 // of a router, unless the day states another figure
+
 // prepareConfig writes the configuration file for the router and records a new incarnation.
 func (n *routerNode) prepareConfig() (string, error) {
 	e := n.engine
@@ -87,7 +90,7 @@
 	configuration := map[string]any{
 		"name": fmt.Sprintf("n%d", n.index), "listen": n.addr, "discovery": n.discoveryAddr,
 		"seed":   fmt.Sprintf("%016x", e.day.Seed+uint64(n.index)),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"limits": map[string]any{"cores": 1, "memory_mb": cmp.Or(e.day.RouterMemoryMB, usualMemoryMB), "sockets": 1024},
 		"known":  known, "settings": n.settings(n.variant),
 	}
 	if e.options.Peers != nil {
