Begin nothing in a release while its driver does not hold the lease

Cause: Run.fleetFault halts a release once the lease has been lost for 15 s, and until then Run.Update went on as if it was held.

Now Update starts neither drains nor replacements nor waves without the lease, goes on when it is back, and halts after the grace as before. Replacements that have begun may still finish.

--- a/internal/fleet/release/release.go
+++ b/internal/fleet/release/release.go
@@ -301,7 +301,8 @@
 	return actions
 }
 
-// Update decides what to do in the current state of the fleet. The driver calls it about once a second.
+// Update decides what to do in the current state of the fleet. The driver calls it about once a second. Nothing is started while
+// this driver does not hold the release lease.
 func (r *Run) Update(now time.Duration, fleet *FleetState) (actions []Action) {
 	r.now = now
 	if r.ended {
@@ -314,6 +315,9 @@
 	if haltReason := r.fleetFault(fleet); haltReason != "" {
 		return append(actions, r.halt(haltReason)...)
 	}
+	if !fleet.LeaseHeld { // another driver may begin what is due
+		return actions
+	}
 	pending := r.pending()
 	for _, n := range pending {
 		more, haltReason := r.advance(n, fleet.Routers[n])
--- a/internal/fleet/release/release_test.go
+++ b/internal/fleet/release/release_test.go
@@ -300,6 +300,34 @@
 	}
 }
 
+// Guards against a driver that goes on for seconds after it has lost the release lease. It starts nothing without the lease, whether
+// it has lost it for a moment or for good, and goes on if it gets the lease back.
+func TestNothingStartsWithoutLease(t *testing.T) {
+	for seed := range uint64(30) {
+		fleet := newFakeFleet(12, seed)
+		r := New(0, testParams(), fleet.order(), nil)
+		fleet.runRelease(r, unlimited, time.Duration(1+seed*5)*time.Second)
+		fleet.leaseHeld = false
+		commands, before := len(fleet.commands), map[int]string{}
+		for i, router := range fleet.routers {
+			before[i] = router.PermitState
+		}
+		fleet.runRelease(r, unlimited, faultGracePeriod-2*time.Second)
+		if len(fleet.commands) > commands {
+			t.Errorf("seed %d: %d commands began without the lease", seed, len(fleet.commands)-commands)
+		}
+		for i, router := range fleet.routers {
+			if before[i] == "none" && router.PermitState != "none" {
+				t.Errorf("seed %d: router %d was asked to go out without the lease", seed, i)
+			}
+		}
+		fleet.leaseHeld = true
+		if fleet.runRelease(r, unlimited, time.Hour); !r.Ended() {
+			t.Errorf("seed %d: the release has not ended once the lease was back, halted %q", seed, r.HaltReason())
+		}
+	}
+}
+
 // TestRollbackAndResume checks that a halted release can be rolled back until all routers have their old revision, and that it
 // can be resumed.
 func TestRollbackAndResume(t *testing.T) {
