Leave the routers of a release that another driver has taken over to that driver

Evidence: TestDriverYieldsToAnother without the change: "action {Kind:1 Router:0 Record:<nil>} without the lease" (an activation). Now the halted driver only records the halt; what the lease says is a typed status, which tells a lease that another driver holds from one that nobody can be asked about. In the second case routers are returned to service as before (TestHalts, unchanged).

--- a/internal/fleet/release/release.go
+++ b/internal/fleet/release/release.go
@@ -44,6 +44,7 @@
 	Routers     map[int]Router
 	ViewsAgree  bool   // the routers that answered report the same view of the fleet
 	LeaseHeld   bool   // this driver holds the fleet's release lease, which one driver can hold at a time
+	LeaseTaken  bool   // another driver holds the lease
 	LeaseHolder string // description of the driver that holds the lease, or why no driver holds it
 }
 
@@ -287,6 +288,13 @@
 	return append(actions, r.reactivateDrained()...)
 }
 
+// yield halts the release because another driver has taken it over. It returns no routers to service: those that were to be drained
+// are the other driver's now, which may be replacing them.
+func (r *Run) yield(haltReason string) []Action {
+	halted := r.halt(haltReason)
+	return slices.DeleteFunc(halted, func(a Action) bool { return a.Kind == Activate })
+}
+
 // reactivateDrained returns routers to service that were to be drained and whose replacement has not begun.
 func (r *Run) reactivateDrained() (actions []Action) {
 	for _, n := range r.order {
@@ -313,6 +321,9 @@
 		return actions
 	}
 	if haltReason := r.fleetFault(fleet); haltReason != "" {
+		if fleet.LeaseTaken {
+			return append(actions, r.yield(haltReason)...)
+		}
 		return append(actions, r.halt(haltReason)...)
 	}
 	if !fleet.LeaseHeld { // another driver may begin what is due
--- a/internal/fleet/release/release_test.go
+++ b/internal/fleet/release/release_test.go
@@ -25,6 +25,7 @@
 	commandCount map[int]int           // number of commands that were run for each router
 	records      []Record
 	leaseHeld    bool         // the driver holds the release lease
+	leaseTaken   bool         // another driver holds it
 	viewsAgree   bool         // the routers' views agree
 	neverServes  map[int]bool // routers that never serve again after their replacement
 	requestRate  int          // requests per second at each router
@@ -94,7 +95,7 @@
 
 // state returns the state of the fleet as a driver observes it.
 func (f *fakeFleet) state() *FleetState {
-	s := &FleetState{Routers: map[int]Router{}, ViewsAgree: f.viewsAgree, LeaseHeld: f.leaseHeld,
+	s := &FleetState{Routers: map[int]Router{}, ViewsAgree: f.viewsAgree, LeaseHeld: f.leaseHeld, LeaseTaken: f.leaseTaken,
 		LeaseHolder: "release x is run by another"}
 	for i, router := range f.routers {
 		s.Routers[i] = *router
@@ -328,6 +329,27 @@
 	}
 }
 
+// Guards against a driver that returns routers to service which another driver, that has taken the release over, is replacing.
+func TestDriverYieldsToAnother(t *testing.T) {
+	fleet := newFakeFleet(12, 1)
+	r := New(0, testParams(), fleet.order(), nil)
+	for len(r.RoutersByStage()[AwaitingPermit]) == 0 {
+		fleet.runRelease(r, unlimited, time.Second)
+	}
+	fleet.leaseHeld, fleet.leaseTaken = false, true
+	for range 2 * faultGracePeriod / time.Second {
+		fleet.advanceSecond()
+		for _, action := range r.Update(fleet.now, fleet.state()) {
+			if action.Kind != RecordOnly {
+				t.Errorf("action %+v without the lease", action)
+			}
+		}
+	}
+	if !strings.Contains(r.HaltReason(), "release x is run by another") {
+		t.Errorf("halt reason %q", r.HaltReason())
+	}
+}
+
 // TestRollbackAndResume checks that a halted release can be rolled back until all routers have their old revision, and that it
 // can be resumed.
 func TestRollbackAndResume(t *testing.T) {
--- a/internal/fleet/rollout/driver.go
+++ b/internal/fleet/rollout/driver.go
@@ -229,18 +229,17 @@
 	// A driver counts as dead after 15 s, a lease expires in 10 s, and voters grant nothing for 10 s after their start.
 	const maxWait = 45 * time.Second
 	for start := time.Now(); ; {
-		leaseHeld, holder, _ := d.holdLease(ctx, "begins")
-		if leaseHeld {
+		lease := d.holdLease(ctx, "begins")
+		if lease.held {
 			return nil
 		}
 		// Another driver that holds the lease may be dead. If it carries out the same release, this driver waits to take over
 		// from it, unless this driver is to start the release.
-		heldByOther := strings.Contains(holder, " is run by ")
-		if (!heldByOther || mode != ModeStart && strings.Contains(holder, "release "+d.plan.Name+" ")) && time.Since(start) < maxWait {
-			reason, _, _ := strings.Cut(holder, ": ") // without the number of the permit slot, which changes
+		if (!lease.taken || mode != ModeStart && strings.Contains(lease.holder, "release "+d.plan.Name+" ")) && time.Since(start) < maxWait {
+			reason, _, _ := strings.Cut(lease.holder, ": ") // without the number of the permit slot, which changes
 			d.printOnce("waiting for the fleet's place for releases: " + reason)
 		} else {
-			return fmt.Errorf("the fleet's place for releases is not to be had: %s", holder)
+			return fmt.Errorf("the fleet's place for releases is not to be had: %s", lease.holder)
 		}
 		select {
 		case <-ctx.Done():
@@ -260,13 +259,13 @@
 
 // poll queries the fleet once, and carries out what is due.
 func (d *Driver) poll(ctx context.Context) error {
-	leaseHeld, holder, endedByOperator := d.holdLease(ctx, d.stage())
+	lease := d.holdLease(ctx, d.stage())
 	fleetState := d.fleet.state(d.fleet.queryAll(ctx))
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	fleetState.LeaseHeld, fleetState.LeaseHolder = leaseHeld, holder
-	if endedByOperator {
+	fleetState.LeaseHeld, fleetState.LeaseTaken, fleetState.LeaseHolder = lease.held, lease.taken, lease.holder
+	if lease.ended {
 		if err := d.carryOut(ctx, d.run.Stop("an operator has ended it")); err != nil {
 			return err
 		}
@@ -277,13 +276,12 @@
 		}
 	}
 	for n, action := range d.pendingReplacements {
-		if err := d.replace(n, action); err != nil {
-			return err
-		}
+		d.replace(n, action)
 	}
 	if err := d.carryOut(ctx, d.run.Update(d.now(), fleetState)); err != nil {
 		return err
 	}
+	d.dropPending(lease)
 	for n := range d.pendingActivations {
 		if status, _, err := d.fleet.post(ctx, n, "/v1/fleet/activate", nil); err == nil && status == 200 ||
 			!fleetState.Routers[n].Alive {
@@ -294,6 +292,18 @@
 	return nil
 }
 
+// dropPending forgets what a halted driver has put off and may not do any more. Replacements that were recorded and whose command
+// never ran are taken back when the release goes on here.
+func (d *Driver) dropPending(lease leaseStatus) {
+	if d.run.HaltReason() == "" || lease.held {
+		return
+	}
+	clear(d.pendingReplacements)
+	if lease.taken { // these routers are the other driver's now
+		clear(d.pendingActivations)
+	}
+}
+
 // failedCommands returns the commands that have failed since its last call.
 func (d *Driver) failedCommands() (failed []commandResult) {
 	failed, d.startFailures = d.startFailures, nil
@@ -355,9 +365,7 @@
 			d.printf("router %d: asked to serve again", action.Router)
 			d.pendingActivations[action.Router] = true
 		case release.Replace:
-			if err := d.replace(action.Router, action); err != nil {
-				return err
-			}
+			d.replace(action.Router, action)
 		case release.RecordOnly:
 			switch record := action.Record; record.Event {
 			case release.EventDone:
@@ -372,7 +380,7 @@
 
 // replace starts a router's command, or puts it off while the previous one runs. A command that cannot be started counts as
 // failed.
-func (d *Driver) replace(router int, action release.Action) error {
+func (d *Driver) replace(router int, action release.Action) {
 	words := d.plan.ReplaceCommand
 	if action.Record.Rollback {
 		words = d.plan.RollbackCommand
@@ -389,7 +397,6 @@
 		delete(d.pendingReplacements, router)
 		d.printf("router %d: %s", router, strings.Join(words, " "))
 	}
-	return nil
 }
 
 // EndRelease ends a release in the fleet, whichever driver carries it out. That driver then halts.
--- a/internal/fleet/rollout/driver_test.go
+++ b/internal/fleet/rollout/driver_test.go
@@ -194,10 +194,7 @@
 	done := make(chan error, 1)
 	go func() {
 		for n := range routers {
-			if err := d.replace(n, release.Action{Router: n, Record: &release.Record{Event: release.EventBegin, Router: n}}); err != nil {
-				done <- err
-				return
-			}
+			d.replace(n, release.Action{Router: n, Record: &release.Record{Event: release.EventBegin, Router: n}})
 		}
 		done <- nil
 	}()
@@ -221,8 +218,8 @@
 		func(w http.ResponseWriter, r *http.Request) { json.NewEncoder(w).Encode(fleetLeases) }))
 	defer s.Close()
 	d := New(&plan.Release{Name: "x", RouterAddrs: map[int]string{0: strings.TrimPrefix(s.URL, "http://")}}, io.Discard)
-	if leaseHeld, holder, _ := d.holdLease(t.Context(), "begins"); !leaseHeld {
-		t.Errorf("the lease is not held: %.80s", holder)
+	if lease := d.holdLease(t.Context(), "begins"); !lease.held {
+		t.Errorf("the lease is not held: %.80s", lease.holder)
 	}
 }
 
--- a/internal/fleet/rollout/fleet.go
+++ b/internal/fleet/rollout/fleet.go
@@ -207,21 +207,43 @@
 	return order
 }
 
+// leaseStatus is what the fleet says of the release lease.
+type leaseStatus struct {
+	held   bool   // this driver holds it
+	taken  bool   // another driver holds it
+	ended  bool   // an operator has ended the release
+	holder string // if it is not held: the driver that holds it, or why no driver does
+}
+
+// runBy is part of the refusal of a router that knows another driver to hold the lease.
+const runBy = " is run by "
+
 // holdLease acquires or renews the fleet's release lease, and announces the stage of the release with it. Logs and errors call
 // the lease the fleet's place for releases. holdLease calls the router that is known to manage the lease first, and then the
 // others one after the other.
-func (d *Driver) holdLease(ctx context.Context, stage string) (leaseHeld bool, holder string, ended bool) {
+func (d *Driver) holdLease(ctx context.Context, stage string) leaseStatus {
 	query := url.Values{"id": {d.plan.Name}, "by": {d.driverID}, "stage": {stage}}
 	if d.leaseHeld {
 		query.Set("only", "1")
 	}
-	holder = "no router answers"
-	leaseUnknown := false
-	defer func() {
-		if leaseUnknown && !leaseHeld { // acquire it anew next time, which reports any other driver that has it
-			d.leaseHeld = false
-		}
-	}()
+	status := d.callForLease(ctx, query)
+	if status.held {
+		d.leaseHeld = true
+	} else if status.unknown { // acquire it anew next time, which reports any other driver that has it
+		d.leaseHeld = false
+	}
+	return status.leaseStatus
+}
+
+// leaseAnswer is the outcome of the calls for the release lease.
+type leaseAnswer struct {
+	leaseStatus
+	unknown bool // a router does not know the lease that this driver had acquired
+}
+
+// callForLease calls routers until one of them decides on the release lease.
+func (d *Driver) callForLease(ctx context.Context, query url.Values) (result leaseAnswer) {
+	result.holder = "no router answers"
 	tried := map[int]bool{}
 	candidates := append([]int{d.leaseRouter}, d.fleet.numbers...)
 	for i := 0; i < len(candidates) && len(tried) < maxLeaseCalls; i++ {
@@ -236,33 +258,41 @@
 			continue
 		case status == http.StatusOK:
 			d.leaseRouter = router
-			var fleetLeases peers.FleetLeases
-			if json.Unmarshal([]byte(text), &fleetLeases) == nil && fleetLeases.Release != nil && fleetLeases.Release.State == "held" {
-				d.leaseHeld = true
-				return true, "", false
-			} else if fleetLeases.Release != nil {
-				return false, "requested, but " + fleetLeases.Release.Reason, false
-			}
-			return false, text, false
+			result.held, result.holder = readLease(text)
+			return result
 		case status == http.StatusGone:
-			return false, "an operator has ended it", true
+			result.ended, result.holder = true, "an operator has ended it"
+			return result
 		case status == http.StatusNotFound && d.leaseHeld:
 			// The lease expired unrenewed, for lack of a majority, or this router is new.
-			holder = "it is unknown to router " + strconv.Itoa(router)
-			leaseUnknown = true
+			result.holder = "it is unknown to router " + strconv.Itoa(router)
+			result.unknown = true
 		case status == http.StatusConflict:
-			holder = text
+			result.holder, result.taken = text, strings.Contains(text, runBy)
 			// The router that manages the lease knows whether the driver that holds it is dead.
 			if n := leaseRouterIn(text); n >= 0 && !tried[n] {
 				candidates = slices.Insert(candidates, i+1, n)
 				continue
 			}
-			return false, holder, false
+			return result
 		default:
-			holder = text
+			result.holder = text
 		}
 	}
-	return false, holder, false
+	return result
+}
+
+// readLease reads the answer of a router that manages the release lease for this driver.
+func readLease(text string) (held bool, holder string) {
+	var fleetLeases peers.FleetLeases
+	err := json.Unmarshal([]byte(text), &fleetLeases)
+	switch {
+	case err != nil || fleetLeases.Release == nil:
+		return false, text
+	case fleetLeases.Release.State == "held":
+		return true, ""
+	}
+	return false, "requested, but " + fleetLeases.Release.Reason
 }
 
 // leaseRouterIn returns the router that a refusal names as the one that manages the lease, or a negative number if it names none.
