Renew a release's lease right before each command, and name its router with it

Now the lease is renewed before each command, with the routers that are being replaced; where it is refused, the command is put off, and a halted driver forgets what it has put off. TestManyCommandsFail starts its commands with a router that grants the lease: it had none.

--- a/internal/fleet/rollout/driver.go
+++ b/internal/fleet/rollout/driver.go
@@ -276,7 +276,7 @@
 		}
 	}
 	for n, action := range d.pendingReplacements {
-		d.replace(n, action)
+		d.replace(ctx, n, action)
 	}
 	if err := d.carryOut(ctx, d.run.Update(d.now(), fleetState)); err != nil {
 		return err
@@ -365,7 +365,7 @@
 			d.printf("router %d: asked to serve again", action.Router)
 			d.pendingActivations[action.Router] = true
 		case release.Replace:
-			d.replace(action.Router, action)
+			d.replace(ctx, action.Router, action)
 		case release.RecordOnly:
 			switch record := action.Record; record.Event {
 			case release.EventDone:
@@ -379,8 +379,14 @@
 }
 
 // replace starts a router's command, or puts it off while the previous one runs. A command that cannot be started counts as
-// failed.
-func (d *Driver) replace(router int, action release.Action) {
+// failed. Right before the command, replace renews the release lease and announces the replacement with it: this driver may have
+// been paused since it last did, and another one may have taken the release over. Without the lease, the command is put off.
+func (d *Driver) replace(ctx context.Context, router int, action release.Action) {
+	if lease := d.holdLease(ctx, d.stage()); !lease.held {
+		d.pendingReplacements[router] = action
+		d.printOnce(fmt.Sprintf("router %d: not replaced without the fleet's place for releases: %s", router, lease.holder))
+		return
+	}
 	words := d.plan.ReplaceCommand
 	if action.Record.Rollback {
 		words = d.plan.RollbackCommand
--- a/internal/fleet/rollout/driver_test.go
+++ b/internal/fleet/rollout/driver_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"hoptiller/internal/fleet/leases"
@@ -183,18 +184,100 @@
 	}
 }
 
+// leaseServer stands in for a router that manages the release lease. It grants the lease until another driver takes it.
+type leaseServer struct {
+	addr   string
+	taken  atomic.Bool
+	stages chan string // the stages that drivers have announced with a lease that they hold
+}
+
+func newLeaseServer(t *testing.T) *leaseServer {
+	f := &leaseServer{stages: make(chan string, 10000)}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != "/v1/fleet/release":
+			w.WriteHeader(http.StatusNotFound)
+		case f.taken.Load():
+			http.Error(w, "release x is run by there:2 (forth 1/2 replacing 1), kept by router 0", http.StatusConflict)
+		default:
+			f.stages <- r.URL.Query().Get("stage")
+			json.NewEncoder(w).Encode(peers.FleetLeases{Release: &peers.RunningRelease{ID: "x", State: "held"}})
+		}
+	}))
+	t.Cleanup(s.Close)
+	f.addr = strings.TrimPrefix(s.URL, "http://")
+	return f
+}
+
+// Guards against a driver that was paused, has lost its release to another driver meanwhile, and begins a command all the same. The
+// command runs neither when it is due nor later, the halted driver does not wait for it, and the next one takes its record back.
+func TestNoCommandAfterAnotherDriverTookOver(t *testing.T) {
+	fleet := newLeaseServer(t)
+	p := &plan.Release{Name: "x", StateDir: t.TempDir(), ReplaceCommand: []string{"true"},
+		RouterAddrs: map[int]string{0: fleet.addr, 1: fleet.addr}}
+	d := New(p, io.Discard)
+	j, _, err := openJournal(d.folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.close()
+	begin := release.Record{Event: release.EventBegin, Router: 1, Incarnation: "a", OldRevision: "old"}
+	d.journal, d.run = j, release.New(0, params(p), d.fleet.numbers, []release.Record{begin})
+	action := release.Action{Kind: release.Replace, Router: 1, Record: &begin}
+	if lease := d.holdLease(t.Context(), d.stage()); !lease.held {
+		t.Fatalf("%+v", lease)
+	}
+	fleet.taken.Store(true) // while the driver is paused
+	if err := d.carryOut(t.Context(), []release.Action{action}); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.poll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	d.run.Stop("the test halts it")
+	if err := d.poll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if begun := d.commandsBegun(1); begun > 0 || d.commandRuns(1) || d.busy() {
+		t.Errorf("%d commands have begun, busy %v", begun, d.busy())
+	}
+	if err := d.undoUnstarted([]release.Record{begin}); err != nil || len(d.run.RoutersByStage()[release.Replacing]) > 0 {
+		t.Errorf("the replacement is not taken back: %v", err)
+	}
+}
+
+// TestReplacementIsAnnouncedBeforeItsCommand checks that the fleet knows of a replacement before its command begins, so that a driver
+// that takes over does not run it a second time.
+func TestReplacementIsAnnouncedBeforeItsCommand(t *testing.T) {
+	fleet := newLeaseServer(t)
+	p := &plan.Release{Name: "x", StateDir: t.TempDir(), ReplaceCommand: []string{"true"},
+		RouterAddrs: map[int]string{0: fleet.addr, 1: fleet.addr}}
+	d := New(p, io.Discard)
+	begin := release.Record{Event: release.EventBegin, Router: 1}
+	d.run = release.New(0, params(p), d.fleet.numbers, []release.Record{begin})
+	d.replace(t.Context(), 1, release.Action{Kind: release.Replace, Router: 1, Record: &begin})
+	if stage := testprog.Await(t, fleet.stages, "stage of the release"); !strings.HasSuffix(stage, " replacing 1") {
+		t.Errorf("announced before the command: %q", stage)
+	}
+	if result := testprog.Await(t, d.commandResults, "end of the command"); result.err != nil || d.commandsBegun(1) != 1 {
+		t.Errorf("%+v, %d commands have begun", result, d.commandsBegun(1))
+	}
+}
+
 // TestManyCommandsFail checks that the driver reports every command that cannot be started, and that none of them blocks it.
 func TestManyCommandsFail(t *testing.T) {
 	const routers = 1024
+	fleet := newLeaseServer(t)
 	p := &plan.Release{Name: "x", StateDir: filepath.Join(t.TempDir(), "none"), ReplaceCommand: []string{"true"}, RouterAddrs: map[int]string{}}
 	for n := range routers {
-		p.RouterAddrs[n] = "127.0.0.1:1"
+		p.RouterAddrs[n] = fleet.addr
 	}
 	d := New(p, io.Discard)
+	d.run = release.New(0, params(p), d.fleet.numbers, nil)
 	done := make(chan error, 1)
 	go func() {
 		for n := range routers {
-			d.replace(n, release.Action{Router: n, Record: &release.Record{Event: release.EventBegin, Router: n}})
+			d.replace(t.Context(), n, release.Action{Router: n, Record: &release.Record{Event: release.EventBegin, Router: n}})
 		}
 		done <- nil
 	}()
