Bound a request's waits in one place, and keep the ledger of value memory pure

How long a request may wait stood twice, in network code and with two figures (a half for memory, three quarters for the operator's queues): hoptiller.MaxWait decides it now, half of the client's time for all waits together, since a rejection after that has its price. So a queue that is longer than that is cut to it.

Before, each 16 KiB of a value made a context and a timer whether or not it had to wait; now only a wait does. Waits are reported with the request's id, also those of answers without a length, which were not logged; a wait that ends without memory is logged however short.

--- a/cmd/hoptiller/calls.go
+++ b/cmd/hoptiller/calls.go
@@ -26,9 +26,9 @@
 // processMetrics is the answer to /v1/metrics.
 type processMetrics struct {
 	metrics.Snapshot
-	Values  *valuemem.Summary `json:"value_memory,omitempty"` // memory for long values
-	Reasons reasonCounts      `json:"reasons"`                // why connections and attempts ended
-	Fleet   *peers.Summary    `json:"fleet,omitempty"`        // this router's view of the fleet
+	Values  valuemem.Summary `json:"value_memory,omitzero"` // memory for long values
+	Reasons reasonCounts     `json:"reasons"`               // why connections and attempts ended
+	Fleet   *peers.Summary   `json:"fleet,omitempty"`       // this router's view of the fleet
 }
 
 // adminCalls returns the operators' calls by path. fleet is nil if the fleet view is off.
@@ -43,13 +43,9 @@
 	all := map[string]admin.Call{
 		"/v1/readyz": {Method: "GET", Do: func() (bool, []byte) { return clientFront.Ready(), phaseJSON(phases) }},
 		"/v1/metrics": {Method: "GET", Do: func() (bool, []byte) {
-			s := processMetrics{Snapshot: counts.Snapshot(), Reasons: reasons.counts()}
+			s := processMetrics{Snapshot: counts.Snapshot(), Values: values.Summary(), Reasons: reasons.counts()}
 			s.Members, s.Unavailable = router.CacheCounts()
 			s.Reports = reports.Summary()
-			if values.Used() {
-				summary := values.Summary()
-				s.Values = &summary
-			}
 			if fleet != nil {
 				s.Fleet = fleet.Summary()
 			}
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -159,6 +159,7 @@
 	}
 	var fleet *fleetMember
 	longValueBudget := valuemem.New(int64(max(limits.longValueBytes, meta.MaxLongValue)))
+	longValueBudget.OnWaited = logMemoryWait
 	providers := upstream.New(upstream.Settings{
 		CallsPerConn: callsPerConn(c), MaxConnsPerServer: limits.connsPerCache, MaxConns: limits.cacheConns, MaxCallsPerConn: max(1, c.MaxCallsPerConn),
 		IdleLimit: c.ConnIdleTimeout * 3 / 4, ConnectTimeout: c.Settings.ConnectTimeout,
--- a/internal/admission/middleware/middleware.go
+++ b/internal/admission/middleware/middleware.go
@@ -99,13 +99,10 @@
 	return answer
 }
 
-// maxQueueFraction is the part of its time that a request may spend in queues. The rest is left for an attempt.
-const maxQueueFraction = 0.75
-
 // latestAdmission returns the time since the start of the Handler until which a request may wait in all its queues together.
 // Each queue has a maximum wait of its own, but a request may pass several, and its client's time may be shorter.
 func (h *Handler) latestAdmission(req *relay.Request) time.Duration {
-	return req.Arrived.Sub(h.start) + time.Duration(maxQueueFraction*float64(req.Timeout))
+	return req.Arrived.Sub(h.start) + hoptiller.MaxWait(req.Timeout)
 }
 
 // admit waits until a request is admitted or rejected, but not beyond latest.
--- a/internal/front/long_value.go
+++ b/internal/front/long_value.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"time"
 
+	"hoptiller"
 	"hoptiller/internal/buffer"
 	"hoptiller/internal/meta"
 	"hoptiller/internal/relay"
@@ -16,12 +16,6 @@
 const (
 	pieceTimeout = 6 * time.Second // for the next piece of a long value to arrive
 	minRate      = 64 << 10        // bytes a second that clients must send or read on average of a value that holds memory
-
-	// memoryWaitFraction is the part of its time that a request may wait for memory. A rejection within half of the time costs
-	// a client nothing, and the other half is left to read the value and to make an attempt.
-	memoryWaitFraction = 0.5
-
-	minLoggedWait = 100 * time.Millisecond // the shortest wait for memory that is logged
 )
 
 var (
@@ -45,34 +39,36 @@
 type longValue struct {
 	conn       *conn
 	req        *relay.Request
-	remaining  int    // bytes of the value that have not been read yet
+	length     int    // bytes of the value
+	received   int    // of these, bytes that have been read
 	terminator string // the part of the line end behind the value that has not been read yet
 	badEnd     bool   // something else came in place of the line end
 
-	content  *buffer.Chain   // what has been read; nil if the value is discarded
-	memory   *valuemem.Claim // of content
-	begun    time.Time       // when the first byte was waited for; later by as long as the value has waited for memory since
-	received int             // bytes of the value that have been read
+	content *buffer.Chain   // what has been read; nil if the value is discarded
+	memory  *valuemem.Claim // of content
+	begun   time.Time       // when the first byte was waited for; later by as long as the value has waited for memory since
 }
 
 // newLongValue returns the value of c.longWrite, of which nothing has been read.
 func (c *conn) newLongValue() *longValue {
-	length := c.longWriteLen
-	v := &longValue{conn: c, req: c.longWrite, remaining: length, terminator: "\r\n", begun: time.Now(),
-		content: &buffer.Chain{}, memory: c.front.ValueMemory.NewClaim(buffer.ChainSize(length))}
+	req, length := c.longWrite, c.longWriteLen
 	c.longWrite = nil
-	return v
+	return &longValue{conn: c, req: req, length: length, terminator: "\r\n", content: &buffer.Chain{},
+		memory: c.front.ValueMemory.NewClaim(string(req.ID), buffer.ChainSize(length)), begun: time.Now()}
 }
 
+// remaining returns how many bytes of the value have not been read yet.
+func (v *longValue) remaining() int { return v.length - v.received }
+
 // room returns how many more bytes the acquired memory can hold.
 func (v *longValue) room() int { return int(v.memory.Held()) - v.content.Len() }
 
 // acquireRoom acquires memory for the bytes that the next read may bring. If there is none in time, it discards the value.
 func (v *longValue) acquireRoom(ctx context.Context) error {
-	if v.content == nil || v.room() >= min(v.remaining, buffer.Size) {
+	if v.content == nil || v.room() >= min(v.remaining(), buffer.Size) || v.memory.TryAcquire(buffer.Size) {
 		return nil
 	}
-	err := v.acquireMemory(ctx)
+	err := v.awaitMemory(ctx)
 	if errors.Is(err, errNoMemory) {
 		v.free()
 		return nil
@@ -80,24 +76,19 @@
 	return err
 }
 
-// acquireMemory acquires the memory of one more buffer. It fails with errNoMemory when the request's time runs short, and also when
+// awaitMemory waits for the memory of one more buffer. It fails with errNoMemory when the request's time runs short, and also when
 // ctx is done or when a shutdown answers all open requests as failed. While it waits, nothing is read, so the client has to wait
 // as well. The rest of the value may have arrived unread, or may wait in the client's system, and then the time of the request is
 // running.
-func (v *longValue) acquireMemory(ctx context.Context) error {
-	mayHaveEnded := v.conn.reader.EarliestArrival(v.remaining + len(v.terminator))
-	limit := mayHaveEnded.Add(time.Duration(memoryWaitFraction * float64(v.req.Timeout)))
-	waitCtx, cancel := context.WithDeadlineCause(ctx, limit, errNoMemory)
+func (v *longValue) awaitMemory(ctx context.Context) error {
+	mayHaveEnded := v.conn.reader.EarliestArrival(v.remaining() + len(v.terminator))
+	ctx, cancel := context.WithDeadlineCause(ctx, mayHaveEnded.Add(hoptiller.MaxWait(v.req.Timeout)), errNoMemory)
 	defer cancel()
 	defer context.AfterFunc(v.conn.front.openFailed, cancel)()
-	waited, err := v.memory.Acquire(waitCtx, buffer.Size)
-	if waited >= minLoggedWait {
-		slog.Info("long value waited for memory", "request", string(v.req.ID), "length", v.received+v.remaining,
-			"arrived", v.received, "waited", waited.Round(time.Millisecond), "acquired", err == nil)
-	}
+	waited, err := v.memory.Acquire(ctx, buffer.Size)
 	v.begun = v.begun.Add(waited)
 	if err != nil {
-		return context.Cause(waitCtx)
+		return context.Cause(ctx)
 	}
 	return nil
 }
@@ -115,7 +106,7 @@
 func (v *longValue) read(ctx context.Context) error {
 	c := v.conn
 	c.reader.LargeReads = true
-	for v.remaining > 0 || v.terminator != "" {
+	for v.remaining() > 0 || v.terminator != "" {
 		if err := v.acquireRoom(ctx); err != nil {
 			return err
 		}
@@ -142,13 +133,12 @@
 
 // take takes what belongs to the value from the start of b, as far as there is room for it, and returns its length.
 func (v *longValue) take(b []byte) (used int) {
-	used = min(v.remaining, len(b))
+	used = min(v.remaining(), len(b))
 	if v.content != nil {
 		used = min(used, v.room())
 		v.content.Append(b[:used])
 	}
-	v.received += used
-	if v.remaining -= used; v.remaining > 0 {
+	if v.received += used; v.remaining() > 0 {
 		return used
 	}
 	n := min(len(v.terminator), len(b)-used)
@@ -183,7 +173,7 @@
 	switch {
 	case err == nil && value.content == nil:
 		releaseID()
-		c.rejectRequest(value.req)
+		c.answerWithoutMemory(value.req)
 		return false, nil
 	case err == nil:
 		value.req.LongValue = value.content
--- a/internal/front/long_value_test.go
+++ b/internal/front/long_value_test.go
@@ -127,7 +127,7 @@
 // acquireAll acquires all memory of a budget for long values.
 func acquireAll(t *testing.T, budget *valuemem.Budget) *valuemem.Claim {
 	t.Helper()
-	all := budget.NewClaim(meta.MaxLongValue)
+	all := budget.NewClaim("other", meta.MaxLongValue)
 	ctx, cancel := context.WithTimeout(t.Context(), testprog.WaitTimeout)
 	defer cancel()
 	if _, err := all.Acquire(ctx, meta.MaxLongValue); err != nil {
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -165,8 +165,8 @@
 	c.enqueue(pending)
 }
 
-// rejectRequest answers a request as rejected that was not passed to the Server.
-func (c *conn) rejectRequest(req *relay.Request) {
+// answerWithoutMemory answers a request as rejected that found no memory for its long value.
+func (c *conn) answerWithoutMemory(req *relay.Request) {
 	c.front.Counts.Accepted()
 	c.front.Counts.Finished(req.Class, metrics.Rejected)
 	var retryAfter time.Duration
--- a/internal/lab/standin/long_writes.go
+++ b/internal/lab/standin/long_writes.go
@@ -14,8 +14,8 @@
 
 const (
 	shortWrittenValue = "hi"
-	longWrittenBytes  = meta.MaxShortValue + 4464 // a router takes memory for long values for it
-	slowWritePieces   = 64                        // in which a slow client sends its value
+	longWrittenBytes  = 70_000 // over meta.MaxShortValue, so that a router takes memory for long values
+	slowWritePieces   = 64     // in which a slow client sends its value
 )
 
 // writtenValue returns the value that a write carries. Whether it is long is drawn by the operation, so that each try of it has the
--- a/internal/origin/endless_test.go
+++ b/internal/origin/endless_test.go
@@ -64,7 +64,7 @@
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(value), value)
 		return true
 	})
-	all := memory.NewClaim(meta.MaxLongValue)
+	all := memory.NewClaim("other", meta.MaxLongValue)
 	if _, err := all.Acquire(t.Context(), meta.MaxLongValue); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/buffered_body.go
+++ b/internal/upstream/buffered_body.go
@@ -60,7 +60,7 @@
 func (p *Pool) bufferBody(ctx context.Context, stream *streamBody) relay.Result {
 	const maxLen = meta.MaxLongValue
 	defer context.AfterFunc(ctx, stream.Close)()
-	memory := p.settings.ValueMemory.NewClaim(buffer.ChainSize(maxLen))
+	memory := p.settings.ValueMemory.NewClaim(string(stream.call.req.ID), buffer.ChainSize(maxLen))
 	buffered := &bufferedBody{value: &buffer.Chain{}}
 	buffered.free = func() {
 		buffered.value.Free()
--- a/internal/valuemem/valuemem_test.go
+++ b/internal/valuemem/valuemem_test.go
@@ -14,14 +14,6 @@
 
 const unit = 10 // bytes that the tests acquire at once
 
-// tryAcquire acquires unit bytes if that is possible without waiting.
-func tryAcquire(c *Claim) (acquired bool) {
-	done, cancel := context.WithCancel(context.Background())
-	cancel()
-	_, err := c.Acquire(done, unit)
-	return err == nil
-}
-
 // Whatever values take memory in whatever order, no more is held than there is, and never do all of them wait for one another:
 // one can take more, or one is complete and will be released.
 func TestClaimsNeverDeadlock(t *testing.T) {
@@ -31,12 +23,12 @@
 		var claims []*Claim
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if len(claims) == 0 || rapid.IntRange(0, 3).Draw(t, "action") == 0 {
-				claims = append(claims, b.NewClaim(unit*rapid.Int64Range(1, capacity/unit).Draw(t, "limit")))
+				claims = append(claims, b.NewClaim("1", unit*rapid.Int64Range(1, capacity/unit).Draw(t, "limit")))
 			}
 			i := rapid.IntRange(0, len(claims)-1).Draw(t, "claim")
 			switch c := claims[i]; {
 			case c.held < c.limit:
-				tryAcquire(c)
+				c.TryAcquire(unit)
 			case rapid.Bool().Draw(t, "release"):
 				c.Release()
 				claims = append(claims[:i], claims[i+1:]...)
@@ -45,7 +37,7 @@
 			for _, c := range claims {
 				held += c.held
 				complete = complete || c.held == c.limit
-				progress = progress || c.held < c.limit && b.isSafe(c, unit)
+				progress = progress || c.held < c.limit && b.ledger.mayGrant(c, unit)
 			}
 			if held > capacity || held != b.Summary().Held {
 				t.Fatalf("%d bytes held, %+v", held, b.Summary())
@@ -64,7 +56,7 @@
 	var running sync.WaitGroup
 	for range count {
 		running.Go(func() {
-			c := b.NewClaim(capacity / 2)
+			c := b.NewClaim("1", capacity/2)
 			defer c.Release()
 			for c.Held() < capacity/2 {
 				if _, err := c.Acquire(t.Context(), unit); err != nil {
@@ -88,20 +80,20 @@
 // A short value takes what is free beside long ones that are incomplete; a long one waits where it could stay incomplete.
 func TestShortValueTakesWhatIsFree(t *testing.T) {
 	b := New(10 * unit)
-	first, second, short := b.NewClaim(10*unit), b.NewClaim(10*unit), b.NewClaim(unit)
+	first, second, short := b.NewClaim("1", 10*unit), b.NewClaim("1", 10*unit), b.NewClaim("1", unit)
 	for range 4 {
-		if !tryAcquire(first) {
+		if !first.TryAcquire(unit) {
 			t.Fatal("the first value gets no memory")
 		}
 	}
-	if tryAcquire(second) {
+	if second.TryAcquire(unit) {
 		t.Error("two values that may need all memory hold a part each")
 	}
-	if !tryAcquire(short) {
+	if !short.TryAcquire(unit) {
 		t.Error("a short value gets no memory though there is some")
 	}
 	first.Complete()
-	if !tryAcquire(second) {
+	if !second.TryAcquire(unit) {
 		t.Error("the second value gets no memory though the first is complete")
 	}
 }
@@ -109,8 +101,10 @@
 // What a value releases goes to one that waits, and a wait that ends without memory takes none later.
 func TestWaits(t *testing.T) {
 	b := New(2 * unit)
-	holder, patient, impatient := b.NewClaim(2*unit), b.NewClaim(2*unit), b.NewClaim(2*unit)
-	tryAcquire(holder)
+	ends := make(chan Wait, 2)
+	b.OnWaited = func(w Wait) { ends <- w }
+	holder, patient, impatient := b.NewClaim("1", 2*unit), b.NewClaim("1", 2*unit), b.NewClaim("1", 2*unit)
+	holder.TryAcquire(unit)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 2)
 	go func() { _, err := impatient.Acquire(ctx, unit); ended <- err }()
@@ -129,4 +123,9 @@
 	if s := b.Summary(); s.Held != unit || s.Waits != 2 || s.GivenUp != 1 {
 		t.Errorf("%+v", s)
 	}
+	for _, acquired := range []bool{false, true} {
+		if w := testprog.Await(t, ends, "report of a wait"); w.Acquired != acquired || w.Request != "1" || w.Limit != 2*unit {
+			t.Errorf("%+v", w)
+		}
+	}
 }
--- a/router.go
+++ b/router.go
@@ -736,6 +736,16 @@
 	return !slices.ContainsFunc(q.attempts, func(t attempt) bool { return t.mayHaveRun })
 }
 
+// maxWaitFraction is the part of its time that a request may wait before it is passed to the Router. A rejection within half of the
+// time has no price, and the other half is left for attempts.
+const maxWaitFraction = 0.5
+
+// MaxWait returns how long a request may wait for memory and in queues together, counted from its last byte. After that it must be
+// rejected. timeout is how long its client waits for the answer.
+func MaxWait(timeout time.Duration) time.Duration {
+	return time.Duration(maxWaitFraction * float64(timeout))
+}
+
 // RetryAfter returns how long the client of a rejected request of a class should wait before a retry.
 func (s *Settings) RetryAfter(class *Class) time.Duration {
 	return min(s.MaxRetryAfter, time.Duration(retryAfterFraction*float64(class.Aim)))
