Log the request and the reason where one is refused before it is passed on

A request that finds no memory for its value, has no connection slot or meets the end of a shutdown was refused or failed without a line of its own in the log, and 'limit hit' did not name the request. Now each has its id and its reason.

--- a/cmd/hoptiller/events.go
+++ b/cmd/hoptiller/events.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"hoptiller/internal/relay"
 	"hoptiller/internal/valuemem"
 )
 
@@ -18,3 +19,8 @@
 	slog.Info("long value waited for memory", "request", wait.Request, "held", wait.Held, "limit", wait.Limit,
 		"waited", wait.Duration.Round(time.Millisecond), "acquired", wait.Acquired)
 }
+
+// logLimitHit logs that a limit of the operator's file has rejected a request.
+func logLimitHit(req *relay.Request, limit string) {
+	slog.Info("limit hit", "limit", limit, "request", string(req.ID))
+}
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -180,7 +180,7 @@
 	var listener discovery.Listener = router
 	var admission *middleware.Handler
 	if s.File != "" {
-		admission = middleware.New(router, router, p, func(limit string) { slog.Info("limit hit", "limit", limit) })
+		admission = middleware.New(router, router, p, logLimitHit)
 		server, listener = admission, admission
 	}
 	caches := drains.New(listener)
--- a/cmd/hoptiller/slow_long_values_test.go
+++ b/cmd/hoptiller/slow_long_values_test.go
@@ -106,6 +106,9 @@
 	if answer := w.writeAtOnce(t, shortTimeout); !strings.HasPrefix(answer, "SERVER_ERROR busy") {
 		t.Errorf("without memory: %q", answer)
 	}
+	if err := w.runStep("program", "wait", "*request refused*request=q*reason=*no memory for its value*"); err != nil {
+		t.Error("the log does not tell why:", err)
+	}
 	slow.finish(t)
 }
 
--- a/internal/admission/middleware/middleware.go
+++ b/internal/admission/middleware/middleware.go
@@ -42,7 +42,7 @@
 	listener   Listener
 	controller *admission.Controller
 	start      time.Time
-	onReject   func(limit string) // called with the name of the limit for each rejected request
+	onReject   RejectFunc
 
 	lastID      atomic.Uint64
 	serversByID map[uint32]relay.Server // needs no lock, since list updates come one at a time
@@ -51,10 +51,12 @@
 	waiting map[uint64]chan admission.Decision
 }
 
+// RejectFunc is called with each rejected request and the name of the limit that rejects it. It must not block.
+type RejectFunc func(req *relay.Request, limit string)
+
 // New returns a Handler that applies p before it passes requests to next and list updates to
-// listener. It calls onReject with the name of the limit for each request that it rejects; onReject
-// must not block.
-func New(next Server, listener Listener, p *plan.Plan, onReject func(limit string)) *Handler {
+// listener. It calls onReject for each request that it rejects.
+func New(next Server, listener Listener, p *plan.Plan, onReject RejectFunc) *Handler {
 	return &Handler{
 		next:        next,
 		listener:    listener,
@@ -83,7 +85,7 @@
 	arrival := time.Since(h.start)
 	decision := h.admit(ctx, arrival, id, constraints, h.latestAdmission(req))
 	if decision.Verdict == limit.Rejected {
-		h.onReject(decision.Limit)
+		h.onReject(req, decision.Limit)
 		return relay.Answer{Kind: hoptiller.StepReject, RetryAfter: decision.RetryAfter}
 	}
 	answer := h.next.Serve(ctx, req)
--- a/internal/admission/middleware/middleware_test.go
+++ b/internal/admission/middleware/middleware_test.go
@@ -58,7 +58,7 @@
 func newHandler(t testing.TB, text string) (*Handler, *fakeRelay, chan string) {
 	fake := &fakeRelay{arrived: make(chan *relay.Request, 1000), proceed: make(chan bool, 1000)}
 	rejections := make(chan string, 10000)
-	return New(fake, fake, load(t, text), func(limit string) { rejections <- limit }), fake, rejections
+	return New(fake, fake, load(t, text), func(_ *relay.Request, limit string) { rejections <- limit }), fake, rejections
 }
 
 const oneSlotPlan = "policy p {\n\tconcurrency 1\n\tqueue 1 for %s\n}\nroute r {\n\tpolicy p\n}\n"
@@ -257,7 +257,7 @@
 		{"1000 routes", "policy p {\n\tattempts 2\n}\n" + many.String()},
 	} {
 		b.Run(c.name, func(b *testing.B) {
-			h := New(emptyServer{}, &fakeRelay{}, load(b, c.text), func(string) {})
+			h := New(emptyServer{}, &fakeRelay{}, load(b, c.text), func(*relay.Request, string) {})
 			req := &relay.Request{Key: []byte("k500:x"), Arrived: time.Now(), Timeout: time.Minute}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"slices"
 	"time"
@@ -169,6 +170,7 @@
 func (c *conn) answerWithoutMemory(req *relay.Request) {
 	c.front.Counts.Accepted()
 	c.front.Counts.Finished(req.Class, metrics.Rejected)
+	logUnserved("request refused", req, "no memory for its value")
 	var retryAfter time.Duration
 	if req.Class < len(c.front.RetryAfter) {
 		retryAfter = c.front.RetryAfter[req.Class]
@@ -179,14 +181,21 @@
 // answerUnserved answers a request that was not passed to the Server: as rejected if its client has no slot, else as failed.
 func (c *conn) answerUnserved(req *relay.Request) {
 	if c.rejectsRequests {
+		logUnserved("request refused", req, "no connection slot")
 		c.front.Counts.Finished(req.Class, metrics.Rejected)
 		c.enqueue(pendingAnswer{line: string(meta.AppendBusy(nil, 0))})
 		return
 	}
+	logUnserved("request failed", req, "shutdown")
 	c.front.Counts.Finished(req.Class, metrics.Failed)
 	c.enqueue(pendingAnswer{line: string(meta.AppendFailed(nil))})
 }
 
+// logUnserved logs the end of a request that was not passed to the Server, which logs how the others end.
+func logUnserved(message string, req *relay.Request, reason string) {
+	slog.Info(message, "request", string(req.ID), "class", req.Class, "waits", req.Timeout.Round(time.Millisecond), "reason", reason)
+}
+
 // parseFacts reads the facts of a request, which are name=value pairs, into req. If they are invalid, fault says why.
 func (f *Front) parseFacts(req *relay.Request, facts []byte) (fault string) {
 	class, _ := meta.LookupFact(facts, "c")
