Renew a release's lease once for the commands that begin together

Where the router that keeps it does not answer, each of N commands that are due would wait for up to nine calls of 2 s, and the driver would count as gone after 15 s. Now the commands that are due in one poll begin after one renewal, which is made again once it is a second old; without the lease all of them are put off. TestNoCommandAfterAnotherDriverTookOver, TestReplacementIsAnnouncedBeforeItsCommand and TestManyCommandsFail (1,024 commands) pass under -race.

--- a/internal/fleet/rollout/driver.go
+++ b/internal/fleet/rollout/driver.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -275,9 +277,7 @@
 			return err
 		}
 	}
-	for n, action := range d.pendingReplacements {
-		d.replace(ctx, n, action)
-	}
+	d.startReplacements(ctx, slices.Collect(maps.Values(d.pendingReplacements)))
 	if err := d.carryOut(ctx, d.run.Update(d.now(), fleetState)); err != nil {
 		return err
 	}
@@ -350,6 +350,7 @@
 
 // carryOut carries out actions. It writes the record of each action first.
 func (d *Driver) carryOut(ctx context.Context, actions []release.Action) error {
+	var replacements []release.Action
 	for _, action := range actions {
 		if action.Record != nil {
 			if err := d.journal.append(action.Record); err != nil {
@@ -365,7 +366,7 @@
 			d.printf("router %d: asked to serve again", action.Router)
 			d.pendingActivations[action.Router] = true
 		case release.Replace:
-			d.replace(ctx, action.Router, action)
+			replacements = append(replacements, action)
 		case release.RecordOnly:
 			switch record := action.Record; record.Event {
 			case release.EventDone:
@@ -375,18 +376,41 @@
 			}
 		}
 	}
+	d.startReplacements(ctx, replacements)
 	return nil
 }
 
-// replace starts a router's command, or puts it off while the previous one runs. A command that cannot be started counts as
-// failed. Right before the command, replace renews the release lease and announces the replacement with it: this driver may have
-// been paused since it last did, and another one may have taken the release over. Without the lease, the command is put off.
-func (d *Driver) replace(ctx context.Context, router int, action release.Action) {
-	if lease := d.holdLease(ctx, d.stage()); !lease.held {
-		d.pendingReplacements[router] = action
-		d.printOnce(fmt.Sprintf("router %d: not replaced without the fleet's place for releases: %s", router, lease.holder))
-		return
+// maxLeaseAge is how long after the release lease was renewed a command may begin.
+const maxLeaseAge = time.Second
+
+// startReplacements starts the commands of routers. Right before them it renews the release lease and announces the replacements
+// with it: this driver may have been paused since it last did, and another one may have taken the release over. Without the
+// lease, the commands are put off.
+func (d *Driver) startReplacements(ctx context.Context, actions []release.Action) {
+	var renewed time.Time
+	for i, action := range actions {
+		if time.Since(renewed) > maxLeaseAge {
+			if lease := d.holdLease(ctx, d.stage()); !lease.held {
+				d.putOff(actions[i:], lease.holder)
+				return
+			}
+			renewed = time.Now()
+		}
+		d.replace(action.Router, action)
 	}
+}
+
+// putOff puts replacements off until this driver holds the release lease again, or halts.
+func (d *Driver) putOff(actions []release.Action, holder string) {
+	for _, action := range actions {
+		d.pendingReplacements[action.Router] = action
+	}
+	d.printOnce(fmt.Sprintf("router %d: not replaced without the fleet's place for releases: %s", actions[0].Router, holder))
+}
+
+// replace starts a router's command, or puts it off while the previous one runs. A command that cannot be started counts as
+// failed.
+func (d *Driver) replace(router int, action release.Action) {
 	words := d.plan.ReplaceCommand
 	if action.Record.Rollback {
 		words = d.plan.RollbackCommand
--- a/internal/fleet/rollout/driver_test.go
+++ b/internal/fleet/rollout/driver_test.go
@@ -255,7 +255,7 @@
 	d := New(p, io.Discard)
 	begin := release.Record{Event: release.EventBegin, Router: 1}
 	d.run = release.New(0, params(p), d.fleet.numbers, []release.Record{begin})
-	d.replace(t.Context(), 1, release.Action{Kind: release.Replace, Router: 1, Record: &begin})
+	d.startReplacements(t.Context(), []release.Action{{Kind: release.Replace, Router: 1, Record: &begin}})
 	if stage := testprog.Await(t, fleet.stages, "stage of the release"); !strings.HasSuffix(stage, " replacing 1") {
 		t.Errorf("announced before the command: %q", stage)
 	}
@@ -276,9 +276,11 @@
 	d.run = release.New(0, params(p), d.fleet.numbers, nil)
 	done := make(chan error, 1)
 	go func() {
+		var actions []release.Action
 		for n := range routers {
-			d.replace(t.Context(), n, release.Action{Router: n, Record: &release.Record{Event: release.EventBegin, Router: n}})
+			actions = append(actions, release.Action{Router: n, Record: &release.Record{Event: release.EventBegin, Router: n}})
 		}
+		d.startReplacements(t.Context(), actions)
 		done <- nil
 	}()
 	if err := testprog.Await(t, done, "end of all attempts"); err != nil {
