Wake the driver that a drill has paused, and play a driver that was taken over

A drill's step 'driver' with a duration stops the process that drives the release and wakes the one that drives it at its end. Now the one that was stopped is woken.

--- a/internal/lab/drill/play.go
+++ b/internal/lab/drill/play.go
@@ -68,8 +68,9 @@
 	driverWaits sync.WaitGroup
 
 	mu            sync.Mutex
-	currentDriver *os.Process   // the latest process that drives the release; nil if there is none
-	drivers       []*os.Process // all processes of release commands
+	currentDriver *os.Process           // the latest process that drives the release; nil if there is none
+	drivers       []*os.Process         // all processes of release commands
+	pausedDrivers map[*Step]*os.Process // by the step that pauses them
 	proxies       map[proxyKey][]*faultproxy.StreamProxy
 	streamFaults  map[proxyKey]faultproxy.StreamFaults // current faults, with which new proxies begin
 	disconnect    map[stepTarget]func()                // ends the connections of a step's clients to a router
@@ -99,7 +100,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := &player{drill: f, timeline: &Timeline{}, proxies: map[proxyKey][]*faultproxy.StreamProxy{},
-		streamFaults: map[proxyKey]faultproxy.StreamFaults{}, disconnect: map[stepTarget]func(){}}
+		streamFaults: map[proxyKey]faultproxy.StreamFaults{}, disconnect: map[stepTarget]func(){}, pausedDrivers: map[*Step]*os.Process{}}
 	defer p.close()
 	if err := p.writeFiles(); err != nil {
 		return nil, err
--- a/internal/lab/drill/release.go
+++ b/internal/lab/drill/release.go
@@ -180,7 +180,8 @@
 	}
 }
 
-// signalDriver kills the process that drives the release, or pauses it while a step with a duration lasts.
+// signalDriver kills the process that drives the release, or pauses it while a step with a duration lasts. If another process drives
+// the release by the end of the step, the one that was paused goes on all the same.
 func (p *player) signalDriver(s *Step, on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -189,10 +190,11 @@
 	case s.Duration == 0:
 		p.record(-1, "the driver is killed")
 		p.currentDriver.Kill()
-	case on:
+	case on: // by the end of the step another one may drive the release
+		p.pausedDrivers[s] = p.currentDriver
 		p.currentDriver.Signal(syscall.SIGSTOP)
 	default:
-		p.currentDriver.Signal(syscall.SIGCONT)
+		p.pausedDrivers[s].Signal(syscall.SIGCONT)
 	}
 }
 
