Take a refusal that names no request for a proof only where it can't be surplus

Cause: SERVER_ERROR busy names no request. One that came 20 ms or more after the answer before it was taken for the next call's own, however short that call had been out, and counted as a proof that nothing ran. Evidence: a copy after 30 ms on one connection; the attempt it meets stays out and the request is sent to the other server.

Now, for a request that may not be repeated freely, such a line is a refusal only on a connection that has had no answer yet, or none in the 500 ms before the call was sent; otherwise the attempt ends as unconfirmed and its connection is closed. By then a surplus answer has arrived, also one that was lost once; what arrives before a call's first byte was never its answer. The lab's network can hold copies back (fault surplus_held).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 # Drills that every change has to pass, about four minutes.
 DRILLS = $(addprefix lab/drills/,view-one-way.toml view-restarted.toml view-all-restarted.toml view-killed.toml view-left.toml \
-	view-cache-back.toml view-wrong-list.toml view-former-life.toml permits-cut-off.toml killed.toml long-answers.toml writes-under-resets.toml surplus-answers.toml slow-writes.toml \
+	view-cache-back.toml view-wrong-list.toml view-former-life.toml permits-cut-off.toml killed.toml long-answers.toml writes-under-resets.toml surplus-answers.toml surplus-held-back.toml slow-writes.toml \
 	drain-cache.toml release.toml release-driver-paused.toml)
 
 build:
--- a/cmd/hoptiller/serve.go
+++ b/cmd/hoptiller/serve.go
@@ -46,6 +46,9 @@
 	// originReuseDelay is how long an origin connection rests before it is reused. An origin answer names no request, and a
 	// surplus one comes some milliseconds late.
 	originReuseDelay = 20 * time.Millisecond
+	// cacheSurplusTime is how long after an answer of a cache server a surplus one may arrive. The server sends it some
+	// milliseconds late, and the network may hold it back until it is sent again, but hardly twice.
+	cacheSurplusTime = 500 * time.Millisecond
 	firstListTimeout = 2 * time.Second // how long a new process waits for an up-to-date list before it takes over clients
 )
 
@@ -164,7 +167,7 @@
 		CallsPerConn: callsPerConn(c), MaxConnsPerServer: limits.connsPerCache, MaxConns: limits.cacheConns, MaxCallsPerConn: max(1, c.MaxCallsPerConn),
 		IdleLimit: c.ConnIdleTimeout * 3 / 4, ConnectTimeout: c.Settings.ConnectTimeout,
 		MaxIdle: connlimit.MaxIdle(c.Settings.RouterCount, p.Limits.ConnsPerCore), ConnsPerCore: p.Limits.ConnsPerCore,
-		AttemptSent: counts.AttemptSent, LoadReports: reports,
+		AttemptSent: counts.AttemptSent, LoadReports: reports, SurplusTime: cacheSurplusTime,
 		Observed: func(id uint32, up bool) { fleet.observeCache(id, up) }, ConnClosed: reasons.serverClosed,
 		CheckRepeated: counts.CheckRepeated,
 	}, upstream.Meta{})
--- a/cmd/hoptiller/surplus_answer_test.go
+++ b/cmd/hoptiller/surplus_answer_test.go
@@ -14,6 +14,7 @@
 	overlapSlack   = 50 * time.Millisecond  // how much later than the next attempt the end of the previous one may be noticed
 	maxCopyDelay   = 8 * time.Millisecond   // how long after an answer its second copy comes at most
 	programPause   = 150 * time.Millisecond // how long a router may be paused between reading its clock and writing
+	networkDelay   = 30 * time.Millisecond  // how long the network holds a copy back: longer than most take after their answer
 	maxCopyRetries = 50                     // while a copy comes later than maxCopyDelay, or the requests take two connections
 )
 
@@ -24,11 +25,11 @@
 		for _, class := range []string{"read", "book"} {
 			t.Run(fmt.Sprintf("%s/%s/on an idle connection", line, class), func(t *testing.T) {
 				t.Parallel()
-				copyOnIdleConn(t, line, class, func(_ *environment, sendCopy func()) { sendCopy() })
+				copyOnIdleConn(t, line, class, 0, func(_ *environment, sendCopy func()) { sendCopy() })
 			})
 			t.Run(fmt.Sprintf("%s/%s/while the program is paused", line, class), func(t *testing.T) {
 				t.Parallel()
-				copyOnIdleConn(t, line, class, func(w *environment, sendCopy func()) {
+				copyOnIdleConn(t, line, class, 0, func(w *environment, sendCopy func()) {
 					w.whilePaused(t, func() {
 						sendCopy()
 						<-time.After(programPause)
@@ -43,9 +44,15 @@
 	}
 }
 
-// copyOnIdleConn has a server answer request 01 with a line, and once more when it has got request 02 on the same connection.
-// The second copy is sent by disturb.
-func copyOnIdleConn(t *testing.T, line, class string, disturb func(w *environment, sendCopy func())) {
+// A second copy of a refusal that the network holds back does not make a request run twice that must not.
+func TestSurplusAnswerHeldBackRunsNoRequestTwice(t *testing.T) {
+	t.Parallel()
+	copyOnIdleConn(t, "SERVER_ERROR busy", "book", networkDelay, func(_ *environment, sendCopy func()) { sendCopy() })
+}
+
+// copyOnIdleConn has a server answer request 01 with a line, and once more when it has got request 02 on the same connection. Request
+// 02 is sent a time after the answer. The second copy is sent by disturb.
+func copyOnIdleConn(t *testing.T, line, class string, after time.Duration, disturb func(w *environment, sendCopy func())) {
 	other := map[string]string{"p1": "p2", "p2": "p1"}
 	for range maxCopyRetries {
 		w := startProgram(t, []string{"p1", "p2"}, "")
@@ -54,6 +61,7 @@
 		answered := time.Now()
 		fmt.Fprintf(conn, "%s\r\n", line)
 		_, retry := w.awaitAnyAttempt(t, "01", other[server]) // the program has read the answer
+		<-time.After(after)
 		w.sendRead(t, "02", class)
 		name, second := w.awaitAnyAttempt(t, "02", "p1", "p2")
 		var delay time.Duration
@@ -61,7 +69,7 @@
 			fmt.Fprintf(conn, "%s\r\n", line)
 			delay = time.Since(answered)
 		})
-		if name != server || second != conn || delay > maxCopyDelay {
+		if name != server || second != conn || delay > after+maxCopyDelay {
 			continue
 		}
 		fmt.Fprint(retry, "VA 1 O01\r\nx\r\n")
--- a/internal/lab/drill/known_red_test.go
+++ b/internal/lab/drill/known_red_test.go
@@ -34,6 +34,12 @@
 	playKnownRedDrill(t, "slow-writes-slow-origin")
 }
 
+// A surplus answer that the network holds back for over 20 ms ends the attempt of a safe read, which is sent again while that one is
+// in flight.
+func TestSafeReadWhileSurplusAnswerIsHeldBack(t *testing.T) {
+	playKnownRedDrill(t, "surplus-held-back")
+}
+
 func playKnownRedDrill(t *testing.T, name string) {
 	f, err := Load("../../../lab/drills/known-red/" + name + ".toml")
 	if err != nil {
--- a/internal/lab/model/conn.go
+++ b/internal/lab/model/conn.go
@@ -190,6 +190,9 @@
 	})
 }
 
+// holdBack lets what is sent to the router from now on arrive a delay after what was sent before, or after now.
+func (c *Conn) holdBack(delay time.Duration) { c.toRouterAt = max(c.toRouterAt, c.w.Now()) + delay }
+
 // finish stores the result of a call and sends all results that no longer wait for an earlier call.
 func (c *Conn) finish(call *Call, result CallResult) {
 	call.ready, call.result = true, result
--- a/internal/lab/model/fault.go
+++ b/internal/lab/model/fault.go
@@ -51,6 +51,7 @@
 	"zone_cut":       {"a zone is cut off from the others", cutZone},
 	"zone_loss":      {"all caches of a zone die and come back cold after for", loseZone},
 	"surplus":        {"a size of the answers come a second time, some milliseconds later", repeatAnswers},
+	"surplus_held":   {"of the answers that come a second time, the network holds a size back for up to 40 ms", holdBackCopies},
 	"origin_stop":    {"the origin stops", stopOrigin},
 	"origin_slow":    {"the origin takes size times as long", slowOrigin},
 	"origin_errors":  {"the origin fails a size of its calls", failOrigin},
@@ -431,8 +432,13 @@
 }
 
 func repeatAnswers(w *World, f *Fault, r *rand.Rand) func() {
-	w.repetition = repetition{share: f.Severity, random: r}
-	return func() { w.repetition = repetition{} }
+	w.repetition.share, w.repetition.random = f.Severity, r
+	return func() { w.repetition.share = 0 }
+}
+
+func holdBackCopies(w *World, f *Fault, _ *rand.Rand) func() {
+	w.repetition.heldBack = f.Severity
+	return func() { w.repetition.heldBack = 0 }
 }
 
 func stopOrigin(w *World, f *Fault, _ *rand.Rand) func() {
--- a/internal/lab/model/repetition.go
+++ b/internal/lab/model/repetition.go
@@ -8,10 +8,14 @@
 // The time after an answer at which a server sends its second copy, in seconds.
 const minRepetitionDelay, maxRepetitionDelay = 0.0005, 0.005
 
+// maxHoldBack is how long the network holds a second copy back at most.
+const maxHoldBack = 40 * time.Millisecond
+
 // repetition describes which answers servers send a second time. The zero value repeats none.
 type repetition struct {
-	share  float64 // of the answers
-	random *rand.Rand
+	share    float64 // of the answers
+	heldBack float64 // share of the second copies of cache servers that the network holds back
+	random   *rand.Rand
 }
 
 // RepetitionHandler is implemented by a ConnHandler that can pass on second copies of answers.
@@ -33,6 +37,9 @@
 		if c.closedByServer || len(c.unanswered) > 0 || c.toRouterAt != answeredAt {
 			return
 		}
+		if c.host != &c.w.Origin.host && drawn.heldBack > 0 && drawn.random.Float64() < drawn.heldBack {
+			c.holdBack(time.Duration(drawn.random.Float64() * float64(maxHoldBack)))
+		}
 		c.toRouter(func() {
 			if !c.closedByRouter {
 				handler.Repeated(c)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,17 +19,18 @@
 
 // Request is one client request.
 type Request struct {
-	Key       []byte        // the cache key
-	ID        []byte        // the request ID that the client chose
-	Facts     []byte        // name=value pairs that the client sent with the request
-	Value     []byte        // the value to write; empty for a read or a long value
-	LongValue *buffer.Chain // the value to write if it is long; must not be used once the final answer is known
-	Write     bool          // a write rather than a read
-	Class     int           // index of the request's class in the settings
-	Tenant    int           // number of the tenant; -1 if unknown
-	Retry     bool          // the client marked the request as its own retry
-	Arrived   time.Time     // when the last byte of the request arrived
-	Timeout   time.Duration // how long the client waits for the answer, counted from Arrived
+	Key       []byte           // the cache key
+	ID        []byte           // the request ID that the client chose
+	Facts     []byte           // name=value pairs that the client sent with the request
+	Value     []byte           // the value to write; empty for a read or a long value
+	LongValue *buffer.Chain    // the value to write if it is long; must not be used once the final answer is known
+	Write     bool             // a write rather than a read
+	Class     int              // index of the request's class in the settings
+	Effect    hoptiller.Effect // what a repetition of the request can do; set by the Relay
+	Tenant    int              // number of the tenant; -1 if unknown
+	Retry     bool             // the client marked the request as its own retry
+	Arrived   time.Time        // when the last byte of the request arrived
+	Timeout   time.Duration    // how long the client waits for the answer, counted from Arrived
 
 	ClientAddr   netip.Addr            // the client's address; invalid if unknown
 	Disconnected func() bool           // checks whether the client has disconnected, even if not noticed yet; nil: unknown
@@ -127,11 +128,12 @@
 	// the first request.
 	AttemptEnded func(hoptiller.Status)
 
-	facade  *hoptiller.Facade
-	caches  Upstream
-	origins Upstream
-	created time.Time
-	wake    chan struct{} // signals Run to call Tick of the decision module
+	facade   *hoptiller.Facade
+	settings hoptiller.Settings
+	caches   Upstream
+	origins  Upstream
+	created  time.Time
+	wake     chan struct{} // signals Run to call Tick of the decision module
 
 	mu          sync.RWMutex
 	servers     map[uint32]Server
@@ -150,7 +152,7 @@
 // New returns a Relay whose decisions follow the given settings.
 func New(settings hoptiller.Settings, seed uint64, caches, origins Upstream) *Relay {
 	r := &Relay{
-		caches: caches, origins: origins, created: time.Now(), wake: make(chan struct{}, 1),
+		settings: settings, caches: caches, origins: origins, created: time.Now(), wake: make(chan struct{}, 1),
 		servers: map[uint32]Server{}, active: map[uint32]*activeRequest{},
 	}
 	r.facade = hoptiller.NewFacade(r.now(), settings, seed, func() {
@@ -229,6 +231,7 @@
 // Serve carries one request to its final answer. When ctx is done, the client has disconnected and the answer no
 // longer matters. Serve returns once no attempt of the request is in flight.
 func (r *Relay) Serve(ctx context.Context, req *Request) Answer {
+	req.Effect = r.settings.EffectOf(req.Class)
 	id := r.facade.ReserveID()
 	active := &activeRequest{}
 	r.activeMu.Lock()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,7 @@
 	MaxCallsPerConn   int           // calls in flight on one connection
 	IdleLimit         time.Duration // a connection that has been idle for this long is not used again; 0: no limit
 	Cooldown          time.Duration // time after an answer in which no call is sent, because a second answer may arrive
+	SurplusTime       time.Duration // time after an answer in which a surplus one can arrive that names no request; 0: there is none
 	ConnsPerCore      int           // connections that each core of a server accepts; 0: not stated
 	MaxIdle           int           // idle connections to one server that stay open until IdleLimit; surplus ones close sooner
 	ConnectTimeout    time.Duration
--- a/router.go
+++ b/router.go
@@ -746,6 +746,14 @@
 	return time.Duration(maxWaitFraction * float64(timeout))
 }
 
+// EffectOf returns what a repetition of a request of a class can do. A class that is not among the settings must never run twice.
+func (s *Settings) EffectOf(class int) Effect {
+	if class < 0 || class >= len(s.Classes) {
+		return unknownClass.Effect
+	}
+	return s.Classes[class].Effect
+}
+
 // RetryAfter returns how long the client of a rejected request of a class should wait before a retry.
 func (s *Settings) RetryAfter(class *Class) time.Duration {
 	return min(s.MaxRetryAfter, time.Duration(retryAfterFraction*float64(class.Aim)))
