--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -20,9 +20,6 @@
 	// A server has read a call at the latest after maxRoundTrips of the fastest answer seen and readMargin.
 	maxRoundTrips = 2
 	readMargin    = 10 * time.Millisecond
-
-	// arrivalPrecision is by how much the operating system may state the arrival of bytes too early.
-	arrivalPrecision = 4 * time.Millisecond
 )
 
 // mayBeSurplus reports whether an answer that names no request, and that was just read, may be surplus to the answer
@@ -40,16 +37,16 @@
 		return call.sentAt.Sub(c.lastAnswer.at) < c.pool.settings.SurplusTime
 	}
 	arrivedAt := c.reader.NewestArrival()
+	if arrivedAt.Sub(c.lastAnswer.at) >= usualSurplusTime {
+		return false
+	}
 	// Calls that are sent before the server has accepted the connection reach it together, right before its first answer.
 	sentAt := call.sentAt
 	if c.lastAnswer.firstAt.After(sentAt) {
 		sentAt = c.lastAnswer.firstAt
 	}
-	fastest, inFlight := c.server.fastestAnswer, arrivedAt.Sub(sentAt)
-	if arrivedAt.Sub(c.lastAnswer.at) >= usualSurplusTime {
-		return inFlight+arrivalPrecision < fastest
-	}
-	return fastest == 0 || inFlight < maxRoundTrips*fastest+readMargin
+	fastest := c.server.fastestAnswer
+	return fastest == 0 || arrivedAt.Sub(sentAt) < maxRoundTrips*fastest+readMargin
 }
 
 // failUnconfirmed closes a connection on which an answer arrived that may be surplus: the first call may still be in
