--- a/router.go
+++ b/router.go
@@ -736,17 +736,18 @@
 	return !slices.ContainsFunc(q.attempts, func(t attempt) bool { return t.mayHaveRun })
 }
 
-// maxWaitFraction is the part of its time that a request may wait before it is passed to the Router. A rejection within half of the
-// time has no price, and the other half is left for attempts.
+// maxWaitFraction is the part of its time that a request may wait before it is passed to the Router. A
+// rejection within half of the time has no price, and the other half is left for attempts.
 const maxWaitFraction = 0.5
 
-// MaxWait returns how long a request may wait for memory and in queues together, counted from its last byte. After that it must be
-// rejected. timeout is how long its client waits for the answer.
+// MaxWait returns how long a request may wait for memory and in queues together, counted from its last byte.
+// After that it must be rejected. timeout is how long its client waits for the answer.
 func MaxWait(timeout time.Duration) time.Duration {
 	return time.Duration(maxWaitFraction * float64(timeout))
 }
 
-// EffectOf returns what a repetition of a request of a class can do. A class that is not among the settings must never run twice.
+// EffectOf returns what a repetition of a request of a class can do. A class that is not among the settings
+// must never run twice.
 func (s *Settings) EffectOf(class int) Effect {
 	if class < 0 || class >= len(s.Classes) {
 		return unknownClass.Effect
