Show that a driver that stood still goes on with a release that operators have halted

Found: the note of the end is kept for 20 s. A driver that stands still for 25 s is then answered with 404, takes the fleet's place anew, and replaces the other two routers.

--- a/review/play/case7.go
+++ b/review/play/case7.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -84,6 +85,13 @@
 	return r.begun[name]
 }
 
+// begunCommands returns how often each command has begun.
+func (r *replacer) begunCommands() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.begun)
+}
+
 // startLoad has a client read from each of the routers, with a pause behind each answer, until the case ends.
 func (w *world) startLoad(fleet []*router, pause time.Duration) {
 	var ended atomic.Bool
--- a/review/play/standins.go
+++ b/review/play/standins.go
@@ -25,30 +25,17 @@
 	Started int64   `json:"started_ms"`
 }
 
-// discovery is a stand-in for the platform's discovery.
+// discovery is a stand-in for the platform's discovery. Its list stays as it is.
 type discovery struct {
-	w    *world
-	addr string
-
-	mu        sync.Mutex
-	version   int
-	servers   []entry
-	changedAt []int // version of the latest change of each server
-	changed   chan struct{}
-	watches   int           // watches opened so far
-	mute      map[int]bool  // watches that have fallen silent
-	delay     time.Duration // before a call is answered
+	addr    string
+	servers []entry
 }
 
 // startDiscovery starts discovery with a list of servers.
 func (w *world) startDiscovery(servers []entry) *discovery {
-	d := &discovery{w: w, version: 1, servers: servers, changed: make(chan struct{}), mute: map[int]bool{}}
-	for range servers {
-		d.changedAt = append(d.changedAt, 1)
-	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	must(err)
-	d.addr = l.Addr().String()
+	d := &discovery{addr: l.Addr().String(), servers: servers}
 	server := &http.Server{Handler: http.HandlerFunc(d.serve)}
 	go server.Serve(l)
 	w.onClose(func() { server.Close() })
@@ -57,108 +44,27 @@
 
 // list returns the whole list in discovery's form.
 func (d *discovery) list() map[string]any {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return map[string]any{"version": d.version, "full": true, "servers": append([]entry{}, d.servers...)}
-}
-
-// setState changes the state of a server.
-func (d *discovery) setState(id, state string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.version++
-	for i := range d.servers {
-		if d.servers[i].ID == id {
-			d.servers[i].State, d.changedAt[i] = state, d.version
-		}
-	}
-	close(d.changed)
-	d.changed = make(chan struct{})
-}
-
-// silence has all open watches fall silent. Their connections stay open.
-func (d *discovery) silence() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for i := range d.watches {
-		d.mute[i] = true
-	}
-}
-
-// setDelay sets how long a call waits for its answer.
-func (d *discovery) setDelay(delay time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.delay = delay
-}
-
-// since returns the message with what has changed after a version, and the present version; empty if nothing has.
-func (d *discovery) since(after int) (message []byte, version int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if after >= d.version {
-		return nil, d.version
-	}
-	var list []entry
-	for i, s := range d.servers {
-		if d.changedAt[i] > after {
-			list = append(list, s)
-		}
-	}
-	message, _ = json.Marshal(map[string]any{"version": d.version, "full": after == 0, "servers": list})
-	return append(message, '\n'), d.version
+	return map[string]any{"version": 1, "full": true, "servers": d.servers}
 }
 
-// serve answers one call.
+// serve answers one call: with the list, or with a watch on which nothing changes.
 func (d *discovery) serve(response http.ResponseWriter, request *http.Request) {
-	arrived := time.Now()
-	d.mu.Lock()
-	delay := d.delay
-	d.mu.Unlock()
-	if delay > 0 {
-		time.Sleep(delay)
-	}
-	if request.URL.Query().Get("watch") == "" {
-		json.NewEncoder(response).Encode(d.list())
-		return
+	out := json.NewEncoder(response)
+	if request.URL.Query().Get("watch") == "" || request.URL.Query().Get("after") != "1" {
+		out.Encode(d.list())
+	} else {
+		out.Encode(map[string]any{"version": 1, "full": false, "servers": []entry{}})
 	}
-	d.mu.Lock()
-	number := d.watches
-	d.watches++
-	d.mu.Unlock()
-	version, _ := strconv.Atoi(request.URL.Query().Get("after"))
-	d.w.note("discovery: watch %d after version %d, asked for %.3f s ago", number, version, time.Since(arrived).Seconds())
-	flusher := response.(http.Flusher)
-	for first := true; ; first = false {
-		d.mu.Lock()
-		changed, mute := d.changed, d.mute[number]
-		d.mu.Unlock()
-		if mute {
-			d.w.note("discovery: watch %d is silent from now on", number)
-			<-request.Context().Done()
-			return
-		}
-		message, present := d.since(version)
-		if message == nil && !first {
-			message = []byte("\n")
-		} else if message == nil {
-			message, _ = json.Marshal(map[string]any{"version": present, "full": false, "servers": []entry{}})
-			message = append(message, '\n')
-		}
-		if _, err := response.Write(message); err != nil {
-			return
-		}
-		flusher.Flush()
-		if len(message) > 1 {
-			d.w.note("discovery: watch %d told version %d", number, present)
-		}
-		version = present
+	for request.URL.Query().Get("watch") != "" {
+		response.(http.Flusher).Flush()
 		select {
 		case <-request.Context().Done():
 			return
-		case <-changed:
 		case <-time.After(2 * time.Second):
 		}
+		if _, err := io.WriteString(response, "\n"); err != nil {
+			return
+		}
 	}
 }
 
